--- /dev/null
+++ b/cmd/guavayoke-standin/main.go
@@ -0,0 +1,58 @@
+// Command guavayoke-standin runs stand-ins of the systems around guavayoke.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"guavayoke/internal/settings"
+	"guavayoke/internal/standin"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	flag.Usage = usage
+	flag.Parse()
+	run, ok := roles[flag.Arg(0)]
+	if !ok || flag.NArg() != 2 {
+		usage()
+		os.Exit(exitSettings)
+	}
+	if err := run(flag.Arg(1)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+var roles = map[string]func(file string) error{
+	"platform": func(file string) error {
+		var set standin.PlatformSettings
+		if err := settings.Read(file, &set); err != nil {
+			return err
+		}
+		return standin.RunPlatform(set)
+	},
+	"backend": func(file string) error {
+		var set standin.BackendSettings
+		if err := settings.Read(file, &set); err != nil {
+			return err
+		}
+		return standin.RunBackends(set)
+	},
+}
+
+func usage() {
+	fmt.Fprint(os.Stderr, `guavayoke-standin takes the place of the platform or of backend servers.
+
+Usage: guavayoke-standin platform SETTINGS
+       guavayoke-standin backend SETTINGS
+
+Exit codes: 0 stopped by a signal, 1 failed, 2 wrong use.
+`)
+}
--- /dev/null
+++ b/cmd/guavayoked/main.go
@@ -0,0 +1,49 @@
+// Command guavayoked is the daemon of an entry host.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"guavayoke/internal/daemon"
+	"guavayoke/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	file := flag.String("settings", "", "JSON settings `file`")
+	check := flag.Bool("check", false, "check the settings and exit")
+	flag.Usage = usage
+	flag.Parse()
+	var set settings.Daemon
+	if err := settings.Read(*file, &set); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if *check {
+		fmt.Println("settings are good")
+		return
+	}
+	if err := daemon.Run(set); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+func usage() {
+	fmt.Fprint(os.Stderr, `guavayoked is the daemon of an entry host.
+
+Usage: guavayoked -settings FILE [-check]
+
+`)
+	flag.PrintDefaults()
+	fmt.Fprint(os.Stderr, `
+Exit codes: 0 stopped gracefully, 1 failed or cut off work, 2 wrong settings.
+`)
+}
--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,215 @@
+package backend
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Headers between the daemon and a backend server.
+const (
+	// TaskHeader carries the id of a task; the answer repeats it.
+	TaskHeader = "Guavayoke-Task"
+	// RefusedHeader is set by a server that has not run a task.
+	RefusedHeader = "Guavayoke-Refused"
+	// RefusedBusy and RefusedLeaving are the values of RefusedHeader.
+	RefusedBusy    = "Busy"
+	RefusedLeaving = "Leaving"
+	// LeavingHeader is set on the answers of a server that is about to leave.
+	LeavingHeader = "Guavayoke-Leaving"
+)
+
+const (
+	dialTimeout       = time.Second
+	idleConnection    = 20 * time.Second
+	maxAnswerBytes    = 4 << 20
+	defaultKeepClient = 1
+)
+
+// countedConn counts the bytes written, which tells whether a request that
+// failed can have reached the server.
+type countedConn struct {
+	net.Conn
+	wrote atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.wrote.Add(int64(n))
+	return n, err
+}
+
+// open reports whether the server has neither closed the connection nor sent
+// something unasked: such a connection must not be given a request.
+func (c *countedConn) open() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var n int
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, readErr = syscall.Read(int(fd), b[:])
+		return true
+	})
+	return err == nil && n < 0 && (readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK)
+}
+
+// client sends one task at a time over one connection of its own.
+type client struct {
+	http *fasthttp.HostClient
+	conn *countedConn
+}
+
+func newClient(address string) *client {
+	c := &client{}
+	c.http = &fasthttp.HostClient{
+		Addr:                          address,
+		MaxConns:                      1,
+		MaxIdleConnDuration:           idleConnection,
+		MaxIdemponentCallAttempts:     1,
+		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize:           maxAnswerBytes,
+		DisableHeaderNamesNormalizing: true,
+		NoDefaultUserAgentHeader:      true,
+		DisablePathNormalizing:        true,
+		Dial: func(addr string) (net.Conn, error) {
+			conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+			if err != nil {
+				return nil, err
+			}
+			c.conn = &countedConn{Conn: conn}
+			return c.conn, nil
+		},
+	}
+	return c
+}
+
+// exchange is the result of one send.
+type exchange struct {
+	outcome Outcome
+	status  int
+	body    []byte
+	leaving bool
+	err     error
+}
+
+// send sends a task and waits for the answer until deadline.
+func (c *client) send(task string, body []byte, deadline time.Time) exchange {
+	if c.conn != nil && !c.conn.open() {
+		c.http.CloseIdleConnections()
+		c.conn = nil
+	}
+	before := int64(0)
+	if c.conn != nil {
+		before = c.conn.wrote.Load()
+	}
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("http://" + c.http.Addr + "/task")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set(TaskHeader, task)
+	req.SetBodyRaw(body)
+	old := c.conn
+	err := c.http.DoDeadline(req, res, deadline)
+	if err != nil {
+		outcome := OutcomeLost
+		if c.conn == nil || c.conn == old && c.conn.wrote.Load() == before || c.conn != old && c.conn.wrote.Load() == 0 {
+			outcome = OutcomeUnreached
+		}
+		c.conn = nil
+		return exchange{outcome: outcome, err: err}
+	}
+	if res.ConnectionClose() {
+		c.conn = nil
+	}
+	return readAnswer(task, res)
+}
+
+// readAnswer judges an answer that came whole.
+func readAnswer(task string, res *fasthttp.Response) exchange {
+	x := exchange{status: res.StatusCode(), leaving: len(res.Header.Peek(LeavingHeader)) > 0}
+	switch {
+	case string(res.Header.Peek(TaskHeader)) != task:
+		// An answer to another request says nothing about this one.
+		x.outcome = OutcomeLost
+	case string(res.Header.Peek(RefusedHeader)) == RefusedBusy:
+		x.outcome = OutcomeBusy
+	case string(res.Header.Peek(RefusedHeader)) == RefusedLeaving:
+		x.outcome = OutcomeLeaving
+	case x.status == fasthttp.StatusOK:
+		x.outcome = OutcomeAnswered
+		x.body = append([]byte(nil), res.Body()...)
+	default:
+		x.outcome = OutcomeFailed
+		x.body = append([]byte(nil), res.Body()...)
+	}
+	return x
+}
+
+func (c *client) close() {
+	c.http.CloseIdleConnections()
+	c.conn = nil
+}
+
+// clientPool keeps the connections to each server within this host's part.
+type clientPool struct {
+	mu   sync.Mutex
+	free map[string][]*client
+	keep map[string]int
+}
+
+func newClientPool() *clientPool {
+	return &clientPool{free: map[string][]*client{}, keep: map[string]int{}}
+}
+
+// setKeep sets how many idle connections may be kept to each address and
+// closes the others.
+func (p *clientPool) setKeep(keep map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep = keep
+	for address, list := range p.free {
+		for len(list) > keep[address] {
+			list[len(list)-1].close()
+			list = list[:len(list)-1]
+		}
+		p.free[address] = list
+		if len(list) == 0 {
+			delete(p.free, address)
+		}
+	}
+}
+
+func (p *clientPool) get(address string) *client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.free[address]
+	if len(list) == 0 {
+		return newClient(address)
+	}
+	c := list[len(list)-1]
+	p.free[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *clientPool) put(address string, c *client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.free[address]) >= max(p.keep[address], defaultKeepClient) {
+		c.close()
+		return
+	}
+	p.free[address] = append(p.free[address], c)
+}
--- /dev/null
+++ b/internal/backend/service.go
@@ -0,0 +1,520 @@
+package backend
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"guavayoke/internal/kernel"
+	"guavayoke/internal/peer"
+	"guavayoke/internal/platform"
+	"guavayoke/internal/ring"
+	"guavayoke/pkg/document"
+	"guavayoke/pkg/verdict"
+)
+
+// Name is the name of the service in the kernel.
+const Name = "Backend"
+
+const eventRing = 1 << 16
+
+// Request is one task to be sent.
+type Request struct {
+	// ID is repeated by the backend server, so that an answer can be matched.
+	ID         string
+	Service    string
+	Team       string
+	Body       []byte
+	MemoryMB   int
+	Idempotent bool
+	Deadline   time.Time
+}
+
+// Answer is how a task ended.
+type Answer struct {
+	Verdict    verdict.Verdict
+	Reason     Reason
+	RetryAfter time.Duration
+	// Status and Body are those of the backend server.
+	Status int
+	Body   []byte
+	// Run is the time from the send to the answer.
+	Run time.Duration
+}
+
+// Reasons of answers that are not refusals.
+const (
+	ReasonNone       Reason = ""
+	ReasonTaskFailed Reason = "TaskFailed"
+	ReasonLost       Reason = "AnswerLost"
+	ReasonCancelled  Reason = "Cancelled"
+)
+
+// Group is a set of tasks that is accepted or refused as a whole.
+type Group struct {
+	Tasks []Request
+	// Done is called once for each task that was accepted, in any order and
+	// from several goroutines.
+	Done func(i int, a Answer)
+
+	ids []uint64
+}
+
+// Config builds a Service.
+type Config struct {
+	Self, Domain string
+	Rand         *rand.Rand
+	Log          *log.Logger
+	Metrics      metrics.Registry
+}
+
+// Service sends tasks to backend servers.
+type Service struct {
+	cfg      Config
+	events   *ring.Ring[func(now time.Time)]
+	clients  *clientPool
+	dispatch *Dispatcher
+	peers    *peer.Service
+	tasks    map[uint64]taskRef
+	nextTask uint64
+	document *document.Document
+	servers  []Server
+	hosts    []Host
+	counts   counts
+
+	mu       sync.Mutex
+	loads    []Load
+	loadTurn int
+	inFlight int
+}
+
+type taskRef struct {
+	group *Group
+	index int
+}
+
+// counts are the metrics of the service. Wasted ones carried no progress.
+type counts struct {
+	sends, answers, asks, grants, returns                 metrics.Counter
+	wastedBusy, wastedLeaving, wastedUnreached, wastedAsk metrics.Counter
+	refused                                               metrics.Counter
+	run                                                   metrics.Timer
+}
+
+// New returns a service; it is started by the kernel.
+func New(c Config) *Service {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, c.Metrics) }
+	return &Service{
+		cfg:      c,
+		events:   ring.New[func(time.Time)](eventRing),
+		clients:  newClientPool(),
+		dispatch: NewDispatcher(DispatcherConfig{Self: c.Self, Domain: c.Domain, Rand: c.Rand}),
+		tasks:    map[uint64]taskRef{},
+		counts: counts{
+			sends: counter("Backend.Sends"), answers: counter("Backend.Answers"),
+			asks: counter("Backend.Asks"), grants: counter("Backend.Grants"), returns: counter("Backend.Returns"),
+			wastedBusy: counter("Wasted.Busy"), wastedLeaving: counter("Wasted.Leaving"),
+			wastedUnreached: counter("Wasted.Unreached"), wastedAsk: counter("Wasted.Ask"),
+			refused: counter("Backend.Refused"),
+			run:     metrics.GetOrRegisterTimer("Backend.Run", c.Metrics),
+		},
+	}
+}
+
+// Service returns the kernel's view of s.
+func (s *Service) Service() kernel.Service {
+	return kernel.Service{Name: Name, Value: s, Start: s.start, Stop: s.stop}
+}
+
+func (s *Service) start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	peers, err := kernel.Find[*peer.Service](k, peer.Name)
+	if err != nil {
+		return nil, err
+	}
+	plat, err := kernel.Find[*platform.Service](k, platform.Name)
+	if err != nil {
+		return nil, err
+	}
+	s.peers = peers
+	s.handleNotes(peers)
+	peers.OnChange(s.membersChanged)
+	plat.OnApply(s.applied)
+	plat.OnHosts(s.hostsChanged)
+	done := make(chan error, 1)
+	go func() {
+		s.loop(ctx)
+		done <- nil
+	}()
+	return done, nil
+}
+
+// loop owns the dispatcher.
+func (s *Service) loop(ctx context.Context) {
+	t := time.NewTicker(TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.events.C():
+			f(time.Now())
+		case now := <-t.C:
+			s.carry(s.dispatch.Tick(now))
+			s.publish()
+		}
+	}
+}
+
+// publish copies what other goroutines may ask for.
+func (s *Service) publish() {
+	loads, inFlight := s.dispatch.Loads(), s.dispatch.InFlight()
+	s.mu.Lock()
+	s.loads, s.inFlight = loads, inFlight
+	s.mu.Unlock()
+}
+
+// Loads returns the state of every service.
+func (s *Service) Loads() []Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.loads
+}
+
+// InFlight returns the number of tasks that wait or run.
+func (s *Service) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
+}
+
+// handleNotes registers the messages of other dispatchers.
+func (s *Service) handleNotes(peers *peer.Service) {
+	peers.HandleNote(askName, func(from string, b []byte) {
+		var w wireAsk
+		if cbor.Unmarshal(b, &w) == nil {
+			s.post(func(now time.Time) { s.carry(s.dispatch.Asked(now, Ask{from, w.Seq, w.Service, w.Want})) })
+		}
+	})
+	peers.HandleNote(grantName, func(from string, b []byte) {
+		var w wireGrant
+		if cbor.Unmarshal(b, &w) == nil {
+			s.post(func(now time.Time) { s.carry(s.dispatch.Granted(now, w.grant(from))) })
+		}
+	})
+	peers.HandleNote(returnName, func(from string, b []byte) {
+		var w wireReturn
+		if cbor.Unmarshal(b, &w) == nil {
+			s.post(func(now time.Time) { s.carry(s.dispatch.Returned(now, Return{from, w.Service, w.Loans})) })
+		}
+	})
+	peers.HandleNote(leaveName, func(_ string, b []byte) {
+		var w wireLeave
+		if cbor.Unmarshal(b, &w) == nil {
+			s.post(func(now time.Time) { s.carry(s.dispatch.Leaving(now, w.Server)) })
+		}
+	})
+	peers.HandleNote(loadName, func(from string, b []byte) {
+		var w []wireLoad
+		if cbor.Unmarshal(b, &w) == nil {
+			loads := make([]Load, len(w))
+			for i, l := range w {
+				loads[i] = Load(l)
+			}
+			s.post(func(now time.Time) { s.dispatch.PeerLoads(now, from, loads) })
+		}
+	})
+	peers.Publish(loadName, s.publishLoads)
+}
+
+// publishLoads encodes some services in turn, so that heartbeats stay bounded.
+func (s *Service) publishLoads() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.loads) == 0 {
+		return nil
+	}
+	var w []wireLoad
+	for range min(loadsPerHeartbeat, len(s.loads)) {
+		s.loadTurn = (s.loadTurn + 1) % len(s.loads)
+		w = append(w, wireLoad(s.loads[s.loadTurn]))
+	}
+	return encode(w)
+}
+
+func (s *Service) post(f func(now time.Time)) { s.events.Offer(f) }
+
+func (s *Service) membersChanged(members []peer.Member) {
+	s.post(func(now time.Time) { s.setMembers(now, members) })
+}
+
+func (s *Service) setMembers(now time.Time, members []peer.Member) {
+	hosts := []Host{{ID: s.cfg.Self, FailureDomain: s.cfg.Domain}}
+	for _, m := range members {
+		if m.Up() {
+			hosts = append(hosts, Host{ID: m.Incarnation, FailureDomain: m.FailureDomain, Hop: m.RTT.Seconds() / 2})
+		}
+	}
+	s.hosts = hosts
+	s.carry(s.dispatch.SetHosts(now, hosts))
+	s.keepClients()
+}
+
+func (s *Service) applied(a *platform.Applied) {
+	s.post(func(now time.Time) {
+		s.document = a.Document
+		weights := map[string]float64{}
+		for _, t := range a.Document.Teams {
+			weights[t.Name] = float64(t.Weight)
+		}
+		s.carry(s.dispatch.Configure(now, Policies(a.Document), weights))
+		s.setServers(now)
+	})
+}
+
+// Policies returns the dispatcher's part of a document.
+func Policies(d *document.Document) []Policy {
+	policies := make([]Policy, 0, len(d.Services))
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, v := range d.Services {
+		policies = append(policies, Policy{
+			Service: v.Name, MemoryMB: v.MemoryMB,
+			PriorRun: ms(v.PriorRunMs), MaxRun: ms(v.MaxRunMs),
+			RetryBudget: float64(v.Retry.BudgetPercent) / 100, MaxAttempts: v.Retry.MaxAttempts,
+			BackoffMin: ms(v.Retry.BackoffMinMs), BackoffMax: ms(v.Retry.BackoffMaxMs),
+			MaxEjectedPercent: v.Ejection.MaxPercent, ProbeInterval: ms(v.Ejection.ProbeMs),
+			WastedMessage: time.Duration(d.Measures.WastedMessageMs * float64(time.Millisecond)),
+		})
+	}
+	return policies
+}
+
+func (s *Service) hostsChanged(hosts []platform.Host) {
+	s.post(func(now time.Time) {
+		s.servers = s.servers[:0]
+		for _, h := range hosts {
+			if h.Kind == platform.BackendServer {
+				s.servers = append(s.servers, Server{
+					Name: h.Name, Service: h.Service, Address: h.Address, FailureDomain: h.FailureDomain, Leaving: h.Leaving,
+				})
+			}
+		}
+		s.setServers(now)
+	})
+}
+
+// setServers joins the platform's list with the slots of the document.
+func (s *Service) setServers(now time.Time) {
+	if s.document == nil {
+		return
+	}
+	var servers []Server
+	for _, v := range s.servers {
+		if svc, ok := s.document.Service(v.Service); ok {
+			v.Slots = svc.Slots
+			servers = append(servers, v)
+		}
+	}
+	s.carry(s.dispatch.SetServers(now, servers))
+	s.keepClients()
+}
+
+// keepClients divides the connections of each server among the hosts: the own
+// slots, or an even part of what the slots leave over, if that is more.
+func (s *Service) keepClients() {
+	if s.document == nil {
+		return
+	}
+	keep := map[string]int{}
+	for _, v := range s.servers {
+		if svc, ok := s.document.Service(v.Service); ok {
+			keep[v.Address] = max(s.dispatch.OwnSlots(v.Service, v.Name), (svc.Connections-svc.Slots)/len(s.hosts))
+		}
+	}
+	s.clients.setKeep(keep)
+}
+
+// Submit hands in a group. It returns when the group has been accepted, or the
+// refusal: then no task of it has been or will be run.
+func (s *Service) Submit(ctx context.Context, g *Group) *Refusal {
+	result := make(chan *Refusal, 1)
+	err := s.events.Put(ctx, func(now time.Time) { result <- s.offer(now, g) })
+	if err != nil {
+		return &Refusal{ReasonOverload, time.Second}
+	}
+	return <-result
+}
+
+func (s *Service) offer(now time.Time, g *Group) *Refusal {
+	tasks := make([]*Task, len(g.Tasks))
+	for i, r := range g.Tasks {
+		s.nextTask++
+		tasks[i] = &Task{
+			ID: s.nextTask, Service: r.Service, Team: r.Team, Deadline: r.Deadline,
+			Idempotent: r.Idempotent, MemoryMB: r.MemoryMB,
+		}
+		g.ids = append(g.ids, s.nextTask)
+		s.tasks[s.nextTask] = taskRef{g, i}
+	}
+	actions, refusal := s.dispatch.Offer(now, tasks)
+	if refusal != nil {
+		for _, id := range g.ids {
+			delete(s.tasks, id)
+		}
+		s.counts.refused.Inc(int64(len(tasks)))
+		return refusal
+	}
+	s.carry(actions)
+	return nil
+}
+
+// Cancel drops the tasks of a group that wait; those that run are not touched.
+func (s *Service) Cancel(g *Group) {
+	s.post(func(time.Time) {
+		byService := map[string]map[uint64]bool{}
+		for i, id := range g.ids {
+			name := g.Tasks[i].Service
+			if byService[name] == nil {
+				byService[name] = map[uint64]bool{}
+			}
+			byService[name][id] = true
+		}
+		for name, ids := range byService {
+			for _, id := range s.dispatch.Cancel(name, ids) {
+				s.end(id, Answer{Verdict: verdict.NotRun, Reason: ReasonCancelled})
+			}
+		}
+	})
+}
+
+func (s *Service) end(id uint64, a Answer) {
+	ref, ok := s.tasks[id]
+	if !ok {
+		return
+	}
+	delete(s.tasks, id)
+	ref.group.Done(ref.index, a)
+}
+
+// carry carries out what the dispatcher has decided.
+func (s *Service) carry(actions []Action) {
+	for _, a := range actions {
+		switch {
+		case a.Send != nil:
+			s.send(*a.Send)
+		case a.Refuse != nil:
+			s.counts.refused.Inc(1)
+			s.end(a.Refuse.Task, Answer{Verdict: verdict.NotRun, Reason: a.Refuse.Reason, RetryAfter: a.Refuse.RetryAfter})
+		case a.Ask != nil:
+			s.counts.asks.Inc(1)
+			s.peers.Note(a.Ask.Peer, askName, encode(wireAsk{a.Ask.Seq, a.Ask.Service, a.Ask.Want}))
+		case a.Grant != nil:
+			s.counts.grants.Inc(1)
+			if len(a.Grant.Slots) == 0 {
+				s.counts.wastedAsk.Inc(2)
+			}
+			s.peers.Note(a.Grant.Peer, grantName, encode(newWireGrant(a.Grant)))
+		case a.Return != nil:
+			s.counts.returns.Inc(1)
+			s.peers.Note(a.Return.Peer, returnName, encode(wireReturn{a.Return.Service, a.Return.Loans}))
+		case a.Leave != nil:
+			s.tellLeaving(a.Leave.Server)
+		}
+	}
+}
+
+func (s *Service) tellLeaving(server string) {
+	s.cfg.Log.Info().Str("Server", server).Msg("ServerLeaving")
+	body := encode(wireLeave{server})
+	for _, h := range s.hosts {
+		if h.ID != s.cfg.Self {
+			s.peers.Note(h.ID, leaveName, body)
+		}
+	}
+}
+
+// send carries out one send in a goroutine of its own, which ends with the
+// answer or after the longest run time.
+func (s *Service) send(a Send) {
+	ref := s.tasks[a.Task]
+	if ref.group == nil {
+		s.post(func(now time.Time) { s.sent(now, a, exchange{outcome: OutcomeUnreached}, 0) })
+		return
+	}
+	r := ref.group.Tasks[ref.index]
+	sentAt := time.Now()
+	deadline := sentAt.Add(s.dispatch.MaxRun(r.Service))
+	s.counts.sends.Inc(1)
+	go func() {
+		c := s.clients.get(a.Server.Address)
+		x := c.send(r.ID, r.Body, deadline)
+		s.clients.put(a.Server.Address, c)
+		run := time.Since(sentAt)
+		s.counts.run.Update(run)
+		// The dispatcher must hear of every end, so this waits for room.
+		_ = s.events.Put(context.Background(), func(now time.Time) { s.sent(now, a, x, run) })
+	}()
+}
+
+// sent tells the dispatcher how a send ended and ends the task if it is over.
+func (s *Service) sent(now time.Time, a Send, x exchange, run time.Duration) {
+	s.countOutcome(x.outcome)
+	over, actions := s.dispatch.Done(now, a.Attempt, x.outcome)
+	if x.leaving {
+		actions = append(actions, s.dispatch.Leaving(now, a.Server.Name)...)
+	}
+	if over {
+		s.end(a.Task, newAnswer(x, run))
+	}
+	s.carry(actions)
+}
+
+func newAnswer(x exchange, run time.Duration) Answer {
+	answer := Answer{Verdict: x.outcome.Verdict(), Status: x.status, Body: x.body, Run: run}
+	switch x.outcome {
+	case OutcomeFailed:
+		answer.Reason = ReasonTaskFailed
+	case OutcomeLost:
+		answer.Reason = ReasonLost
+	}
+	return answer
+}
+
+func (s *Service) countOutcome(o Outcome) {
+	switch o {
+	case OutcomeAnswered, OutcomeFailed:
+		s.counts.answers.Inc(1)
+	case OutcomeBusy:
+		s.counts.wastedBusy.Inc(2)
+	case OutcomeLeaving:
+		s.counts.wastedLeaving.Inc(2)
+	case OutcomeUnreached:
+		s.counts.wastedUnreached.Inc(1)
+	}
+}
+
+// stop waits until no task waits or runs.
+func (s *Service) stop(ctx context.Context) error {
+	t := time.NewTicker(TickInterval)
+	defer t.Stop()
+	for {
+		left := make(chan int, 1)
+		if err := s.events.Put(ctx, func(time.Time) { left <- s.dispatch.InFlight() }); err != nil {
+			return err
+		}
+		if n := <-left; n == 0 {
+			return nil
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			s.cfg.Log.Error().Str("Tasks", strconv.Itoa(s.InFlight())).Msg("StopCutOff")
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/share.go
@@ -0,0 +1,141 @@
+package backend
+
+// Shares of slots.
+//
+//  1. Every slot of a backend server belongs to one entry host of the server's
+//     failure domain; if the domain has none, to one of all entry hosts.
+//  2. No host owns more than its even part of the slots of a service in a
+//     domain, rounded up.
+//  3. Within rule 2 a slot belongs to the host with the highest hash of host,
+//     server and slot number, so that a change of one host or server moves few
+//     other slots.
+//  4. Hosts with the same lists compute the same shares; no message is needed.
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Server is a backend server.
+type Server struct {
+	Name          string
+	Service       string
+	Address       string
+	FailureDomain string
+	// Slots is the number of tasks that it runs at once.
+	Slots int
+	// Leaving is set once it takes no new work.
+	Leaving bool
+}
+
+// Host is an entry host among which slots are shared.
+type Host struct {
+	// ID is the incarnation of the host.
+	ID            string
+	FailureDomain string
+	// Hop is the one-way latency to the host as measured here, in seconds.
+	Hop float64
+}
+
+// SlotRef names one slot of a backend server.
+type SlotRef struct {
+	Server string
+	Index  int
+}
+
+// Shares returns the slots that self owns, in a fixed order.
+func Shares(self string, servers []Server, hosts []Host) []SlotRef {
+	var own []SlotRef
+	for _, g := range groupServers(servers) {
+		owners := ownersFor(g[0].FailureDomain, hosts)
+		if len(owners) > 0 {
+			own = append(own, deal(self, g, owners)...)
+		}
+	}
+	return own
+}
+
+// groupServers sorts servers into groups of one service in one domain.
+func groupServers(servers []Server) [][]Server {
+	sorted := append([]Server(nil), servers...)
+	sort.Slice(sorted, func(i, j int) bool {
+		a, b := sorted[i], sorted[j]
+		if a.Service != b.Service {
+			return a.Service < b.Service
+		}
+		if a.FailureDomain != b.FailureDomain {
+			return a.FailureDomain < b.FailureDomain
+		}
+		return a.Name < b.Name
+	})
+	var groups [][]Server
+	for i, s := range sorted {
+		if i == 0 || sorted[i-1].Service != s.Service || sorted[i-1].FailureDomain != s.FailureDomain {
+			groups = append(groups, nil)
+		}
+		groups[len(groups)-1] = append(groups[len(groups)-1], s)
+	}
+	return groups
+}
+
+// ownersFor returns the hosts among which a domain's slots are dealt (rule 1).
+func ownersFor(domain string, hosts []Host) []string {
+	var local, all []string
+	for _, h := range hosts {
+		all = append(all, h.ID)
+		if h.FailureDomain == domain {
+			local = append(local, h.ID)
+		}
+	}
+	if len(local) == 0 {
+		local = all
+	}
+	sort.Strings(local)
+	return local
+}
+
+// deal assigns the slots of a group and returns those of self (rules 2, 3).
+func deal(self string, group []Server, owners []string) []SlotRef {
+	total := 0
+	for _, s := range group {
+		total += s.Slots
+	}
+	limit := (total + len(owners) - 1) / len(owners)
+	seeds := make([]uint64, len(owners))
+	for i, o := range owners {
+		seeds[i] = xxhash.Sum64String(o)
+	}
+	owned := make([]int, len(owners))
+	var own []SlotRef
+	for _, s := range group {
+		server := xxhash.Sum64String(s.Name)
+		for k := range s.Slots {
+			best := pick(seeds, owned, limit, server, k)
+			owned[best]++
+			if owners[best] == self {
+				own = append(own, SlotRef{s.Name, k})
+			}
+		}
+	}
+	return own
+}
+
+// pick returns the owner with the highest hash that is below the limit.
+func pick(seeds []uint64, owned []int, limit int, server uint64, slot int) int {
+	best, bestHash := -1, uint64(0)
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[8:], server)
+	binary.LittleEndian.PutUint64(b[16:], uint64(slot))
+	for i, seed := range seeds {
+		if owned[i] >= limit {
+			continue
+		}
+		binary.LittleEndian.PutUint64(b[:], seed)
+		if h := xxhash.Sum64(b[:]); best < 0 || h > bestHash {
+			best, bestHash = i, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/caller/home.go
@@ -0,0 +1,257 @@
+package caller
+
+// The home of a submission.
+//
+//  1. Only the home named in an id may start its tasks. Every other host
+//     forwards to it.
+//  2. The home holds each submission, from before its first task is started,
+//     until its token has expired by the home's own clock, and its end has been
+//     held for answerRetention. An id that is not held and whose token has
+//     expired is refused; as it may have been forgotten, it may have run.
+//  3. An incarnation is known to have ended only by proof: another incarnation
+//     answered at its address, or it said goodbye. Then the answer is final:
+//     failed, may have run. A home that is merely silent may still finish; the
+//     answer is not final.
+//  4. An id without a token is claimed in the platform's store first; whoever
+//     holds the claim is the home. The submission is held from before the
+//     claim is written.
+//  5. A claim of this host that was granted stays its own when the start was
+//     refused: a repeat starts it without another claim. An attempt that was
+//     given up is remembered: if the store shows its claim later, the id belongs
+//     to nobody and is not run.
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// TokenLife is how long a home token may be used.
+	TokenLife = 2 * time.Minute
+	// answerRetention is how long the end of a submission is held.
+	answerRetention = 2 * time.Minute
+	// claimHold is how long a claimed id is held: longer than any host takes it.
+	claimHold = 15 * time.Minute
+	// sweepInterval is the time between two searches for what may be forgotten.
+	sweepInterval = time.Second
+)
+
+// HomeConfig builds a Home.
+type HomeConfig struct {
+	Incarnation, Address, FailureDomain string
+	// Key signs tokens.
+	Key []byte
+	// MaxHeldBytes bounds what is held; more submissions are refused.
+	MaxHeldBytes int64
+}
+
+// Home decides where a submission may start and remembers those of this host.
+// It is not safe for concurrent use.
+type Home struct {
+	cfg   HomeConfig
+	held  map[string]*Submission
+	bytes int64
+	swept time.Time
+	// owned and givenUp hold ids without a token until a time (rule 5).
+	owned   map[string]time.Time
+	givenUp map[string]time.Time
+}
+
+// Submission is one job or non-idempotent request that this host is home of.
+type Submission struct {
+	ID      SubmissionID
+	Digest  uint64
+	Team    string
+	Service string
+	Begun   time.Time
+	// Phase says how far the submission has come.
+	Phase Phase
+	// Job is set once the submission has been started.
+	Job *Job
+
+	// Single tells a request from a job.
+	Single bool
+
+	keepUntil  time.Time
+	size       int64
+	ended      chan struct{}
+	cancelled  chan struct{}
+	cancelOnce sync.Once
+}
+
+// cancel asks for the end of the submission.
+func (s *Submission) cancel() { s.cancelOnce.Do(func() { close(s.cancelled) }) }
+
+// Phase is the state of a submission at its home.
+type Phase uint8
+
+const (
+	// PhaseClaiming means that the claim is not settled.
+	PhaseClaiming Phase = iota
+	// PhaseStarted means that tasks may have been started.
+	PhaseStarted
+)
+
+// Step is what to do with a submission next.
+type Step uint8
+
+const (
+	// StepStart means that this host is the home and has not seen the id.
+	StepStart Step = iota + 1
+	// StepHeld means that this host holds the submission.
+	StepHeld
+	// StepForward means that another host is the home.
+	StepForward
+	// StepClaim means that the id must be claimed first.
+	StepClaim
+	// StepEnded means that the home has ended.
+	StepEnded
+	// StepExpired means that the token has expired and the id is not held.
+	StepExpired
+	// StepFull means that this host can hold no more submissions.
+	StepFull
+)
+
+// NewHome returns a Home that holds nothing.
+func NewHome(c HomeConfig) *Home {
+	return &Home{cfg: c, held: map[string]*Submission{}, owned: map[string]time.Time{}, givenUp: map[string]time.Time{}}
+}
+
+// Token returns a token that names this host as home.
+func (h *Home) Token(now time.Time) Token {
+	return Token{h.cfg.Incarnation, h.cfg.Address, h.cfg.FailureDomain, now.Add(TokenLife).UnixMilli()}
+}
+
+// Decide says what to do with an id. ended tells whether an incarnation is
+// known to have ended.
+func (h *Home) Decide(now time.Time, id SubmissionID, ended func(incarnation string) bool) (Step, *Submission) {
+	if s := h.held[id.Raw]; s != nil {
+		return StepHeld, s
+	}
+	switch {
+	case id.Token == nil && !h.owned[id.Raw].IsZero():
+		return h.room(StepStart), nil
+	case id.Token == nil:
+		return h.room(StepClaim), nil
+	case id.Token.Incarnation != h.cfg.Incarnation:
+		if ended(id.Token.Incarnation) {
+			return StepEnded, nil
+		}
+		return StepForward, nil
+	case now.UnixMilli() >= id.Token.ExpiryMs:
+		return StepExpired, nil
+	}
+	return h.room(StepStart), nil
+}
+
+func (h *Home) room(s Step) Step {
+	if h.bytes >= h.cfg.MaxHeldBytes {
+		return StepFull
+	}
+	return s
+}
+
+// Begin holds a submission (rules 2 and 4).
+func (h *Home) Begin(now time.Time, id SubmissionID, digest uint64, team, service string, size int) *Submission {
+	s := &Submission{
+		ID: id, Digest: digest, Team: team, Service: service, Begun: now,
+		Phase: PhaseStarted, size: int64(size) + submissionOverhead, ended: make(chan struct{}), cancelled: make(chan struct{}),
+	}
+	s.keepUntil = now.Add(claimHold)
+	switch {
+	case id.Token != nil:
+		s.keepUntil = time.UnixMilli(id.Token.ExpiryMs)
+	case h.owned[id.Raw].IsZero():
+		s.Phase = PhaseClaiming
+	}
+	h.held[id.Raw] = s
+	h.bytes += s.size
+	return s
+}
+
+// submissionOverhead is about what holding a submission costs besides its
+// tasks and answers, in bytes.
+const submissionOverhead = 1024
+
+// Ended records the end of a submission, whose answers have the given size.
+func (h *Home) Ended(now time.Time, s *Submission, size int) {
+	if until := now.Add(answerRetention); until.After(s.keepUntil) {
+		s.keepUntil = until
+	}
+	h.bytes += int64(size)
+	s.size += int64(size)
+	close(s.ended)
+}
+
+// Forget drops a submission of which nothing was started and which was refused
+// as a whole, so that a repeat may start it.
+func (h *Home) Forget(s *Submission) {
+	if h.held[s.ID.Raw] == s {
+		delete(h.held, s.ID.Raw)
+		h.bytes -= s.size
+	}
+	if !s.isEnded() {
+		close(s.ended)
+	}
+}
+
+// Granted records that this host holds the claim of a submission.
+func (h *Home) Granted(now time.Time, s *Submission) {
+	s.Phase = PhaseStarted
+	h.owned[s.ID.Raw] = now.Add(claimHold)
+	delete(h.givenUp, s.ID.Raw)
+}
+
+// GiveUp forgets a submission and records that nothing will be started under
+// the attempt to claim it.
+func (h *Home) GiveUp(now time.Time, s *Submission) {
+	h.givenUp[s.ID.Raw] = now.Add(claimHold)
+	h.Forget(s)
+}
+
+// GivenUp reports whether attempts of this host to claim an id were given up
+// and none was granted.
+func (h *Home) GivenUp(id SubmissionID) bool { return !h.givenUp[id.Raw].IsZero() }
+
+// Sweep forgets what need not be held any more.
+func (h *Home) Sweep(now time.Time) {
+	if now.Sub(h.swept) < sweepInterval {
+		return
+	}
+	h.swept = now
+	for _, ids := range []map[string]time.Time{h.owned, h.givenUp} {
+		for id, until := range ids {
+			if !now.Before(until) {
+				delete(ids, id)
+			}
+		}
+	}
+	for _, s := range h.held {
+		if s.isEnded() && !now.Before(s.keepUntil) {
+			h.Forget(s)
+		}
+	}
+}
+
+func (s *Submission) isEnded() bool {
+	select {
+	case <-s.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// Held returns the number of submissions held and their size in bytes.
+func (h *Home) Held() (int, int64) { return len(h.held), h.bytes }
+
+// Open returns the submissions that have not ended.
+func (h *Home) Open() []*Submission {
+	var open []*Submission
+	for _, s := range h.held {
+		if !s.isEnded() {
+			open = append(open, s)
+		}
+	}
+	return open
+}
--- /dev/null
+++ b/internal/caller/http.go
@@ -0,0 +1,268 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/pkg/verdict"
+)
+
+// Paths of the caller interface.
+const (
+	pathRequests = "/v1/requests"
+	pathJobs     = "/v1/jobs"
+	pathToken    = "/v1/token"
+	maxListed    = 1000
+	maxWait      = 60 * time.Second
+)
+
+func (s *Service) serveHTTP(ctx *fasthttp.RequestCtx) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	path, method := string(ctx.Path()), string(ctx.Method())
+	switch {
+	case path == pathRequests && method == "POST":
+		s.serveRequest(ctx)
+	case path == pathJobs && method == "POST":
+		s.serveJob(ctx)
+	case path == pathJobs && method == "GET":
+		s.serveList(ctx)
+	case strings.HasPrefix(path, pathJobs+"/") && method == "GET":
+		s.serveOp(ctx, opGet, path[len(pathJobs)+1:])
+	case strings.HasPrefix(path, pathJobs+"/") && method == "DELETE":
+		s.serveOp(ctx, opCancel, path[len(pathJobs)+1:])
+	case path == pathToken && method == "GET":
+		s.serveToken(ctx)
+	case path == pathRequests || path == pathJobs || path == pathToken || strings.HasPrefix(path, pathJobs+"/"):
+		s.write(ctx, refuse(fasthttp.StatusMethodNotAllowed, reasonBadRequest, method+" is not served here", 0))
+	default:
+		s.write(ctx, refuse(fasthttp.StatusNotFound, reasonBadRequest, "there is no "+path, 0))
+	}
+}
+
+func (s *Service) write(ctx *fasthttp.RequestCtx, r result) {
+	ctx.SetStatusCode(r.status)
+	ctx.SetContentType("application/json")
+	if r.RetryAfterMs > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatInt((r.RetryAfterMs+999)/1000, 10))
+	}
+	ctx.SetBody(render(r.wireResult))
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (s *Service) serveToken(ctx *fasthttp.RequestCtx) {
+	if !s.Ready() {
+		s.write(ctx, refuse(fasthttp.StatusServiceUnavailable, s.unreadyReason(), "", time.Second))
+		return
+	}
+	s.mu.Lock()
+	t := s.home.Token(time.Now())
+	s.mu.Unlock()
+	text, err := t.Encode(s.cfg.Home.Key)
+	if err != nil {
+		s.write(ctx, refuse(fasthttp.StatusInternalServerError, reasonBadRequest, err.Error(), 0))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(render(wireToken{text, TokenLife.Milliseconds()}))
+}
+
+func (s *Service) unreadyReason() string {
+	if s.draining.Load() {
+		return reasonDraining
+	}
+	return reasonNotReady
+}
+
+func (s *Service) serveRequest(ctx *fasthttp.RequestCtx) {
+	body := append([]byte(nil), ctx.PostBody()...)
+	o, bad := s.parseOrder(body, true)
+	s.answer(ctx, o, bad, body)
+}
+
+func (s *Service) serveJob(ctx *fasthttp.RequestCtx) {
+	body := append([]byte(nil), ctx.PostBody()...)
+	o, bad := s.parseOrder(body, false)
+	s.answer(ctx, o, bad, body)
+}
+
+// answer submits an order, writes the answer and counts it.
+func (s *Service) answer(ctx *fasthttp.RequestCtx, o *order, bad *result, body []byte) {
+	if bad != nil {
+		s.write(ctx, *bad)
+		return
+	}
+	begun := time.Now()
+	r := s.submit(o, body, true)
+	s.write(ctx, r)
+	s.record(time.Now(), o, r, time.Since(begun))
+}
+
+// record counts an answer against the objective of its service.
+func (s *Service) record(now time.Time, o *order, r result, took time.Duration) {
+	d := s.document.Load()
+	if d == nil || r.State == string(JobRunning) {
+		return
+	}
+	svc, ok := d.Service(o.service)
+	if !ok {
+		return
+	}
+	out := Outcome{Service: o.service, Team: o.team, Refused: r.State == stateRefused}
+	out.Good = r.State == string(JobComplete) && took <= time.Duration(svc.Objective.LatencyMs)*time.Millisecond
+	if !out.Refused || svc.Objective.CountRefusals {
+		s.cfg.Record(now, out)
+	}
+}
+
+// parseOrder reads and checks a body.
+func (s *Service) parseOrder(body []byte, single bool) (*order, *result) {
+	o := &order{single: single}
+	var rawID string
+	var deadlineMs int
+	if single {
+		var w wireRequest
+		if bad := decodeBody(body, &w); bad != nil {
+			return nil, bad
+		}
+		rawID, deadlineMs = w.ID, w.DeadlineMs
+		o.team, o.service, o.idempotent, o.first = w.Team, w.Service, w.Idempotent, w.First
+		o.tasks = []wireTask{{w.MemoryMB, w.Body}}
+	} else {
+		var w wireJob
+		if bad := decodeBody(body, &w); bad != nil {
+			return nil, bad
+		}
+		rawID, deadlineMs = w.ID, w.DeadlineMs
+		o.team, o.service, o.first, o.noWait = w.Team, w.Service, w.First, w.NoWait
+		o.tasks = w.Tasks
+	}
+	o.digest = o.contentDigest()
+	if bad := s.setID(o, rawID); bad != nil {
+		return nil, bad
+	}
+	return o, s.check(o, deadlineMs)
+}
+
+// contentDigest covers what a repeat must not change.
+func (o *order) contentDigest() uint64 {
+	d := xxhash.New()
+	for _, part := range []string{o.team, o.service, strconv.FormatBool(o.single)} {
+		_, _ = d.WriteString(part + "\n")
+	}
+	for _, t := range o.tasks {
+		_, _ = d.WriteString(strconv.Itoa(len(t.Body)) + "\n")
+		_, _ = d.Write(t.Body)
+	}
+	return d.Sum64()
+}
+
+func (s *Service) setID(o *order, raw string) *result {
+	var err error
+	switch {
+	case raw != "":
+		o.id, err = ParseID(s.cfg.Home.Key, raw)
+	case o.single && o.idempotent:
+		o.id = SubmissionID{UUID: uuid.New()}
+		o.id.Raw = o.id.UUID.String()
+	default:
+		s.mu.Lock()
+		o.id, err = s.home.mintID(time.Now())
+		s.mu.Unlock()
+		o.first = true
+	}
+	if err == nil {
+		return nil
+	}
+	r := refuse(fasthttp.StatusBadRequest, reasonBadRequest, "ID: "+err.Error(), 0)
+	return &r
+}
+
+// check applies the configuration to an order. Without one, the order may
+// still belong to another home, so nothing is refused here.
+func (s *Service) check(o *order, deadlineMs int) *result {
+	o.deadline = time.Duration(deadlineMs) * time.Millisecond
+	d := s.document.Load()
+	if d == nil {
+		return nil
+	}
+	bad := func(status int, reason, detail string) *result {
+		r := refuse(status, reason, detail, 0)
+		r.ID = o.id.Raw
+		return &r
+	}
+	svc, ok := d.Service(o.service)
+	if !ok {
+		return bad(fasthttp.StatusNotFound, reasonUnknownService, fmt.Sprintf("Service: there is no service %q", o.service))
+	}
+	if _, ok := d.Team(o.team); !ok {
+		return bad(fasthttp.StatusForbidden, reasonUnknownTeam, fmt.Sprintf("Team: there is no team %q", o.team))
+	}
+	if deadlineMs > svc.Deadline.MaxMs {
+		return bad(fasthttp.StatusBadRequest, reasonBadRequest, fmt.Sprintf("DeadlineMs: must be at most %d", svc.Deadline.MaxMs))
+	}
+	if deadlineMs == 0 {
+		o.deadline = time.Duration(svc.Deadline.DefaultMs) * time.Millisecond
+	}
+	return nil
+}
+
+// serveOp serves a question about a submission or its cancellation.
+func (s *Service) serveOp(ctx *fasthttp.RequestCtx, kind opKind, raw string) {
+	id, err := ParseID(s.cfg.Home.Key, raw)
+	if err != nil {
+		s.write(ctx, refuse(fasthttp.StatusBadRequest, reasonBadRequest, "ID: "+err.Error(), 0))
+		return
+	}
+	wait := time.Duration(ctx.QueryArgs().GetUintOrZero("WaitMs")) * time.Millisecond
+	r := s.operate(op{Kind: kind, ID: raw, Remaining: min(wait, maxWait)}, id)
+	r.ID = raw
+	s.write(ctx, r)
+}
+
+// serveList lists the submissions that this host is home of.
+func (s *Service) serveList(ctx *fasthttp.RequestCtx) {
+	team := string(ctx.QueryArgs().Peek("Team"))
+	list := []wireListed{}
+	s.mu.Lock()
+	for _, sub := range s.home.held {
+		if team != "" && sub.Team != team || len(list) == maxListed {
+			continue
+		}
+		l := wireListed{ID: sub.ID.Raw, Team: sub.Team, Service: sub.Service, State: "Claiming", BegunMs: sub.Begun.UnixMilli()}
+		if sub.Job != nil {
+			l.State, l.Tasks = string(sub.Job.State), len(sub.Job.Tasks)
+		}
+		list = append(list, l)
+	}
+	s.mu.Unlock()
+	b, err := json.Marshal(list)
+	if err != nil {
+		s.write(ctx, unsure(fasthttp.StatusInternalServerError, false, reasonBadRequest, err.Error(), 0))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// verdictOf is the verdict of a refusal at this host: if the id may have been
+// sent elsewhere before, only its home knows.
+func (o *order) refusal(status int, reason, detail string, after time.Duration) result {
+	r := refuse(status, reason, detail, after)
+	if !o.first && o.id.Token == nil && !(o.single && o.idempotent) {
+		r.Verdict = verdict.MayHaveRun
+		r.State = stateUnknown
+	}
+	r.Final = false
+	r.ID = o.id.Raw
+	return r
+}
--- /dev/null
+++ b/internal/caller/lend.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// wireQuotaAsk asks another host for a part of a team's quota.
+type wireQuotaAsk struct {
+	Team string
+	Need QuotaLoan
+}
+
+// askQuota asks one host for a loan. It reports whether it got any.
+func (s *Service) askQuota(team string, need QuotaLoan) bool {
+	askedAt := time.Now()
+	s.mu.Lock()
+	target := s.nextLender(team)
+	s.mu.Unlock()
+	if target == "" {
+		return false
+	}
+	m, ok := s.peers.Find(target)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), quotaTimeout)
+	defer cancel()
+	var loan QuotaLoan
+	b, err := s.peers.Call(ctx, m.Address, target, quotaName, encode(wireQuotaAsk{team, need}))
+	if err == nil {
+		err = cbor.Unmarshal(b, &loan)
+	}
+	if err != nil {
+		loan = QuotaLoan{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quota.Granted(time.Now(), askedAt, team, loan)
+	return loan != (QuotaLoan{})
+}
+
+// nextLender returns the hosts that are up in turn. The caller holds mu.
+func (s *Service) nextLender(team string) string {
+	t := s.quota.teams[team]
+	if t == nil || len(s.claimWriters) < 2 {
+		return ""
+	}
+	for range s.claimWriters {
+		t.turn++
+		if m := s.claimWriters[t.turn%len(s.claimWriters)]; m.Incarnation != s.cfg.Home.Incarnation {
+			return m.Incarnation
+		}
+	}
+	return ""
+}
+
+// handleQuota lends what this host does not use.
+func (s *Service) handleQuota(_ context.Context, b []byte) ([]byte, error) {
+	var w wireQuotaAsk
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return nil, fmt.Errorf("decode quota ask: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encode(s.quota.Asked(time.Now(), w.Team, w.Need)), nil
+}
+
+func encode(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		// Only types of this package are encoded; all of them can be.
+		panic(err)
+	}
+	return b
+}
+
+func unmarshalResult(reply opReply, r *result) error {
+	r.status = reply.Status
+	if err := json.Unmarshal(reply.Result, &r.wireResult); err != nil {
+		return fmt.Errorf("decode answer of the home: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/caller/wire.go
@@ -0,0 +1,226 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/pkg/document"
+	"guavayoke/pkg/verdict"
+)
+
+const (
+	maxBodyBytes = 4 << 20
+	maxTasks     = 1000
+)
+
+// wireRequest is the body of a single request.
+type wireRequest struct {
+	ID         string `validate:"max=512"`
+	Team       string `validate:"required,max=64"`
+	Service    string `validate:"required,max=64"`
+	Idempotent bool
+	First      bool
+	DeadlineMs int `validate:"min=0,max=3600000"`
+	MemoryMB   int `validate:"min=0,max=1048576"`
+	Body       json.RawMessage
+}
+
+// wireJob is the body of a job.
+type wireJob struct {
+	ID         string `validate:"max=512"`
+	Team       string `validate:"required,max=64"`
+	Service    string `validate:"required,max=64"`
+	First      bool
+	NoWait     bool
+	DeadlineMs int        `validate:"min=0,max=3600000"`
+	Tasks      []wireTask `validate:"required,min=1,max=1000"`
+}
+
+// wireTask is one task of a job.
+type wireTask struct {
+	MemoryMB int `validate:"min=0,max=1048576"`
+	Body     json.RawMessage
+}
+
+// wireResult is every answer to a caller.
+type wireResult struct {
+	ID      string `json:",omitempty"`
+	State   string
+	Verdict verdict.Verdict
+	// Final says that no later answer to this id will differ.
+	Final        bool
+	Reason       string             `json:",omitempty"`
+	Detail       string             `json:",omitempty"`
+	Problems     []document.Problem `json:",omitempty"`
+	RetryAfterMs int64              `json:",omitempty"`
+	Answer       json.RawMessage    `json:",omitempty"`
+	Tasks        []wireTaskResult   `json:",omitempty"`
+}
+
+// wireTaskResult is the end of one task of a job.
+type wireTaskResult struct {
+	Verdict verdict.Verdict
+	Reason  string          `json:",omitempty"`
+	Answer  json.RawMessage `json:",omitempty"`
+}
+
+// wireToken is the answer to a request for a home token.
+type wireToken struct {
+	Token       string
+	ExpiresInMs int64
+}
+
+// wireListed is one line of the list of submissions.
+type wireListed struct {
+	ID      string
+	Team    string
+	Service string
+	State   string
+	BegunMs int64
+	Tasks   int
+}
+
+// order is a submission as the service handles it, single request or job.
+type order struct {
+	id         SubmissionID
+	team       string
+	service    string
+	single     bool
+	idempotent bool
+	first      bool
+	noWait     bool
+	deadline   time.Duration
+	tasks      []wireTask
+	digest     uint64
+}
+
+// result is an answer with its HTTP status.
+type result struct {
+	status int
+	wireResult
+}
+
+// States of answers besides those of jobs.
+const (
+	stateRefused = "Refused"
+	stateUnknown = "Unknown"
+)
+
+// Reasons of refusals and failures besides those of the dispatcher.
+const (
+	reasonBadRequest     = "BadRequest"
+	reasonUnknownTeam    = "UnknownTeam"
+	reasonUnknownService = "UnknownService"
+	reasonNotReady       = "NoConfiguration"
+	reasonDraining       = "Draining"
+	reasonQuota          = "QuotaExceeded"
+	reasonNeverFits      = "NeverFits"
+	reasonHeldFull       = "TooManyHeld"
+	reasonDeadline       = "DeadlinePassed"
+	reasonCancelled      = "Cancelled"
+	reasonOtherContent   = "IDReused"
+	reasonHomeEnded      = "HomeEnded"
+	reasonHomeSilent     = "HomeUnreachable"
+	reasonExpired        = "IDExpired"
+	reasonStore          = "StoreUnavailable"
+	reasonGivenUp        = "ClaimGivenUp"
+	reasonUnknownID      = "UnknownID"
+	reasonJournalFull    = "JournalFull"
+)
+
+func refuse(status int, reason, detail string, after time.Duration) result {
+	return result{status, wireResult{
+		State: stateRefused, Verdict: verdict.NotRun, Final: true,
+		Reason: reason, Detail: detail, RetryAfterMs: after.Milliseconds(),
+	}}
+}
+
+// unsure is an answer that leaves open whether the submission has run.
+func unsure(status int, final bool, reason, detail string, after time.Duration) result {
+	return result{status, wireResult{
+		State: stateUnknown, Verdict: verdict.MayHaveRun, Final: final,
+		Reason: reason, Detail: detail, RetryAfterMs: after.Milliseconds(),
+	}}
+}
+
+// decodeBody reads a JSON body into v. The quick way serves good bodies; a bad
+// one is read again to list every problem.
+func decodeBody(b []byte, v any) *result {
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	if dec.Decode(v) == nil && !dec.More() && document.Validate(v) == nil {
+		return nil
+	}
+	err := document.DecodeInto(b, v)
+	if err == nil {
+		return nil
+	}
+	r := refuse(fasthttp.StatusBadRequest, reasonBadRequest, "", 0)
+	var p *document.ProblemsError
+	if errors.As(err, &p) {
+		r.Problems = p.Problems
+	} else {
+		r.Detail = err.Error()
+	}
+	return &r
+}
+
+// render returns the JSON of an answer. The body of a backend server that is
+// not JSON is passed on as a string.
+func render(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Appendf(nil, `{"State":%q,"Verdict":"MayHaveRun","Reason":"Encoding"}`, stateUnknown)
+	}
+	return b
+}
+
+func asJSON(b []byte) json.RawMessage {
+	if len(b) == 0 {
+		return nil
+	}
+	if json.Valid(b) {
+		return b
+	}
+	quoted, err := json.Marshal(string(b))
+	if err != nil {
+		return nil
+	}
+	return quoted
+}
+
+// jobResult puts a job into an answer.
+func jobResult(id string, j *Job, single bool) result {
+	r := result{fasthttp.StatusOK, wireResult{
+		ID: id, State: string(j.State), Verdict: j.Verdict(), Final: j.State != JobRunning, Reason: j.Reason,
+	}}
+	switch j.State {
+	case JobRunning:
+		r.status = fasthttp.StatusAccepted
+		return r
+	case JobFailed:
+		r.status = fasthttp.StatusBadGateway
+		if j.Reason == reasonDeadline {
+			r.status = fasthttp.StatusGatewayTimeout
+		}
+		if r.Verdict == verdict.NotRun {
+			r.status = fasthttp.StatusTooManyRequests
+			r.State = stateRefused
+		}
+	}
+	if single {
+		r.Answer = asJSON(j.Tasks[0].Body)
+		r.RetryAfterMs = j.Tasks[0].Retry.Milliseconds()
+		return r
+	}
+	for _, t := range j.Tasks {
+		r.RetryAfterMs = max(r.RetryAfterMs, t.Retry.Milliseconds())
+		r.Tasks = append(r.Tasks, wireTaskResult{t.Verdict, t.Reason, asJSON(t.Body)})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/cli/report.go
@@ -0,0 +1,145 @@
+package cli
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"guavayoke/internal/burn"
+	"guavayoke/internal/operator"
+	"guavayoke/internal/platform"
+	"guavayoke/pkg/document"
+)
+
+var reportCommand = Command{
+	Name: "report", Args: "burn",
+	Doc:     "Shows how fast error budgets are used up, worst first. Counters of every daemon that can be reached are added exactly; the others are named.",
+	Example: "guavayoke report -env production -html burn.html burn",
+	Flags: func(fs *flag.FlagSet) func(*call) error {
+		html := fs.String("html", "", "also write a page with plots to `file`")
+		return func(c *call) error { return c.report(*html) }
+	},
+}
+
+// burnSource is one daemon whose counters are in a report.
+type burnSource struct {
+	Name    string
+	Address string
+	SinceMs int64
+	Error   string `json:",omitempty"`
+}
+
+// burnReport is the output of the report command.
+type burnReport struct {
+	Environment string
+	AtMs        int64
+	Sources     []burnSource
+	Lines       []burn.Line
+	counters    []burn.Counter
+}
+
+func (c *call) report(html string) error {
+	if err := c.wantArgs(1, "burn"); err != nil {
+		return err
+	}
+	if c.args[0] != "burn" {
+		return &usageError{fmt.Sprintf("there is no report %q; there is burn", c.args[0])}
+	}
+	env, key, err := c.environment(c.env)
+	if err != nil {
+		return err
+	}
+	r, err := c.burn(env, key)
+	if err != nil {
+		return err
+	}
+	if html != "" {
+		page, err := renderPage(r)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(html, page, 0o644); err != nil {
+			return fmt.Errorf("write page: %w", err)
+		}
+	}
+	return c.print(r, func() { c.printBurn(r) })
+}
+
+func (c *call) burn(env Environment, key []byte) (burnReport, error) {
+	r := burnReport{Environment: env.Name, AtMs: c.now().UnixMilli()}
+	accepted, _, err := platform.ReadAccepted(c.ctx, env.store(), key, env.Name)
+	if err != nil {
+		return r, unreachable(err)
+	}
+	if accepted.Document == nil {
+		return r, &usageError{"nothing is in force in " + env.Name}
+	}
+	var all [][]burn.Counter
+	for _, h := range askAll(env) {
+		src := burnSource{Name: h.Status.Name, Address: h.Address, Error: h.Error}
+		if h.Error == "" {
+			var data operator.BurnData
+			if err := fetch(h.Address, "/v1/burn", &data); err != nil {
+				src.Error = err.Error()
+			}
+			src.SinceMs = data.SinceMs
+			all = append(all, data.Counters)
+		}
+		r.Sources = append(r.Sources, src)
+	}
+	r.counters = burn.Merge(all...)
+	r.Lines = burn.Report(r.counters, objectives(accepted.Document))
+	return r, nil
+}
+
+func objectives(d *document.Document) map[string]burn.Objective {
+	m := map[string]burn.Objective{}
+	for _, s := range d.Services {
+		m[s.Name] = burn.Objective{TargetPercent: s.Objective.TargetPercent, WindowDays: s.Objective.WindowDays}
+	}
+	return m
+}
+
+func (c *call) printBurn(r burnReport) {
+	fmt.Fprintf(c.out, "Burn of %s at %s\n", r.Environment, clock(r.AtMs))
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprint(w, "SERVICE\tTEAM\tTARGET\tBUDGET LEFT\tEXHAUSTED IN\t")
+	for _, p := range burn.Pairs {
+		fmt.Fprintf(w, "%s\t", p.Name)
+	}
+	fmt.Fprintln(w, "GOOD\tBAD")
+	for _, l := range r.Lines {
+		fmt.Fprintf(w, "%s\t%s\t%g%%\t%.1f%%\t%s\t", l.Service, l.Team, l.TargetPercent, 100*l.BudgetLeft, untilText(l.Exhausted))
+		for _, p := range l.Pairs {
+			alert := ""
+			if p.Alert {
+				alert = " !"
+			}
+			fmt.Fprintf(w, "%.2f/%.2f%s\t", p.Short.Rate, p.Long.Rate, alert)
+		}
+		long := l.Pairs[len(l.Pairs)-1].Long
+		fmt.Fprintf(w, "%d\t%d\n", long.Good, long.Bad)
+	}
+	_ = w.Flush()
+	for _, s := range r.Sources {
+		if s.Error != "" {
+			fmt.Fprintf(c.out, "missing: %s %s: %s\n", s.Name, s.Address, s.Error)
+			continue
+		}
+		fmt.Fprintf(c.out, "counted by %s since %s\n", s.Name, clock(s.SinceMs))
+	}
+	fmt.Fprintln(c.out, "Counters live in memory: what hosts counted that have been replaced since is not in the report.")
+}
+
+// untilText puts the time to exhaustion into words.
+func untilText(d time.Duration) string {
+	switch {
+	case d < 0:
+		return "never"
+	case d > 1000*time.Hour:
+		return fmt.Sprintf("%.0fd", d.Hours()/24)
+	}
+	return d.Round(time.Minute).String()
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,213 @@
+package cli
+
+import (
+	"cmp"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/operator"
+	"guavayoke/internal/peer"
+	"guavayoke/internal/platform"
+)
+
+const waitInterval = 100 * time.Millisecond
+
+var statusCommand = Command{
+	Name: "status", Args: "",
+	Doc:     "Shows every daemon with its configuration and members. With -wait, waits until the accepted version is in force on every daemon that can be reached, and says how long that took on each.",
+	Example: "guavayoke status -env production -wait -timeout 11s",
+	Flags: func(fs *flag.FlagSet) func(*call) error {
+		wait := fs.Bool("wait", false, "wait until the accepted version is in force everywhere")
+		return func(c *call) error { return c.status(*wait) }
+	},
+}
+
+// hostStatus is one line of the status.
+type hostStatus struct {
+	Address string
+	// Error says why the daemon could not be asked.
+	Error string `json:",omitempty"`
+	// InForceAfterMs is the time from the acceptance until the version was in
+	// force here, by the clocks of the operator and the host.
+	InForceAfterMs int64
+	Status         operator.Status
+}
+
+// environmentStatus is the output of the status command.
+type environmentStatus struct {
+	Environment string
+	// Accepted is the version in the store, 0 if the store did not answer.
+	Accepted   uint64
+	AcceptedMs int64
+	StoreError string `json:",omitempty"`
+	InForce    bool
+	Hosts      []hostStatus
+}
+
+// fetch reads JSON from an operator address.
+func fetch(address, path string, v any) error {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("http://" + address + path)
+	if err := fasthttp.DoTimeout(req, res, callTimeout); err != nil {
+		return err
+	}
+	if res.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("status %d", res.StatusCode())
+	}
+	return json.Unmarshal(res.Body(), v)
+}
+
+// askAll asks all daemons of an environment: those of the settings, and those
+// that they name as members.
+func askAll(env Environment) []hostStatus {
+	asked := map[string]bool{}
+	var all []hostStatus
+	next := env.OperatorAddresses
+	for len(next) > 0 {
+		round := make([]hostStatus, 0, len(next))
+		for _, a := range next {
+			if !asked[a] {
+				asked[a] = true
+				round = append(round, hostStatus{Address: a})
+			}
+		}
+		var wg sync.WaitGroup
+		for i := range round {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				if err := fetch(round[i].Address, "/v1/status", &round[i].Status); err != nil {
+					round[i].Error = err.Error()
+				}
+			}()
+		}
+		wg.Wait()
+		all = append(all, round...)
+		next = membersOf(round)
+	}
+	slices.SortFunc(all, func(a, b hostStatus) int {
+		return cmp.Or(cmp.Compare(a.Status.Name, b.Status.Name), cmp.Compare(a.Address, b.Address))
+	})
+	return all
+}
+
+// membersOf returns the operator addresses of members that have not ended.
+func membersOf(hosts []hostStatus) []string {
+	var out []string
+	for _, h := range hosts {
+		for _, m := range h.Status.Members {
+			if m.State != peer.Dead.String() && m.Operator != "" {
+				out = append(out, m.Operator)
+			}
+		}
+	}
+	return out
+}
+
+func (c *call) status(wait bool) error {
+	env, key, err := c.environment(c.env)
+	if err != nil {
+		return err
+	}
+	for {
+		st := c.statusNow(env, key)
+		if !wait || st.InForce {
+			return c.statusEnd(st, wait)
+		}
+		select {
+		case <-time.After(waitInterval):
+		case <-c.ctx.Done():
+			return c.statusEnd(st, wait)
+		}
+	}
+}
+
+func (c *call) statusEnd(st environmentStatus, wait bool) error {
+	if err := c.print(st, func() { c.printStatus(st) }); err != nil {
+		return err
+	}
+	reached := 0
+	for _, h := range st.Hosts {
+		if h.Error == "" {
+			reached++
+		}
+	}
+	if reached == 0 {
+		return &codeError{ExitUnreachable, fmt.Errorf("no daemon of %s answered", st.Environment)}
+	}
+	if wait && !st.InForce {
+		return &codeError{ExitNotInForce, fmt.Errorf("version %d is not in force on every host that can be reached", st.Accepted)}
+	}
+	return nil
+}
+
+func (c *call) statusNow(env Environment, key []byte) environmentStatus {
+	st := environmentStatus{Environment: env.Name}
+	accepted, _, err := platform.ReadAccepted(c.ctx, env.store(), key, env.Name)
+	if err != nil {
+		st.StoreError = err.Error()
+	}
+	st.Accepted, st.AcceptedMs = accepted.Record.Change.Version, accepted.Record.Change.AtMs
+	st.Hosts = askAll(env)
+	target := st.Accepted
+	for _, h := range st.Hosts {
+		target = max(target, h.Status.Version)
+	}
+	st.InForce = target > 0
+	for i := range st.Hosts {
+		h := &st.Hosts[i]
+		if h.Error != "" {
+			continue
+		}
+		if h.Status.Version < target {
+			st.InForce = false
+		}
+		if h.Status.Version == st.Accepted {
+			h.InForceAfterMs = h.Status.AppliedMs - max(st.AcceptedMs, h.Status.StartedMs)
+		}
+	}
+	return st
+}
+
+func (c *call) printStatus(st environmentStatus) {
+	store := "answers"
+	if st.StoreError != "" {
+		store = st.StoreError
+	}
+	fmt.Fprintf(c.out, "%s: version %d accepted at %s, store: %s\n", st.Environment, st.Accepted, clock(st.AcceptedMs), store)
+	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "HOST\tDOMAIN\tREADY\tVERSION\tAFTER MS\tTASKS\tMEMBERS\tADDRESS")
+	for _, h := range st.Hosts {
+		if h.Error != "" {
+			fmt.Fprintf(w, "?\t?\t?\t?\t?\t?\t%s\t%s\n", h.Error, h.Address)
+			continue
+		}
+		s := h.Status
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%d\t%s\t%s\n", s.Name, s.FailureDomain, s.Ready, s.Version, h.InForceAfterMs, s.InFlight, countStates(s.Members), h.Address)
+	}
+	_ = w.Flush()
+}
+
+func countStates(members []operator.MemberStatus) string {
+	counts := map[string]int{}
+	for _, m := range members {
+		counts[m.State]++
+	}
+	var parts []string
+	for _, state := range []peer.State{peer.Alive, peer.Suspect, peer.Unreachable, peer.Dead} {
+		if n := counts[state.String()]; n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, state))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,111 @@
+// Package daemon puts the services of guavayoked together.
+package daemon
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"guavayoke/internal/backend"
+	"guavayoke/internal/caller"
+	"guavayoke/internal/event"
+	"guavayoke/internal/kernel"
+	"guavayoke/internal/operator"
+	"guavayoke/internal/peer"
+	"guavayoke/internal/platform"
+	"guavayoke/internal/settings"
+)
+
+const (
+	platformTimeout = 2 * time.Second
+	maxHeldBytes    = 256 << 20
+)
+
+// Run runs the daemon until SIGTERM or SIGINT and then stops it gracefully. A
+// second signal or the limit of the settings cuts off what is left.
+func Run(set settings.Daemon) error {
+	key, err := hex.DecodeString(set.PeerKey)
+	if err != nil {
+		return fmt.Errorf("PeerKey: %w", err)
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return fmt.Errorf("make incarnation: %w", err)
+	}
+	logger := event.New(os.Stdout, set.LogLevel)
+	k := build(set, key, id.String(), logger)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		cancel()
+	}()
+	logger.Info().Str("Name", set.Name).Str("Incarnation", id.String()).Str("Domain", set.FailureDomain).Msg("DaemonStarted")
+	err = k.Run(stop, func() (context.Context, context.CancelFunc) { return stopLimit(set, signals) })
+	logger.Info().Str("Name", set.Name).Err(err).Msg("DaemonStopped")
+	return err
+}
+
+// stopLimit ends with the limit of the settings or the next signal.
+func stopLimit(set settings.Daemon, signals <-chan os.Signal) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(set.StopLimitMs)*time.Millisecond)
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// build makes the kernel. The peers' service is started first and stopped last:
+// its goodbye says that nobody answers for this incarnation any more.
+func build(set settings.Daemon, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
+	registry := metrics.NewRegistry()
+	started := time.Now()
+	seed := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	peers := peer.New(peer.Config{
+		Self: peer.Member{
+			Name: set.Name, Incarnation: incarnation, Address: set.PeerAddress, Operator: set.OperatorAddress,
+			FailureDomain: set.FailureDomain, Region: set.Region,
+		},
+		Key: key, Seeds: set.Seeds, Log: logger, Rand: seed(),
+	})
+	plat := platform.New(platform.Config{
+		Store: platform.NewStore(platform.StoreConfig{
+			Addresses: set.PlatformAddresses, Timeout: platformTimeout,
+			Calls: func(op string) { metrics.GetOrRegisterCounter("Platform."+op, registry).Inc(1) },
+		}),
+		Self: platform.Host{
+			Name: set.Name, Kind: platform.EntryHost, Address: set.PeerAddress,
+			FailureDomain: set.FailureDomain, Region: set.Region,
+		},
+		Incarnation: incarnation, PeerAddress: set.PeerAddress, Environment: set.Environment,
+		Key: key, Nonce: rand.Uint64, Log: logger,
+	})
+	back := backend.New(backend.Config{
+		Self: incarnation, Domain: set.FailureDomain, Rand: seed(), Log: logger, Metrics: registry,
+	})
+	ops := operator.New(operator.Config{
+		Address: set.OperatorAddress, Environment: set.Environment, Log: logger, Metrics: registry, Started: started,
+	})
+	call := caller.New(caller.Config{
+		Address: set.CallerAddress, Log: logger, Metrics: registry, Record: ops.Record,
+		Home: caller.HomeConfig{
+			Incarnation: incarnation, Address: set.PeerAddress, FailureDomain: set.FailureDomain,
+			Key: key, MaxHeldBytes: maxHeldBytes,
+		},
+	})
+	return kernel.New(peers.Service(), plat.Service(), back.Service(), ops.Service(), call.Service())
+}
--- /dev/null
+++ b/internal/operator/service.go
@@ -0,0 +1,215 @@
+// Package operator serves operators: health, readiness, metrics, status and
+// the data of the burn report.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/backend"
+	"guavayoke/internal/burn"
+	"guavayoke/internal/caller"
+	"guavayoke/internal/kernel"
+	"guavayoke/internal/peer"
+	"guavayoke/internal/platform"
+)
+
+// Name is the name of the service in the kernel.
+const Name = "Operator"
+
+// Config builds a Service.
+type Config struct {
+	Address     string
+	Environment string
+	Log         *log.Logger
+	Metrics     metrics.Registry
+	Started     time.Time
+}
+
+// Service serves operators.
+type Service struct {
+	cfg      Config
+	server   *fasthttp.Server
+	peers    *peer.Service
+	platform *platform.Service
+	backends *backend.Service
+	callers  *caller.Service
+
+	mu   sync.Mutex
+	burn *burn.Table
+}
+
+// New returns a service; it is started by the kernel.
+func New(c Config) *Service {
+	return &Service{cfg: c, burn: burn.NewTable(c.Started)}
+}
+
+// Service returns the kernel's view of s.
+func (s *Service) Service() kernel.Service {
+	return kernel.Service{Name: Name, Value: s, Start: s.start}
+}
+
+// Record counts one answer to a caller.
+func (s *Service) Record(now time.Time, o caller.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.burn.Add(now, burn.Key{Service: o.Service, Team: o.Team}, o.Good)
+}
+
+func (s *Service) start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	var err error
+	if s.peers, err = kernel.Find[*peer.Service](k, peer.Name); err != nil {
+		return nil, err
+	}
+	if s.platform, err = kernel.Find[*platform.Service](k, platform.Name); err != nil {
+		return nil, err
+	}
+	if s.backends, err = kernel.Find[*backend.Service](k, backend.Name); err != nil {
+		return nil, err
+	}
+	if s.callers, err = kernel.Find[*caller.Service](k, caller.Name); err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", s.cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	s.server = &fasthttp.Server{Handler: s.serveHTTP, Name: "guavayoke", NoDefaultServerHeader: true}
+	done, served := make(chan error, 1), make(chan error, 1)
+	go func() { served <- s.server.Serve(listener) }()
+	go func() {
+		<-ctx.Done()
+		_ = listener.Close()
+		err := <-served
+		if errors.Is(err, net.ErrClosed) {
+			err = nil
+		}
+		done <- err
+	}()
+	return done, nil
+}
+
+func (s *Service) serveHTTP(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/health":
+		ctx.SetBodyString("ok\n")
+	case "/ready":
+		s.serveReady(ctx)
+	case "/metrics":
+		s.serveMetrics(ctx)
+	case "/v1/status":
+		serveJSON(ctx, s.Status(time.Now()))
+	case "/v1/burn":
+		serveJSON(ctx, s.Burn(time.Now()))
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Service) serveReady(ctx *fasthttp.RequestCtx) {
+	if s.callers.Ready() {
+		ctx.SetBodyString("ready\n")
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	ctx.SetBodyString("not ready\n")
+}
+
+func (s *Service) serveMetrics(ctx *fasthttp.RequestCtx) {
+	held, bytes := s.callers.Held()
+	metrics.GetOrRegisterGauge("Caller.Held", s.cfg.Metrics).Update(int64(held))
+	metrics.GetOrRegisterGauge("Caller.HeldBytes", s.cfg.Metrics).Update(bytes)
+	metrics.GetOrRegisterGauge("Backend.InFlight", s.cfg.Metrics).Update(int64(s.backends.InFlight()))
+	p := &s.peers.Stats
+	metrics.GetOrRegisterGauge("Peer.SentFrames", s.cfg.Metrics).Update(int64(p.SentFrames.Load()))
+	metrics.GetOrRegisterGauge("Peer.SentBytes", s.cfg.Metrics).Update(int64(p.SentBytes.Load()))
+	metrics.GetOrRegisterGauge("Peer.ReceivedFrames", s.cfg.Metrics).Update(int64(p.ReceivedFrames.Load()))
+	metrics.GetOrRegisterGauge("Peer.ReceivedBytes", s.cfg.Metrics).Update(int64(p.ReceivedBytes.Load()))
+	metrics.GetOrRegisterGauge("Peer.Malformed", s.cfg.Metrics).Update(int64(p.Malformed.Load()))
+	metrics.GetOrRegisterGauge("Peer.Refused", s.cfg.Metrics).Update(int64(p.Refused.Load()))
+	ctx.SetContentType("application/json")
+	metrics.WriteJSONOnce(s.cfg.Metrics, ctx)
+}
+
+func serveJSON(ctx *fasthttp.RequestCtx, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
+
+// Status is what a daemon says of itself.
+type Status struct {
+	Name          string
+	Incarnation   string
+	Environment   string
+	FailureDomain string
+	Region        string
+	Ready         bool
+	StartedMs     int64
+	NowMs         int64
+	// Version, Digest and AppliedMs are of the configuration in force.
+	Version   uint64
+	Digest    string
+	AppliedMs int64
+	StoreDown bool
+	InFlight  int
+	Held      int
+	HeldBytes int64
+	Loads     []backend.Load
+	Members   []MemberStatus
+}
+
+// MemberStatus is what a daemon thinks of another one.
+type MemberStatus struct {
+	Name, Incarnation, Operator, FailureDomain, Region string
+	State                                              string
+	RTTMs                                              float64
+}
+
+// Status returns the status of this daemon.
+func (s *Service) Status(now time.Time) Status {
+	self := s.peers.Self()
+	st := Status{
+		Name: self.Name, Incarnation: self.Incarnation, Environment: s.cfg.Environment,
+		FailureDomain: self.FailureDomain, Region: self.Region, Ready: s.callers.Ready(),
+		StartedMs: s.cfg.Started.UnixMilli(), NowMs: now.UnixMilli(), StoreDown: s.platform.StoreDown(),
+		InFlight: s.backends.InFlight(), Loads: s.backends.Loads(),
+	}
+	if a := s.platform.Applied(); a != nil {
+		st.Version, st.Digest, st.AppliedMs = a.Version, a.Digest, a.AtMs
+	}
+	st.Held, st.HeldBytes = s.callers.Held()
+	for _, m := range s.peers.Members() {
+		st.Members = append(st.Members, MemberStatus{
+			m.Name, m.Incarnation, m.Operator, m.FailureDomain, m.Region, m.State.String(), float64(m.RTT.Microseconds()) / 1000,
+		})
+	}
+	return st
+}
+
+// BurnData is what one daemon has counted.
+type BurnData struct {
+	Name     string
+	SinceMs  int64
+	Counters []burn.Counter
+}
+
+// Burn returns the counters of this daemon.
+func (s *Service) Burn(now time.Time) BurnData {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return BurnData{s.peers.Self().Name, s.burn.Since.UnixMilli(), s.burn.Snapshot(now)}
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/fasthttp/websocket"
+
+	"guavayoke/internal/ring"
+)
+
+const (
+	linkRing        = 1024
+	linkIdleTimeout = 90 * time.Second
+)
+
+// link is a connection that this host has dialed. Frames go out through a ring
+// and a writer; replies to calls come back on the same connection.
+type link struct {
+	address     string
+	incarnation string
+	conn        *websocket.Conn
+	out         *ring.Ring[frame]
+	done        chan struct{}
+	closeOnce   sync.Once
+
+	mu      sync.Mutex
+	nextSeq uint64
+	calls   map[uint64]chan frame
+}
+
+// dialLink connects and proves both sides.
+func dialLink(ctx context.Context, address string, key []byte, self string) (*link, error) {
+	d := websocket.Dialer{HandshakeTimeout: handshakeTimeout}
+	conn, res, err := d.DialContext(ctx, "ws://"+address+"/peer", nil)
+	if err != nil {
+		return nil, fmt.Errorf("dial peer %s: %w", address, err)
+	}
+	if res != nil && res.Body != nil {
+		_ = res.Body.Close()
+	}
+	conn.SetReadLimit(maxFrameBytes)
+	if err := conn.SetReadDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	incarnation, err := handshakeDial(conn, key, self)
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
+	return &link{
+		address: address, incarnation: incarnation, conn: conn,
+		out: ring.New[frame](linkRing), done: make(chan struct{}), calls: map[uint64]chan frame{},
+	}, nil
+}
+
+// run reads and writes until the link breaks.
+func (l *link) run(handle func(frame)) {
+	go l.write()
+	defer l.close()
+	for {
+		var f frame
+		if err := readValue(l.conn, &f); err != nil {
+			var bad *malformedError
+			if errors.As(err, &bad) {
+				continue
+			}
+			return
+		}
+		if f.Kind == frameReply {
+			l.answer(f)
+			continue
+		}
+		handle(f)
+	}
+}
+
+func (l *link) write() {
+	defer l.close()
+	for {
+		select {
+		case f := <-l.out.C():
+			if writeValue(l.conn, f) != nil {
+				return
+			}
+		case <-l.done:
+			return
+		}
+	}
+}
+
+func (l *link) close() {
+	l.closeOnce.Do(func() {
+		close(l.done)
+		_ = l.conn.Close()
+	})
+}
+
+func (l *link) closed() bool {
+	select {
+	case <-l.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (l *link) answer(f frame) {
+	l.mu.Lock()
+	c := l.calls[f.Seq]
+	delete(l.calls, f.Seq)
+	l.mu.Unlock()
+	if c != nil {
+		c <- f
+	}
+}
+
+// call sends a call and waits for its reply. sent is false if the frame never
+// left this host.
+func (l *link) call(ctx context.Context, f frame) (reply frame, sent bool, err error) {
+	c := make(chan frame, 1)
+	l.mu.Lock()
+	l.nextSeq++
+	f.Seq = l.nextSeq
+	l.calls[f.Seq] = c
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.calls, f.Seq)
+		l.mu.Unlock()
+	}()
+	if !l.out.Offer(f) {
+		return frame{}, false, errors.New("the link to the peer is full")
+	}
+	select {
+	case r := <-c:
+		return r, true, nil
+	case <-l.done:
+		return frame{}, true, errors.New("the link to the peer broke")
+	case <-ctx.Done():
+		return frame{}, true, fmt.Errorf("waiting for the peer: %w", ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/peer/members.go
@@ -0,0 +1,535 @@
+// Package peer talks to the other entry hosts: membership, heartbeats and
+// calls between hosts.
+package peer
+
+// Membership.
+//
+//  1. Each interval a host pings one other member, in a shuffled round over
+//     all, so that its messages do not grow with the fleet.
+//  2. Without an acknowledgement in ackTimeout it asks two others to ping the
+//     member; without any by the next interval the member is suspect.
+//  3. A suspect that is not heard of for suspectTimeout is unreachable. This is
+//     an opinion: it takes slots and quota from the member, nothing more.
+//  4. Dead is final for an incarnation and needs proof: a goodbye, or another
+//     incarnation that answers at the same address.
+//  5. News travels on pings and acknowledgements, each item a bounded number
+//     of times. For one incarnation dead wins over all, else the higher
+//     sequence number, else unreachable over suspect over alive. A member that
+//     hears an opinion about itself raises its sequence number.
+//  6. Each message also carries some members in turn, so that a table that
+//     missed news becomes whole. An unreachable member is pinged now and then,
+//     so that a healed cut is noticed.
+
+import (
+	"cmp"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// PingInterval is the time between two pings of a host.
+	PingInterval   = time.Second
+	ackTimeout     = 300 * time.Millisecond
+	suspectTimeout = 3 * time.Second
+	rejoinInterval = 5 * time.Second
+	forgetAfter    = 30 * time.Minute
+	helpers        = 2
+	newsPerMessage = 6
+	joinMembers    = 24
+	turnMembers    = 1
+)
+
+// State is what is thought of a member.
+type State uint8
+
+// The states, in the order in which they win at the same sequence number.
+const (
+	Alive State = iota
+	Suspect
+	Unreachable
+	Dead
+)
+
+var stateNames = [...]string{"Alive", "Suspect", "Unreachable", "Dead"}
+
+// String returns the name used in logs and status.
+func (s State) String() string { return stateNames[min(int(s), len(stateNames)-1)] }
+
+// MarshalText implements encoding.TextMarshaler.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Member is an entry host in one incarnation.
+type Member struct {
+	Name          string
+	Incarnation   string
+	Address       string
+	Operator      string
+	FailureDomain string
+	Region        string
+	State         State
+	Seq           uint64
+	// RTT is the round trip to the member as measured by this host.
+	RTT time.Duration `cbor:"-" json:"-"`
+}
+
+// Up reports whether the member counts as running.
+func (m Member) Up() bool { return m.State <= Suspect }
+
+// Message is a ping, an acknowledgement or a goodbye.
+type Message struct {
+	// From is the sender, Target the incarnation that is pinged.
+	From   Member
+	Target string
+	// Seq matches an acknowledgement to its ping.
+	Seq uint64
+	// News holds what the sender has heard of members.
+	News []Member
+}
+
+// Action is what the service has to carry out: exactly one field is set.
+type Action struct {
+	Ping    *Ping
+	Ack     *Ack
+	Help    *Help
+	Vouch   *Vouch
+	Changed *Member
+}
+
+// Ping asks for a message to be sent to an address.
+type Ping struct {
+	Address string
+	Message Message
+}
+
+// Ack asks for an answer to the ping that is being handled.
+type Ack struct{ Message Message }
+
+// Help asks a member to ping another one.
+type Help struct {
+	Address string
+	Target  Member
+}
+
+// Vouch tells the member that asked for help that the target has answered.
+type Vouch struct {
+	Address string
+	Target  Member
+}
+
+// MembersConfig builds Members.
+type MembersConfig struct {
+	Self  Member
+	Seeds []string
+	Rand  *rand.Rand
+}
+
+// Members decides about membership. It is not safe for concurrent use.
+type Members struct {
+	self    Member
+	seeds   []string
+	rand    *rand.Rand
+	members map[string]*entry
+	round   []string
+	turn    int
+	seq     uint64
+	next    time.Time
+	rejoin  time.Time
+	pings   map[uint64]*ping
+	news    []newsItem
+}
+
+type entry struct {
+	Member
+	since time.Time
+	heard time.Time
+}
+
+type ping struct {
+	target string
+	at     time.Time
+	helped bool
+	failed bool
+	// asker is the address of the member that asked for this ping.
+	asker string
+}
+
+type newsItem struct {
+	incarnation string
+	left        int
+}
+
+// NewMembers returns a table that knows only the host itself.
+func NewMembers(c MembersConfig) *Members {
+	m := &Members{
+		self: c.Self, seeds: c.Seeds, rand: c.Rand,
+		members: map[string]*entry{}, pings: map[uint64]*ping{},
+	}
+	m.self.Seq = 1
+	return m
+}
+
+// Self returns the host's own entry.
+func (m *Members) Self() Member { return m.self }
+
+// SetSeeds replaces the addresses to start from.
+func (m *Members) SetSeeds(addresses []string) { m.seeds = addresses }
+
+// List returns all known members but the host itself, sorted by name.
+func (m *Members) List() []Member {
+	list := make([]Member, 0, len(m.members))
+	for _, e := range m.members {
+		list = append(list, e.Member)
+	}
+	slices.SortFunc(list, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list
+}
+
+// Find returns the member with an incarnation.
+func (m *Members) Find(incarnation string) (Member, bool) {
+	if e := m.members[incarnation]; e != nil {
+		return e.Member, true
+	}
+	return Member{}, false
+}
+
+// Tick sends what is due. Call it several times in an ackTimeout.
+func (m *Members) Tick(now time.Time) []Action {
+	actions := m.checkPings(now)
+	actions = append(actions, m.checkSuspects(now)...)
+	if now.Before(m.next) {
+		return actions
+	}
+	m.next = now.Add(PingInterval)
+	if target := m.nextTarget(); target != nil {
+		actions = append(actions, m.ping(now, target.Address, target.Incarnation))
+	}
+	return append(actions, m.pingLost(now)...)
+}
+
+// checkPings asks for help and turns silent members suspect (rule 2).
+func (m *Members) checkPings(now time.Time) []Action {
+	var actions []Action
+	for _, seq := range sortedSeqs(m.pings) {
+		p := m.pings[seq]
+		age := now.Sub(p.at)
+		e := m.members[p.target]
+		if age >= PingInterval {
+			delete(m.pings, seq)
+			if e != nil && e.State == Alive {
+				actions = append(actions, m.apply(now, withState(e.Member, Suspect))...)
+			}
+			continue
+		}
+		if e != nil && !p.helped && (age >= ackTimeout || p.failed) {
+			p.helped = true
+			for _, h := range m.randomUp(helpers, p.target) {
+				actions = append(actions, Action{Help: &Help{h.Address, e.Member}})
+			}
+		}
+	}
+	return actions
+}
+
+func sortedSeqs(pings map[uint64]*ping) []uint64 {
+	seqs := make([]uint64, 0, len(pings))
+	for s := range pings {
+		seqs = append(seqs, s)
+	}
+	slices.Sort(seqs)
+	return seqs
+}
+
+func withState(m Member, s State) Member {
+	m.State = s
+	return m
+}
+
+// checkSuspects turns old suspects unreachable (rule 3) and forgets members.
+func (m *Members) checkSuspects(now time.Time) []Action {
+	var actions []Action
+	for _, id := range m.sorted() {
+		e := m.members[id]
+		switch {
+		case e.State == Suspect && now.Sub(e.since) >= suspectTimeout:
+			actions = append(actions, m.apply(now, withState(e.Member, Unreachable))...)
+		case e.State >= Unreachable && now.Sub(e.since) >= forgetAfter:
+			delete(m.members, id)
+		}
+	}
+	return actions
+}
+
+func (m *Members) sorted() []string {
+	ids := make([]string, 0, len(m.members))
+	for id := range m.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// nextTarget walks a shuffled round over the members that are up (rule 1).
+func (m *Members) nextTarget() *entry {
+	for range 2 {
+		for len(m.round) > 0 {
+			id := m.round[0]
+			m.round = m.round[1:]
+			if e := m.members[id]; e != nil && e.Up() {
+				return e
+			}
+		}
+		m.round = m.sorted()
+		m.rand.Shuffle(len(m.round), func(i, j int) { m.round[i], m.round[j] = m.round[j], m.round[i] })
+	}
+	return nil
+}
+
+// pingLost pings seeds that are no member and one unreachable member (rule 6).
+func (m *Members) pingLost(now time.Time) []Action {
+	if now.Before(m.rejoin) {
+		return nil
+	}
+	m.rejoin = now.Add(rejoinInterval)
+	up := map[string]bool{m.self.Address: true}
+	var lost []*entry
+	for _, id := range m.sorted() {
+		e := m.members[id]
+		if e.Up() {
+			up[e.Address] = true
+		}
+		if e.State == Unreachable {
+			lost = append(lost, e)
+		}
+	}
+	if len(up) == 1 {
+		m.rejoin = now.Add(PingInterval)
+	}
+	var actions []Action
+	var open []string
+	for _, s := range m.seeds {
+		if !up[s] {
+			open = append(open, s)
+		}
+	}
+	if len(open) > 0 {
+		actions = append(actions, m.ping(now, open[m.rand.IntN(len(open))], ""))
+	}
+	if len(lost) > 0 {
+		e := lost[m.rand.IntN(len(lost))]
+		actions = append(actions, m.ping(now, e.Address, e.Incarnation))
+	}
+	return actions
+}
+
+func (m *Members) ping(now time.Time, address, target string) Action {
+	m.seq++
+	m.pings[m.seq] = &ping{target: target, at: now}
+	return Action{Ping: &Ping{address, m.message(target, m.seq, newsPerMessage)}}
+}
+
+// randomUp returns up to n members that are up, without the one excluded.
+func (m *Members) randomUp(n int, without string) []Member {
+	var list []Member
+	for _, id := range m.sorted() {
+		if e := m.members[id]; id != without && e.Up() {
+			list = append(list, e.Member)
+		}
+	}
+	m.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// message builds a message with news and members in turn (rules 5 and 6).
+func (m *Members) message(target string, seq uint64, news int) Message {
+	msg := Message{From: m.self, Target: target, Seq: seq}
+	kept := m.news[:0]
+	for _, n := range m.news {
+		e := m.members[n.incarnation]
+		if e == nil {
+			continue
+		}
+		if len(msg.News) < news {
+			msg.News = append(msg.News, e.Member)
+			n.left--
+		}
+		if n.left > 0 {
+			kept = append(kept, n)
+		}
+	}
+	m.news = kept
+	return m.withTurn(msg, turnMembers)
+}
+
+func (m *Members) withTurn(msg Message, n int) Message {
+	ids := m.sorted()
+	for range min(n, len(ids)) {
+		m.turn = (m.turn + 1) % len(ids)
+		msg.News = append(msg.News, m.members[ids[m.turn]].Member)
+	}
+	return msg
+}
+
+// Pinged handles a ping that reached this host.
+func (m *Members) Pinged(now time.Time, msg Message) []Action {
+	_, known := m.members[msg.From.Incarnation]
+	actions := m.heard(now, msg)
+	reply := m.message(msg.Target, msg.Seq, newsPerMessage)
+	if !known {
+		reply = m.withTurn(reply, joinMembers)
+	}
+	return append(actions, Action{Ack: &Ack{reply}})
+}
+
+// Acked handles the answer to a ping of this host. An answer of another
+// incarnation than the one pinged proves that one dead (rule 4).
+func (m *Members) Acked(now time.Time, msg Message) []Action {
+	p := m.pings[msg.Seq]
+	delete(m.pings, msg.Seq)
+	actions := m.heard(now, msg)
+	if p == nil {
+		return actions
+	}
+	if e := m.members[msg.From.Incarnation]; e != nil {
+		e.RTT = (3*e.RTT + now.Sub(p.at)) / 4
+	}
+	if p.target != "" && p.target != msg.From.Incarnation {
+		return append(actions, m.ProvenDead(now, p.target)...)
+	}
+	if p.asker != "" {
+		actions = append(actions, Action{Vouch: &Vouch{p.asker, msg.From}})
+	}
+	return actions
+}
+
+// Vouched handles the news that a helper has reached a member.
+func (m *Members) Vouched(now time.Time, target Member) []Action {
+	for seq, p := range m.pings {
+		if p.target == target.Incarnation {
+			delete(m.pings, seq)
+		}
+	}
+	return m.heard(now, Message{From: target})
+}
+
+// PingFailed tells that a ping could not be sent.
+func (m *Members) PingFailed(seq uint64) {
+	if p := m.pings[seq]; p != nil {
+		p.failed = true
+	}
+}
+
+// Asked handles a request to ping a member for the host at address asker.
+func (m *Members) Asked(now time.Time, target Member, asker string) []Action {
+	a := m.ping(now, target.Address, target.Incarnation)
+	m.pings[a.Ping.Message.Seq].asker = asker
+	return []Action{a}
+}
+
+// ProvenDead records proof that an incarnation has ended.
+func (m *Members) ProvenDead(now time.Time, incarnation string) []Action {
+	e := m.members[incarnation]
+	if e == nil {
+		return nil
+	}
+	return m.apply(now, withState(e.Member, Dead))
+}
+
+// Goodbye handles the farewell of a member.
+func (m *Members) Goodbye(now time.Time, from Member) []Action {
+	m.apply(now, from)
+	return m.ProvenDead(now, from.Incarnation)
+}
+
+// heard takes over the sender and the news of a message.
+func (m *Members) heard(now time.Time, msg Message) []Action {
+	from := msg.From
+	from.State = Alive
+	if e := m.members[from.Incarnation]; e != nil && e.State != Dead {
+		// Hearing it directly refutes any opinion about it.
+		from.Seq = max(from.Seq, e.Seq)
+		if e.State != Alive && from.Seq == e.Seq {
+			from.Seq++
+		}
+	}
+	actions := append(m.apply(now, from), m.replaces(now, from)...)
+	for _, n := range msg.News {
+		actions = append(actions, m.apply(now, n)...)
+	}
+	return actions
+}
+
+// apply merges what is said of a member into the table (rule 5).
+func (m *Members) apply(now time.Time, n Member) []Action {
+	if n.Incarnation == m.self.Incarnation {
+		if n.State != Alive && n.Seq >= m.self.Seq {
+			m.self.Seq = n.Seq + 1
+		}
+		m.self.Seq = max(m.self.Seq, n.Seq)
+		return nil
+	}
+	e := m.members[n.Incarnation]
+	if e == nil {
+		e = &entry{Member: n, since: now, heard: now}
+		m.members[n.Incarnation] = e
+		m.tell(n.Incarnation)
+		state := e.Member
+		return []Action{{Changed: &state}}
+	}
+	if !wins(n, e.Member) {
+		return nil
+	}
+	changed := n.State != e.State
+	n.State, e.State = e.State, n.State
+	e.Seq = max(e.Seq, n.Seq)
+	if !changed {
+		return nil
+	}
+	e.since = now
+	m.tell(n.Incarnation)
+	state := e.Member
+	return []Action{{Changed: &state}}
+}
+
+// replaces buries older incarnations at the address of a member that was heard
+// directly: one process listens at an address. Incarnations sort by age, so a
+// delayed message of an old one buries nothing.
+func (m *Members) replaces(now time.Time, n Member) []Action {
+	var actions []Action
+	for _, id := range m.sorted() {
+		e := m.members[id]
+		if id != n.Incarnation && e.Address == n.Address && e.State != Dead && e.Incarnation < n.Incarnation {
+			actions = append(actions, m.apply(now, withState(e.Member, Dead))...)
+		}
+	}
+	return actions
+}
+
+// wins reports whether n replaces the known state old of one incarnation.
+func wins(n, old Member) bool {
+	if old.State == Dead {
+		return false
+	}
+	if n.State == Dead {
+		return true
+	}
+	if n.Seq != old.Seq {
+		return n.Seq > old.Seq
+	}
+	return n.State > old.State
+}
+
+// tell queues news to be passed on about as often as it takes to reach all.
+func (m *Members) tell(incarnation string) {
+	times := 3 * (bits.Len(uint(len(m.members))) + 1)
+	for i := range m.news {
+		if m.news[i].incarnation == incarnation {
+			m.news[i].left = times
+			return
+		}
+	}
+	m.news = append([]newsItem{{incarnation, times}}, m.news...)
+}
--- /dev/null
+++ b/internal/platform/accept.go
@@ -0,0 +1,175 @@
+package platform
+
+// Acceptance of a configuration.
+//
+//  1. A document is accepted by one compare-and-swap of the record of its
+//     environment, on the version that the operator has seen.
+//  2. Each acceptance has a unique write id. When an answer is lost, a read
+//     that shows the id, as the newest change or in the history, settles that
+//     it took effect.
+//  3. A read that does not show it settles nothing, because the write may land
+//     later. The same record is written again on the same version; whichever
+//     write comes second fails.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"guavayoke/pkg/document"
+)
+
+const settleInterval = 250 * time.Millisecond
+
+// AcceptConfig describes one acceptance.
+type AcceptConfig struct {
+	Store       *Store
+	Key         []byte
+	Environment string
+	Document    []byte
+	// Base is the version that the operator has seen; another one in force is
+	// a race that is lost.
+	Base uint64
+	// AllowDrop permits that services or teams disappear.
+	AllowDrop bool
+	Change    Change
+}
+
+// RaceError reports that another change was accepted first.
+type RaceError struct {
+	Base    uint64
+	Current Change
+	// Changes lead from the document in force to the one that lost.
+	Changes []document.Change
+}
+
+// Error implements error.
+func (e *RaceError) Error() string {
+	return fmt.Sprintf("version %d by %s is in force, not version %d: look at the difference and propose again",
+		e.Current.Version, e.Current.By, e.Base)
+}
+
+// DropError reports services or teams that a document would take away.
+type DropError struct{ Names []string }
+
+// Error implements error.
+func (e *DropError) Error() string {
+	return "the document drops " + strings.Join(e.Names, ", ") + ", which is in force; say so with -allow-drop"
+}
+
+// SameError reports that the document is in force already.
+type SameError struct{ Version uint64 }
+
+// Error implements error.
+func (e *SameError) Error() string {
+	return fmt.Sprintf("the same document is in force as version %d", e.Version)
+}
+
+// UnsettledError reports that the store did not answer in time: the change may
+// have taken effect or still may.
+type UnsettledError struct {
+	WriteID string
+	Err     error
+}
+
+// Error implements error.
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("the store did not settle the change in time; it may take effect: look for write id %s in the history (%v)", e.WriteID, e.Err)
+}
+
+// Unwrap returns the last failure of the store.
+func (e *UnsettledError) Unwrap() error { return e.Err }
+
+// Accept puts a document in force in an environment.
+func Accept(ctx context.Context, c AcceptConfig) (Change, error) {
+	doc, err := document.Decode(c.Document)
+	if err != nil {
+		return Change{}, err
+	}
+	current, storeVersion, err := ReadAccepted(ctx, c.Store, c.Key, c.Environment)
+	if err != nil {
+		return Change{}, err
+	}
+	if err := c.compare(current, doc); err != nil {
+		return Change{}, err
+	}
+	next := current.Record.Next(c.Change, c.Document)
+	raw, err := EncodeRecord(c.Key, next)
+	if err != nil {
+		return Change{}, err
+	}
+	_, err = c.Store.Put(ctx, AcceptedKey(c.Environment), storeVersion, raw)
+	if err == nil {
+		return next.Change, nil
+	}
+	return c.settle(ctx, doc, storeVersion, raw, err)
+}
+
+// compare refuses what must not follow the record in force.
+func (c AcceptConfig) compare(current Accepted, doc *document.Document) error {
+	if current.Record.Change.Version != c.Base {
+		return c.race(current, doc)
+	}
+	if current.Document == nil {
+		return nil
+	}
+	if current.Record.Change.Digest == document.Digest(c.Document) {
+		return &SameError{current.Record.Change.Version}
+	}
+	if dropped := document.Dropped(current.Document, doc); len(dropped) > 0 && !c.AllowDrop {
+		return &DropError{dropped}
+	}
+	return nil
+}
+
+func (c AcceptConfig) race(current Accepted, doc *document.Document) error {
+	return &RaceError{c.Base, current.Record.Change, document.Diff(current.Document, doc)}
+}
+
+// settle finds out what became of a write that failed (rules 2 and 3).
+func (c AcceptConfig) settle(ctx context.Context, doc *document.Document, expect uint64, raw []byte, err error) (Change, error) {
+	for {
+		current, version, readErr := ReadAccepted(ctx, c.Store, c.Key, c.Environment)
+		var broken *RecordError
+		switch {
+		case errors.As(readErr, &broken):
+			return Change{}, readErr
+		case readErr != nil:
+			err = readErr
+		case version != expect:
+			if found, ok := current.Record.Find(c.Change.WriteID); ok {
+				return found, nil
+			}
+			return Change{}, c.race(current, doc)
+		default:
+			_, err = c.Store.Put(ctx, AcceptedKey(c.Environment), expect, raw)
+		}
+		select {
+		case <-time.After(settleInterval):
+		case <-ctx.Done():
+			return Change{}, &UnsettledError{c.Change.WriteID, err}
+		}
+	}
+}
+
+// Accepted is the record in force with its document, nil if there is none.
+type Accepted struct {
+	Record   Record
+	Document *document.Document
+}
+
+// ReadAccepted reads the record of an environment and the store's version of
+// its key.
+func ReadAccepted(ctx context.Context, store *Store, key []byte, environment string) (Accepted, uint64, error) {
+	v, err := store.Get(ctx, AcceptedKey(environment))
+	if err != nil {
+		return Accepted{}, 0, err
+	}
+	r, d, err := DecodeRecord(key, environment, v.Data)
+	if err != nil {
+		return Accepted{}, 0, err
+	}
+	return Accepted{r, d}, v.Version, nil
+}
--- /dev/null
+++ b/internal/platform/claim.go
@@ -0,0 +1,455 @@
+package platform
+
+// Claims of submissions without a home token.
+//
+//  1. A submission is started only by the holder of its claim: an entry in a
+//     journal value of the store with the holder's incarnation and a nonce
+//     made for one attempt.
+//  2. The id alone determines the key: its mint time gives the bucket and its
+//     hash the partition. Every host meets the same id at the same key.
+//  3. A claim is granted to an attempt when a compare-and-swap that contains
+//     its entry is known to have succeeded, or when a read shows its nonce.
+//  4. A read that does not show the entry proves nothing, because a delayed
+//     write may still land. The attempt then writes again at the version
+//     read, after which the delayed write fails on its version.
+//  5. An attempt that is given up is never granted, also when its write lands
+//     later: the nonce dies with the attempt. An entry of this incarnation
+//     whose nonce belongs to no live attempt starts nothing.
+//  6. Keys form a fixed ring of buckets and are never deleted. A value names
+//     the start of the time range that it holds, and the range only moves
+//     forward. An id of an earlier range is refused by everyone.
+//  7. One write is in flight for each key; attempts that arrive meanwhile
+//     share the next one. Writes are paced by a budget.
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+)
+
+// The layout of the journal is fixed: if two hosts used different widths, they
+// would meet the same id at different keys (rule 2).
+const (
+	claimPartitions    = 64
+	claimBuckets       = 16
+	claimBucketWidth   = time.Minute
+	claimMaxValueBytes = 768 << 10
+	claimEntryBytes    = 128
+	claimRetryInterval = 200 * time.Millisecond
+)
+
+// ClaimRetention is the greatest age of an id that can be claimed. The ring
+// has room for it, for ClaimSkew on both sides and for a bucket in reuse.
+const ClaimRetention = 10 * time.Minute
+
+// ClaimSkew is how far in the future an id may have been minted.
+const ClaimSkew = time.Minute
+
+// ClaimKey names one journal value.
+type ClaimKey struct{ Bucket, Partition int }
+
+// Key returns the store key of the journal value in an environment.
+func (k ClaimKey) Key(environment string) string {
+	return fmt.Sprintf("Claims/%s/%02d/%02d", environment, k.Bucket, k.Partition)
+}
+
+// Claim is an entry of the journal: which attempt owns a submission.
+type Claim struct {
+	ID          uuid.UUID
+	Incarnation string
+	Address     string
+	Nonce       uint64
+}
+
+// Journal is the value at a claim key.
+type Journal struct {
+	// Start is the first mint time that the value holds, in Unix milliseconds.
+	Start  int64
+	Claims []Claim
+}
+
+// find returns the claim of id.
+func (j *Journal) find(id uuid.UUID) (Claim, bool) {
+	for _, c := range j.Claims {
+		if c.ID == id {
+			return c, true
+		}
+	}
+	return Claim{}, false
+}
+
+// ClaimerConfig builds a Claimer.
+type ClaimerConfig struct {
+	// Incarnation and Address are those of this host.
+	Incarnation, Address string
+	// WritesPerSecond is this host's part of the write budget.
+	WritesPerSecond float64
+	// Nonce returns a value that no other attempt has.
+	Nonce func() uint64
+}
+
+// Claimer decides about claims. It is not safe for concurrent use.
+type Claimer struct {
+	cfg      ClaimerConfig
+	keys     map[ClaimKey]*claimKeyState
+	tokens   float64
+	refilled time.Time
+}
+
+type claimKeyState struct {
+	key     ClaimKey
+	known   bool
+	busy    bool
+	retryAt time.Time
+	value   Journal
+	version uint64
+	waiting []*claimAttempt
+	writing []*claimAttempt
+	written Journal
+}
+
+type claimAttempt struct {
+	id       uuid.UUID
+	start    int64
+	nonce    uint64
+	deadline time.Time
+}
+
+// ClaimOutcome is the end of an attempt.
+type ClaimOutcome uint8
+
+const (
+	// ClaimGranted means that this host is the home and starts the submission.
+	ClaimGranted ClaimOutcome = iota + 1
+	// ClaimHeld means that another incarnation is the home.
+	ClaimHeld
+	// ClaimOwn means that another attempt of this incarnation owns the id. If
+	// this host does not hold the submission, that attempt was given up:
+	// nobody has started the submission and nobody ever will.
+	ClaimOwn
+	// ClaimGivenUp means that the store did not settle the claim in time.
+	// This host will start nothing under it.
+	ClaimGivenUp
+	// ClaimTooOld means that the id is older than what the journal holds.
+	ClaimTooOld
+	// ClaimTooNew means that the id was minted too far in the future.
+	ClaimTooNew
+	// ClaimNotUUIDv7 means that the id has no mint time.
+	ClaimNotUUIDv7
+	// ClaimFull means that the journal value has no room.
+	ClaimFull
+)
+
+// ClaimAction is what the service has to carry out: exactly one field is set.
+type ClaimAction struct {
+	Read    *ClaimRead
+	Write   *ClaimWrite
+	Settled *ClaimSettled
+}
+
+// ClaimRead asks for the value at a key.
+type ClaimRead struct{ Key ClaimKey }
+
+// ClaimWrite asks for a compare-and-swap.
+type ClaimWrite struct {
+	Key    ClaimKey
+	Expect uint64
+	Value  Journal
+}
+
+// ClaimSettled tells how an attempt ended. Holder is set if another
+// incarnation holds the claim.
+type ClaimSettled struct {
+	ID      uuid.UUID
+	Nonce   uint64
+	Outcome ClaimOutcome
+	Holder  Claim
+}
+
+// NewClaimer returns a Claimer without claims.
+func NewClaimer(c ClaimerConfig) *Claimer {
+	return &Claimer{cfg: c, keys: map[ClaimKey]*claimKeyState{}, tokens: 1}
+}
+
+// SetBudget changes this host's part of the write budget.
+func (c *Claimer) SetBudget(writesPerSecond float64) {
+	c.cfg.WritesPerSecond = writesPerSecond
+}
+
+// KeyOf returns the key of an id and the start of its bucket (rule 2).
+func KeyOf(id uuid.UUID) (ClaimKey, int64) {
+	width := claimBucketWidth.Milliseconds()
+	n := mintTime(id) / width
+	return ClaimKey{
+		Bucket:    int(n % claimBuckets),
+		Partition: int(xxhash.Sum64(id[:]) % claimPartitions),
+	}, n * width
+}
+
+// mintTime returns the mint time of a UUIDv7 in Unix milliseconds.
+func mintTime(id uuid.UUID) int64 {
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms
+}
+
+// Want begins an attempt to claim id, which is given up at deadline. It
+// returns the nonce of the attempt.
+func (c *Claimer) Want(now time.Time, id uuid.UUID, deadline time.Time) (uint64, []ClaimAction) {
+	nonce := c.cfg.Nonce()
+	if outcome := checkAge(now, id); outcome != 0 {
+		return nonce, []ClaimAction{{Settled: &ClaimSettled{ID: id, Nonce: nonce, Outcome: outcome}}}
+	}
+	key, start := KeyOf(id)
+	s := c.keys[key]
+	if s == nil {
+		s = &claimKeyState{key: key}
+		c.keys[key] = s
+	}
+	s.waiting = append(s.waiting, &claimAttempt{id, start, nonce, deadline})
+	return nonce, c.step(now, s)
+}
+
+func checkAge(now time.Time, id uuid.UUID) ClaimOutcome {
+	if id.Version() != 7 {
+		return ClaimNotUUIDv7
+	}
+	age := time.Duration(now.UnixMilli()-mintTime(id)) * time.Millisecond
+	if age > ClaimRetention {
+		return ClaimTooOld
+	}
+	if age < -ClaimSkew {
+		return ClaimTooNew
+	}
+	return 0
+}
+
+// ReadDone delivers the value at a key; ok is false if the read failed.
+func (c *Claimer) ReadDone(now time.Time, key ClaimKey, version uint64, value Journal, ok bool) []ClaimAction {
+	s := c.keys[key]
+	if s == nil {
+		return nil
+	}
+	s.busy = false
+	if !ok {
+		s.retryAt = now.Add(claimRetryInterval)
+		return nil
+	}
+	s.known, s.version, s.value = true, version, value
+	return c.step(now, s)
+}
+
+// WriteResult is what is known of a compare-and-swap.
+type WriteResult uint8
+
+const (
+	// WriteUnknown means that the change may have taken effect or still may.
+	WriteUnknown WriteResult = iota
+	// WriteDone means that the change has taken effect.
+	WriteDone
+	// WriteConflict means that the key had another version.
+	WriteConflict
+)
+
+// WriteDone delivers the result of a write with the version that it made.
+func (c *Claimer) WriteDone(now time.Time, key ClaimKey, result WriteResult, version uint64) []ClaimAction {
+	s := c.keys[key]
+	if s == nil {
+		return nil
+	}
+	s.busy = false
+	attempts := s.writing
+	s.writing = nil
+	if result != WriteDone {
+		s.known = false
+		s.waiting = append(attempts, s.waiting...)
+		if result == WriteUnknown {
+			// An outage is not met with a stream of calls.
+			s.retryAt = now.Add(claimRetryInterval)
+			return nil
+		}
+		return c.step(now, s)
+	}
+	s.version, s.value = version, s.written
+	var actions []ClaimAction
+	for _, a := range attempts {
+		actions = append(actions, settled(a, ClaimGranted, Claim{}))
+	}
+	return append(actions, c.step(now, s)...)
+}
+
+// Tick gives up attempts whose deadline has passed and retries what failed or
+// had no budget. Call it every few milliseconds while claims are pending.
+func (c *Claimer) Tick(now time.Time) []ClaimAction {
+	var actions []ClaimAction
+	for _, s := range c.sorted() {
+		actions = append(actions, s.giveUp(now)...)
+		actions = append(actions, c.step(now, s)...)
+		if !s.busy && len(s.waiting) == 0 && len(s.writing) == 0 {
+			delete(c.keys, s.key)
+		}
+	}
+	return actions
+}
+
+// Pending reports whether any attempt is open.
+func (c *Claimer) Pending() bool { return len(c.keys) > 0 }
+
+func (c *Claimer) sorted() []*claimKeyState {
+	list := make([]*claimKeyState, 0, len(c.keys))
+	for _, s := range c.keys {
+		list = append(list, s)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := list[i].key, list[j].key
+		return a.Bucket < b.Bucket || a.Bucket == b.Bucket && a.Partition < b.Partition
+	})
+	return list
+}
+
+// giveUp drops late attempts, those in the write in flight too (rule 5).
+func (s *claimKeyState) giveUp(now time.Time) []ClaimAction {
+	var actions []ClaimAction
+	live := func(list []*claimAttempt) []*claimAttempt {
+		kept := list[:0]
+		for _, a := range list {
+			if now.Before(a.deadline) {
+				kept = append(kept, a)
+				continue
+			}
+			actions = append(actions, settled(a, ClaimGivenUp, Claim{}))
+		}
+		return kept
+	}
+	s.waiting = live(s.waiting)
+	s.writing = live(s.writing)
+	return actions
+}
+
+// step issues the next read or write of a key, if there is one.
+func (c *Claimer) step(now time.Time, s *claimKeyState) []ClaimAction {
+	if s.busy || len(s.waiting) == 0 || now.Before(s.retryAt) {
+		return nil
+	}
+	if !s.known {
+		s.busy = true
+		return []ClaimAction{{Read: &ClaimRead{s.key}}}
+	}
+	actions := c.settleKnown(s)
+	if len(s.waiting) == 0 || !c.takeToken(now) {
+		return actions
+	}
+	return append(actions, c.write(s))
+}
+
+// settleKnown ends the attempts that the value read already decides.
+func (c *Claimer) settleKnown(s *claimKeyState) []ClaimAction {
+	var actions []ClaimAction
+	newest := s.value.Start
+	for _, a := range s.waiting {
+		newest = max(newest, a.start)
+	}
+	room := (claimMaxValueBytes - len(s.value.Claims)*claimEntryBytes) / claimEntryBytes
+	if newest > s.value.Start {
+		room = claimMaxValueBytes / claimEntryBytes
+	}
+	var open []*claimAttempt
+	taken := map[uuid.UUID]bool{}
+	for _, a := range s.waiting {
+		held, ok := s.value.find(a.id)
+		switch {
+		case a.start < newest:
+			actions = append(actions, settled(a, ClaimTooOld, Claim{}))
+		case ok && a.start == s.value.Start:
+			actions = append(actions, settled(a, c.judge(a, held), held))
+		case len(open) >= room:
+			actions = append(actions, settled(a, ClaimFull, Claim{}))
+		case taken[a.id]:
+			// A second attempt at the same id waits for the next value.
+			open = append(open, a)
+		default:
+			taken[a.id] = true
+			open = append(open, a)
+		}
+	}
+	s.waiting = open
+	return actions
+}
+
+// judge compares an entry that was read with the attempt (rules 3 and 5).
+func (c *Claimer) judge(a *claimAttempt, held Claim) ClaimOutcome {
+	if held.Incarnation != c.cfg.Incarnation {
+		return ClaimHeld
+	}
+	if held.Nonce == a.nonce {
+		return ClaimGranted
+	}
+	return ClaimOwn
+}
+
+// write builds the compare-and-swap for all open attempts of a key (rule 7).
+func (c *Claimer) write(s *claimKeyState) ClaimAction {
+	next := Journal{Start: s.value.Start}
+	if s.waiting[0].start > s.value.Start {
+		next.Start = s.waiting[0].start
+	} else {
+		next.Claims = append(next.Claims, s.value.Claims...)
+	}
+	var later []*claimAttempt
+	for _, a := range s.waiting {
+		if _, ok := next.find(a.id); ok {
+			later = append(later, a)
+			continue
+		}
+		next.Claims = append(next.Claims, Claim{a.id, c.cfg.Incarnation, c.cfg.Address, a.nonce})
+		s.writing = append(s.writing, a)
+	}
+	s.waiting = later
+	s.busy = true
+	s.written = next
+	return ClaimAction{Write: &ClaimWrite{s.key, s.version, next}}
+}
+
+func (c *Claimer) takeToken(now time.Time) bool {
+	if c.refilled.IsZero() {
+		c.refilled = now
+	}
+	c.tokens = min(1+c.cfg.WritesPerSecond/10, c.tokens+now.Sub(c.refilled).Seconds()*c.cfg.WritesPerSecond)
+	c.refilled = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
+
+func settled(a *claimAttempt, o ClaimOutcome, holder Claim) ClaimAction {
+	return ClaimAction{Settled: &ClaimSettled{ID: a.id, Nonce: a.nonce, Outcome: o, Holder: holder}}
+}
+
+// EncodeJournal returns the bytes of a journal value.
+func EncodeJournal(j Journal) ([]byte, error) {
+	b, err := cbor.Marshal(j)
+	if err != nil {
+		return nil, fmt.Errorf("encode claim journal: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeJournal reads a journal value. No bytes make an empty journal.
+func DecodeJournal(b []byte) (Journal, error) {
+	var j Journal
+	if len(b) == 0 {
+		return j, nil
+	}
+	if err := cbor.Unmarshal(b, &j); err != nil {
+		return j, fmt.Errorf("decode claim journal: %w", err)
+	}
+	return j, nil
+}
--- /dev/null
+++ b/internal/platform/service.go
@@ -0,0 +1,458 @@
+package platform
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/phuslu/log"
+
+	"guavayoke/internal/kernel"
+	"guavayoke/internal/peer"
+	"guavayoke/internal/ring"
+)
+
+// Name is the name of the service in the kernel.
+const Name = "Platform"
+
+const (
+	callTimeout        = 2 * time.Second
+	hostsInterval      = time.Second
+	registerInterval   = 5 * time.Second
+	registerTTL        = 15 * time.Second
+	claimTickInterval  = 10 * time.Millisecond
+	followTickInterval = 100 * time.Millisecond
+	watchersPerDomain  = 2
+	claimRing          = 4096
+	configurationName  = "Configuration"
+)
+
+// Config builds a Service.
+type Config struct {
+	Store       *Store
+	Self        Host
+	Incarnation string
+	PeerAddress string
+	Environment string
+	// Key verifies configuration records.
+	Key   []byte
+	Nonce func() uint64
+	Log   *log.Logger
+}
+
+// Service keeps the daemon's view of the platform.
+type Service struct {
+	cfg     Config
+	peers   *peer.Service
+	claims  *ring.Ring[func(now time.Time) []ClaimAction]
+	claimer *Claimer
+	waiting map[uint64]chan ClaimSettled
+	// claimsEnded is closed when no claim can be granted any more.
+	claimsEnded chan struct{}
+
+	mu        sync.Mutex
+	follower  Follower
+	applied   *Applied
+	hosts     HostList
+	onApply   []func(*Applied)
+	onHosts   []func([]Host)
+	storeDown bool
+}
+
+// New returns a service; it is started by the kernel.
+func New(c Config) *Service {
+	return &Service{
+		cfg:    c,
+		claims: ring.New[func(time.Time) []ClaimAction](claimRing),
+		claimer: NewClaimer(ClaimerConfig{
+			Incarnation: c.Incarnation, Address: c.PeerAddress, WritesPerSecond: 1, Nonce: c.Nonce,
+		}),
+		waiting:     map[uint64]chan ClaimSettled{},
+		claimsEnded: make(chan struct{}),
+	}
+}
+
+// Service returns the kernel's view of s.
+func (s *Service) Service() kernel.Service {
+	return kernel.Service{Name: Name, Value: s, Start: s.start}
+}
+
+// OnApply registers a function that is told the configuration in force, if
+// there is one, and each later one.
+func (s *Service) OnApply(f func(*Applied)) {
+	s.mu.Lock()
+	s.onApply = append(s.onApply, f)
+	a := s.applied
+	s.mu.Unlock()
+	if a != nil {
+		f(a)
+	}
+}
+
+// OnHosts registers a function that is told the list of hosts, if it is known,
+// and each new one.
+func (s *Service) OnHosts(f func([]Host)) {
+	s.mu.Lock()
+	s.onHosts = append(s.onHosts, f)
+	hosts := s.hosts.Hosts
+	s.mu.Unlock()
+	if hosts != nil {
+		f(hosts)
+	}
+}
+
+// Applied returns the configuration in force, nil if there is none.
+func (s *Service) Applied() *Applied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.applied
+}
+
+// StoreDown reports whether the last call to the platform failed.
+func (s *Service) StoreDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeDown
+}
+
+// wireVersion is the heartbeat item that names the configuration in force.
+type wireVersion struct{ Version uint64 }
+
+func (s *Service) start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	peers, err := kernel.Find[*peer.Service](k, peer.Name)
+	if err != nil {
+		return nil, err
+	}
+	s.peers = peers
+	peers.Publish(configurationName, s.publishVersion)
+	peers.HandleNote(configurationName, func(from string, b []byte) { s.peerTold(ctx, from, b) })
+	peers.HandleCall(configurationName, s.serveRecord)
+	var duties sync.WaitGroup
+	for _, duty := range []func(context.Context){s.followDuty, s.hostsDuty, s.registerDuty, s.claimDuty} {
+		duties.Add(1)
+		go func() {
+			defer duties.Done()
+			duty(ctx)
+		}()
+	}
+	done := make(chan error, 1)
+	go func() {
+		duties.Wait()
+		done <- nil
+	}()
+	return done, nil
+}
+
+func (s *Service) publishVersion() []byte {
+	a := s.Applied()
+	if a == nil {
+		return nil
+	}
+	b, err := cbor.Marshal(wireVersion{a.Version})
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func (s *Service) serveRecord(context.Context, []byte) ([]byte, error) {
+	a := s.Applied()
+	if a == nil {
+		return nil, errors.New("no configuration is in force")
+	}
+	return a.Raw, nil
+}
+
+func (s *Service) peerTold(ctx context.Context, from string, b []byte) {
+	var w wireVersion
+	if cbor.Unmarshal(b, &w) != nil {
+		return
+	}
+	s.follow(ctx, func(now time.Time) []FollowAction { return s.follower.PeerTold(now, from, w.Version) })
+}
+
+// follow runs a deciding function of the follower and carries its actions out.
+func (s *Service) follow(ctx context.Context, f func(now time.Time) []FollowAction) {
+	s.mu.Lock()
+	actions := f(time.Now())
+	s.mu.Unlock()
+	for _, a := range actions {
+		switch {
+		case a.Apply != nil:
+			s.apply(a.Apply)
+		case a.Fetch != "":
+			go s.fetch(ctx, a.Fetch)
+		case a.Watch != nil:
+			go s.watch(ctx, *a.Watch)
+		case a.Read:
+			go s.read(ctx)
+		}
+	}
+}
+
+func (s *Service) apply(a *Applied) {
+	s.mu.Lock()
+	if s.applied != nil && s.applied.Version >= a.Version {
+		s.mu.Unlock()
+		return
+	}
+	s.applied = a
+	listeners := s.onApply
+	s.mu.Unlock()
+	s.cfg.Log.Info().Uint64("Version", a.Version).Str("Digest", a.Digest).Msg("ConfigurationApplied")
+	for _, f := range listeners {
+		f(a)
+	}
+}
+
+// believe verifies a record; a record that is forged or broken is logged and
+// treated as no answer.
+func (s *Service) believe(raw []byte, source string) *Applied {
+	r, d, err := DecodeRecord(s.cfg.Key, s.cfg.Environment, raw)
+	if err != nil {
+		s.cfg.Log.Error().Str("Source", source).Err(err).Msg("ConfigurationRejected")
+		return nil
+	}
+	return &Applied{Version: r.Change.Version, Digest: r.Change.Digest, Document: d, Raw: raw}
+}
+
+func (s *Service) read(ctx context.Context) {
+	v, err := s.cfg.Store.Get(ctx, AcceptedKey(s.cfg.Environment))
+	s.storeAnswered(ctx, v, err)
+}
+
+func (s *Service) watch(ctx context.Context, w FollowWatch) {
+	v, err := s.cfg.Store.Watch(ctx, AcceptedKey(s.cfg.Environment), w.After, w.Wait)
+	if err == nil && v.Version == w.After {
+		// Nothing new: what is in force stands for the value.
+		a := s.Applied()
+		s.follow(ctx, func(now time.Time) []FollowAction { return s.follower.StoreAnswered(now, w.After, a) })
+		return
+	}
+	s.storeAnswered(ctx, v, err)
+}
+
+func (s *Service) storeAnswered(ctx context.Context, v Value, err error) {
+	s.noteStore(err)
+	var a *Applied
+	if err == nil {
+		a = s.believe(v.Data, "Store")
+	}
+	s.follow(ctx, func(now time.Time) []FollowAction { return s.follower.StoreAnswered(now, v.Version, a) })
+}
+
+// noteStore logs when the platform goes away and comes back.
+func (s *Service) noteStore(err error) {
+	s.mu.Lock()
+	was := s.storeDown
+	s.storeDown = err != nil
+	s.mu.Unlock()
+	if err != nil && !was {
+		s.cfg.Log.Warn().Err(err).Msg("PlatformUnreachable")
+	}
+	if err == nil && was {
+		s.cfg.Log.Info().Msg("PlatformReachable")
+	}
+}
+
+func (s *Service) fetch(ctx context.Context, from string) {
+	var a *Applied
+	if m, ok := s.peers.Find(from); ok {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		raw, err := s.peers.Call(callCtx, m.Address, from, configurationName, nil)
+		cancel()
+		if err == nil {
+			a = s.believe(raw, m.Name)
+		}
+	}
+	s.follow(ctx, func(now time.Time) []FollowAction { return s.follower.PeerAnswered(now, a) })
+}
+
+func (s *Service) followDuty(ctx context.Context) {
+	every(ctx, followTickInterval, func() {
+		watcher := s.isWatcher()
+		s.follow(ctx, func(now time.Time) []FollowAction { return s.follower.Tick(now, watcher) })
+	})
+}
+
+// isWatcher reports whether this host is one of the watchers of its failure
+// domain: those with the highest hashes of the hosts that are up.
+func (s *Service) isWatcher() bool {
+	self := s.peers.Self()
+	rank := 0
+	for _, m := range s.peers.Members() {
+		if m.Up() && m.FailureDomain == self.FailureDomain && xxhash.Sum64String(m.Incarnation) > xxhash.Sum64String(self.Incarnation) {
+			rank++
+		}
+	}
+	return rank < watchersPerDomain
+}
+
+func (s *Service) hostsDuty(ctx context.Context) {
+	every(ctx, hostsInterval, func() {
+		s.mu.Lock()
+		known := s.hosts.Version
+		s.mu.Unlock()
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		list, err := s.cfg.Store.Hosts(callCtx, known)
+		s.noteStore(err)
+		if err != nil || list.Unchanged {
+			return
+		}
+		slices.SortFunc(list.Hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
+		s.mu.Lock()
+		s.hosts = list
+		listeners := s.onHosts
+		s.mu.Unlock()
+		s.peers.SetSeeds(entryAddresses(list.Hosts))
+		for _, f := range listeners {
+			f(list.Hosts)
+		}
+	})
+}
+
+func entryAddresses(hosts []Host) []string {
+	var out []string
+	for _, h := range hosts {
+		if h.Kind == EntryHost {
+			out = append(out, h.Address)
+		}
+	}
+	return out
+}
+
+func (s *Service) registerDuty(ctx context.Context) {
+	every(ctx, registerInterval, func() {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		// A failure shows in the other duties; the lease outlives two of them.
+		_ = s.cfg.Store.Register(callCtx, s.cfg.Self, registerTTL)
+	})
+}
+
+// every calls f now and then once in each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Claim asks for the claim of a submission without a token and waits for the
+// outcome. It is given up at deadline.
+func (s *Service) Claim(ctx context.Context, id uuid.UUID, deadline time.Time) (ClaimSettled, error) {
+	c := make(chan ClaimSettled, 1)
+	err := s.claims.Put(ctx, func(now time.Time) []ClaimAction {
+		nonce, actions := s.claimer.Want(now, id, deadline)
+		s.waiting[nonce] = c
+		return actions
+	})
+	if err != nil {
+		return ClaimSettled{ID: id, Outcome: ClaimGivenUp}, err
+	}
+	// The claimer settles every attempt by its deadline. There is no other way
+	// out while it runs: a grant that nobody waits for would start nothing.
+	select {
+	case settled := <-c:
+		return settled, nil
+	case <-s.claimsEnded:
+		return ClaimSettled{ID: id, Outcome: ClaimGivenUp}, nil
+	}
+}
+
+// SetClaimBudget sets this host's part of the claim writes.
+func (s *Service) SetClaimBudget(writesPerSecond float64) {
+	s.claims.Offer(func(time.Time) []ClaimAction {
+		s.claimer.SetBudget(writesPerSecond)
+		return nil
+	})
+}
+
+// claimDuty owns the claimer.
+func (s *Service) claimDuty(ctx context.Context) {
+	t := time.NewTicker(claimTickInterval)
+	defer t.Stop()
+	for {
+		var actions []ClaimAction
+		select {
+		case <-ctx.Done():
+			close(s.claimsEnded)
+			return
+		case f := <-s.claims.C():
+			actions = f(time.Now())
+		case now := <-t.C:
+			if !s.claimer.Pending() {
+				continue
+			}
+			actions = s.claimer.Tick(now)
+		}
+		for _, a := range actions {
+			s.carryClaim(ctx, a)
+		}
+	}
+}
+
+func (s *Service) carryClaim(ctx context.Context, a ClaimAction) {
+	switch {
+	case a.Settled != nil:
+		if c := s.waiting[a.Settled.Nonce]; c != nil {
+			delete(s.waiting, a.Settled.Nonce)
+			c <- *a.Settled
+		}
+	case a.Read != nil:
+		go s.readClaims(ctx, *a.Read)
+	case a.Write != nil:
+		go s.writeClaims(ctx, *a.Write)
+	}
+}
+
+func (s *Service) readClaims(ctx context.Context, r ClaimRead) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	v, err := s.cfg.Store.Get(callCtx, r.Key.Key(s.cfg.Environment))
+	var j Journal
+	if err == nil {
+		j, err = DecodeJournal(v.Data)
+	}
+	if err != nil {
+		s.cfg.Log.Warn().Str("Key", r.Key.Key(s.cfg.Environment)).Err(err).Msg("ClaimReadFailed")
+	}
+	_ = s.claims.Put(ctx, func(now time.Time) []ClaimAction {
+		return s.claimer.ReadDone(now, r.Key, v.Version, j, err == nil)
+	})
+}
+
+func (s *Service) writeClaims(ctx context.Context, w ClaimWrite) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, version := WriteUnknown, uint64(0)
+	b, err := EncodeJournal(w.Value)
+	if err == nil {
+		version, err = s.cfg.Store.Put(callCtx, w.Key.Key(s.cfg.Environment), w.Expect, b)
+	}
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		result = WriteDone
+	case errors.As(err, &conflict):
+		result = WriteConflict
+	default:
+		s.cfg.Log.Warn().Str("Key", w.Key.Key(s.cfg.Environment)).Err(err).Msg("ClaimWriteUnsettled")
+	}
+	_ = s.claims.Put(ctx, func(now time.Time) []ClaimAction {
+		return s.claimer.WriteDone(now, w.Key, result, version)
+	})
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,38 @@
+// Package settings reads the settings file of a process.
+package settings
+
+import (
+	"fmt"
+	"os"
+
+	"guavayoke/pkg/document"
+)
+
+// Daemon holds the settings of guavayoked. Addresses are IP numbers with a
+// port; the process listens on the first three.
+type Daemon struct {
+	Name              string   `validate:"required,max=64,name" doc:"name of the entry host, unique in its environment"`
+	Environment       string   `validate:"required,max=64,name" doc:"environment whose document is served"`
+	FailureDomain     string   `validate:"required,max=64,name" doc:"failure domain of the host"`
+	Region            string   `validate:"required,max=64,name" doc:"region of the failure domain"`
+	CallerAddress     string   `validate:"required,ip_port" doc:"where callers connect"`
+	PeerAddress       string   `validate:"required,ip_port" doc:"where other entry hosts connect"`
+	OperatorAddress   string   `validate:"required,ip_port" doc:"where operators connect"`
+	PlatformAddresses []string `validate:"required,min=1,max=16,dive,ip_port" doc:"addresses of the platform's service"`
+	Seeds             []string `validate:"max=64,dive,ip_port" doc:"peer addresses to start from when the platform can't be reached"`
+	PeerKey           string   `validate:"required,min=32,max=128,hexadecimal" doc:"shared key of all entry hosts, hexadecimal"`
+	StopLimitMs       int      `validate:"min=100,max=600000" doc:"longest graceful stop, in milliseconds"`
+	LogLevel          string   `validate:"oneof=debug info warn error" doc:"lowest level that is logged"`
+}
+
+// Read reads a settings file into v and checks it.
+func Read(file string, v any) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("read settings: %w", err)
+	}
+	if err := document.DecodeInto(b, v); err != nil {
+		return fmt.Errorf("settings %s:\n%w", file, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/document/decode.go
@@ -0,0 +1,282 @@
+package document
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"sort"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// MaxBytes is the largest accepted document, in bytes. The platform's store
+// holds values up to a megabyte; the rest is left for the history record.
+const MaxBytes = 512 << 10
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Path leads to the field, such as Services[0].Slots.
+	Path string
+	// Text says what is wrong with it.
+	Text string
+}
+
+// ProblemsError lists every fault found in a document.
+type ProblemsError struct{ Problems []Problem }
+
+// Error implements error with one line for each problem.
+func (e *ProblemsError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.Path + ": " + p.Text
+	}
+	return strings.Join(lines, "\n")
+}
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	validate    = newValidator()
+)
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	isName := func(fl validator.FieldLevel) bool { return namePattern.MatchString(fl.Field().String()) }
+	if err := v.RegisterValidation("name", isName); err != nil {
+		panic(err)
+	}
+	isAddress := func(fl validator.FieldLevel) bool { return isIPPort(fl.Field().String()) }
+	if err := v.RegisterValidation("ip_port", isAddress); err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// isIPPort reports whether s is an IP number followed by a port.
+func isIPPort(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+// Digest returns the SHA-256 of the bytes of a document, in hexadecimal.
+func Digest(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:])
+}
+
+// Decode reads and checks an environment document. The error is a
+// *ProblemsError that lists every fault.
+func Decode(b []byte) (*Document, error) {
+	var d Document
+	if err := DecodeInto(b, &d); err != nil {
+		return nil, err
+	}
+	if p := crossChecks(&d); len(p) > 0 {
+		return nil, &ProblemsError{p}
+	}
+	return &d, nil
+}
+
+// DecodeInto reads JSON into v, a pointer to a struct whose fields carry
+// validate tags. Unknown fields, wrong types and values out of bounds are all
+// listed in one *ProblemsError.
+func DecodeInto(b []byte, v any) error {
+	if len(b) > MaxBytes {
+		return &ProblemsError{[]Problem{{"Document", fmt.Sprintf("is %d bytes, at most %d are allowed", len(b), MaxBytes)}}}
+	}
+	var raw any
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.UseNumber()
+	if err := dec.Decode(&raw); err != nil {
+		return &ProblemsError{[]Problem{{"Document", "is not JSON: " + err.Error()}}}
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return &ProblemsError{[]Problem{{"Document", "has data after its end"}}}
+	}
+	problems := shape(raw, reflect.TypeOf(v).Elem(), "")
+	if len(problems) == 0 {
+		if err := json.Unmarshal(b, v); err != nil {
+			problems = append(problems, Problem{"Document", err.Error()})
+		} else {
+			problems = append(problems, bounds(v)...)
+		}
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Path < problems[j].Path })
+	return &ProblemsError{problems}
+}
+
+// Validate checks only the validate tags of v, a pointer to a struct.
+func Validate(v any) error {
+	if p := bounds(v); len(p) > 0 {
+		return &ProblemsError{p}
+	}
+	return nil
+}
+
+// rawJSON is the type of fields that may hold any JSON.
+var rawJSON = reflect.TypeFor[json.RawMessage]()
+
+// shape compares decoded JSON with the Go type that it is meant for.
+func shape(raw any, t reflect.Type, path string) []Problem {
+	wrong := func(want string) []Problem {
+		return []Problem{{orRoot(path), fmt.Sprintf("must be %s, not %s", want, kindOf(raw))}}
+	}
+	if t == rawJSON {
+		return nil
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		m, ok := raw.(map[string]any)
+		if !ok {
+			return wrong("an object")
+		}
+		return shapeStruct(m, t, path)
+	case reflect.Slice:
+		list, ok := raw.([]any)
+		if !ok {
+			return wrong("a list")
+		}
+		var problems []Problem
+		for i, e := range list {
+			problems = append(problems, shape(e, t.Elem(), fmt.Sprintf("%s[%d]", path, i))...)
+		}
+		return problems
+	case reflect.String:
+		if _, ok := raw.(string); !ok {
+			return wrong("a string")
+		}
+	case reflect.Bool:
+		if _, ok := raw.(bool); !ok {
+			return wrong("true or false")
+		}
+	case reflect.Int, reflect.Int64:
+		n, ok := raw.(json.Number)
+		if !ok {
+			return wrong("a whole number")
+		}
+		if _, err := n.Int64(); err != nil {
+			return wrong("a whole number")
+		}
+	case reflect.Float64:
+		if _, ok := raw.(json.Number); !ok {
+			return wrong("a number")
+		}
+	}
+	return nil
+}
+
+func shapeStruct(m map[string]any, t reflect.Type, path string) []Problem {
+	var problems []Problem
+	known := map[string]bool{}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		known[f.Name] = true
+		if raw, ok := m[f.Name]; ok {
+			problems = append(problems, shape(raw, f.Type, join(path, f.Name))...)
+		}
+	}
+	for name := range m {
+		if !known[name] {
+			problems = append(problems, Problem{join(path, name), "is not a known field"})
+		}
+	}
+	return problems
+}
+
+// bounds runs the validate tags.
+func bounds(v any) []Problem {
+	var failed validator.ValidationErrors
+	err := validate.Struct(v)
+	if err == nil {
+		return nil
+	}
+	if !errors.As(err, &failed) {
+		return []Problem{{"Document", err.Error()}}
+	}
+	problems := make([]Problem, 0, len(failed))
+	for _, f := range failed {
+		_, path, _ := strings.Cut(f.StructNamespace(), ".")
+		problems = append(problems, Problem{path, describe(f.Tag(), f.Param(), f.Kind())})
+	}
+	return problems
+}
+
+// describe puts a validate tag into words, for errors and the reference page.
+func describe(tag, param string, kind reflect.Kind) string {
+	sized := kind == reflect.Slice || kind == reflect.String
+	unit := ""
+	if kind == reflect.Slice {
+		unit = " entries"
+	}
+	if kind == reflect.String {
+		unit = " characters"
+	}
+	switch tag {
+	case "required":
+		return "must not be empty"
+	case "min":
+		return "must be at least " + param + unit
+	case "max":
+		return "must be at most " + param + unit
+	case "gt":
+		return "must be above " + param
+	case "lt":
+		return "must be below " + param
+	case "gtefield":
+		return "must not be below " + param
+	case "unique":
+		return "must not repeat a " + param
+	case "name":
+		return "may hold letters, digits, '.', '_' and '-' only"
+	case "oneof":
+		return "must be one of: " + param
+	case "ip_port":
+		return "must be an IP number and a port, such as 127.0.0.1:7000"
+	case "hexadecimal":
+		return "must be hexadecimal digits"
+	}
+	if sized {
+		return "must satisfy " + tag + unit
+	}
+	return "must satisfy " + tag + " " + param
+}
+
+func kindOf(raw any) string {
+	switch raw.(type) {
+	case nil:
+		return "null"
+	case string:
+		return "a string"
+	case bool:
+		return "a truth value"
+	case json.Number:
+		return "a number"
+	case []any:
+		return "a list"
+	}
+	return "an object"
+}
+
+func orRoot(path string) string {
+	if path == "" {
+		return "Document"
+	}
+	return path
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
