Add guavayoke-load: open-loop runs with invariant checks, and experiments

Cause: nothing measured the path or checked I1 to I5 against what servers saw.

Change: guavayoke-load run sends open-loop work (idempotent, once, jobs) and compares the answers with the stand-ins' records; guavayoke-load experiment runs policies in virtual time over the same arrivals.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -2,7 +2,10 @@
 package event
 
 import (
+	"bytes"
 	"io"
+	"strconv"
+	"strings"
 
 	"github.com/phuslu/log"
 )
@@ -13,9 +16,34 @@
 	return &log.Logger{
 		Level:      log.ParseLevel(level),
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer: &log.ConsoleWriter{
-			Writer:    w,
-			Formatter: log.LogfmtFormatter{TimeField: "time"}.Formatter,
-		},
+		Writer:     &log.ConsoleWriter{Writer: w, Formatter: format},
 	}
 }
+
+// format writes one event; its message is the name of the event.
+func format(w io.Writer, a *log.FormatterArgs) (int, error) {
+	var b bytes.Buffer
+	pair(&b, "Time", a.Time)
+	pair(&b, "Level", a.Level)
+	pair(&b, "Event", a.Message)
+	for _, kv := range a.KeyValues {
+		if kv.Value != "null" {
+			pair(&b, strings.ToUpper(kv.Key[:1])+kv.Key[1:], kv.Value)
+		}
+	}
+	b.Truncate(b.Len() - 1)
+	b.WriteByte('\n')
+	return w.Write(b.Bytes())
+}
+
+// pair writes a pair and a space; values that hold other than plain characters
+// are quoted.
+func pair(b *bytes.Buffer, key, value string) {
+	b.WriteString(key)
+	b.WriteByte('=')
+	if value == "" || strings.ContainsAny(value, " =\"\\\n\t\r") {
+		value = strconv.Quote(value)
+	}
+	b.WriteString(value)
+	b.WriteByte(' ')
+}
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -15,7 +15,7 @@
 	if strings.Count(got, "\n") != 1 {
 		t.Fatalf("want one line, got %q", got)
 	}
-	for _, want := range []string{`Server="a b"`, "Count=3", "ServerLeft"} {
+	for _, want := range []string{`Server="a b"`, "Count=3", "Event=ServerLeft"} {
 		if !strings.Contains(got, want) {
 			t.Errorf("%q lacks %q", got, want)
 		}
--- a/internal/experiment/workload.go
+++ b/internal/experiment/workload.go
@@ -64,8 +64,8 @@
 	return sum / (draws / 100)
 }
 
-// rate returns the arrival rate at a time, for a mean rate.
-func (w Workload) rate(at time.Duration, mean float64) float64 {
+// Rate returns the arrival rate at a time, for a mean rate.
+func (w Workload) Rate(at time.Duration, mean float64) float64 {
 	if w.BurstFactor <= 1 || w.BurstEvery == 0 {
 		return mean
 	}
@@ -91,7 +91,7 @@
 	var list []arrival
 	at := time.Duration(0)
 	for at < c.Length {
-		step := r.ExpFloat64() / c.Workload.rate(at, rate)
+		step := r.ExpFloat64() / c.Workload.Rate(at, rate)
 		at += time.Duration(step * float64(time.Second))
 		list = append(list, arrival{at, c.Workload.Run(r), r.IntN(c.Hosts), c.team(r)})
 	}
--- /dev/null
+++ b/internal/load/check.go
@@ -0,0 +1,145 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"guavayoke/internal/standin"
+	"guavayoke/pkg/verdict"
+)
+
+// Violation is one broken invariant.
+type Violation struct {
+	Invariant string
+	ID        string
+	Text      string
+}
+
+// maxViolations bounds the list in a report; the count is exact.
+const maxViolations = 20
+
+// check is one invariant. Help is made from the same list.
+type check struct {
+	Name string
+	Doc  string
+	Run  func(samples []sample, starts map[string]int) []Violation
+}
+
+// checks are the invariants that a load run can see.
+var checks = []check{
+	{"I1", "No task of a submission starts twice.", checkStartedOnce},
+	{"I2", "Every job ends complete or failed, never partly answered.", checkWhole},
+	{"I3", "Every caller receives the whole answer to its own request.", checkContent},
+	{"I4", "A refusal that says not run is true.", checkRefusals},
+	{"I5", "A non-idempotent request runs at most once.", checkStartedOnce},
+}
+
+// startsByTask counts the starts of each task that the servers recorded.
+func startsByTask(records []standin.BackendRecord) map[string]int {
+	starts := map[string]int{}
+	for _, r := range records {
+		for _, s := range r.Starts {
+			starts[s.Task]++
+		}
+	}
+	return starts
+}
+
+func taskName(id string, i int) string { return id + "#" + strconv.Itoa(i) }
+
+func checkStartedOnce(samples []sample, starts map[string]int) []Violation {
+	var out []Violation
+	for _, s := range samples {
+		if s.kind == KindIdempotent {
+			continue
+		}
+		for i := range s.works {
+			if n := starts[taskName(s.result.ID, i)]; n > 1 {
+				out = append(out, Violation{"I1", s.result.ID, fmt.Sprintf("task %d started %d times", i, n)})
+			}
+		}
+	}
+	return out
+}
+
+func checkWhole(samples []sample, _ map[string]int) []Violation {
+	var out []Violation
+	for _, s := range samples {
+		if s.kind != KindJob || !s.complete() {
+			continue
+		}
+		if len(s.result.Tasks) != len(s.works) {
+			out = append(out, Violation{"I2", s.result.ID, fmt.Sprintf("%d answers for %d tasks", len(s.result.Tasks), len(s.works))})
+		}
+	}
+	return out
+}
+
+func checkContent(samples []sample, _ map[string]int) []Violation {
+	var out []Violation
+	for _, s := range samples {
+		if !s.complete() {
+			continue
+		}
+		answers := []json.RawMessage{s.result.Answer}
+		if s.kind == KindJob {
+			answers = nil
+			for _, t := range s.result.Tasks {
+				answers = append(answers, t.Answer)
+			}
+		}
+		for i, a := range answers {
+			var got standin.Done
+			err := json.Unmarshal(a, &got)
+			want := s.works[i].Expected()
+			want.Server = got.Server
+			if err != nil || got != want {
+				out = append(out, Violation{"I3", s.result.ID, fmt.Sprintf("task %d has the answer %.80s", i, a)})
+			}
+		}
+	}
+	return out
+}
+
+func checkRefusals(samples []sample, starts map[string]int) []Violation {
+	var out []Violation
+	for _, s := range samples {
+		if s.err != nil {
+			continue
+		}
+		for i := range s.works {
+			refused := s.result.Verdict == verdict.NotRun
+			if s.kind == KindJob && i < len(s.result.Tasks) {
+				refused = s.result.Tasks[i].Verdict == verdict.NotRun
+			}
+			if refused && starts[taskName(s.result.ID, i)] > 0 {
+				out = append(out, Violation{"I4", s.result.ID, fmt.Sprintf("task %d was refused as not run (%s) and started", i, s.result.Reason)})
+			}
+		}
+	}
+	return out
+}
+
+// runChecks runs all checks and counts violations by invariant.
+func runChecks(samples []sample, records []standin.BackendRecord) ([]Violation, map[string]int) {
+	starts := startsByTask(records)
+	var list []Violation
+	counts := map[string]int{}
+	for _, c := range checks {
+		found := c.Run(samples, starts)
+		counts[c.Name] = len(found)
+		list = append(list, found...)
+	}
+	return list[:min(len(list), maxViolations)], counts
+}
+
+// ChecksHelp describes the checks, for help.
+func ChecksHelp() string {
+	var b strings.Builder
+	for _, c := range checks {
+		fmt.Fprintf(&b, "  %s  %s\n", c.Name, c.Doc)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,191 @@
+// Package load sends open-loop work to running daemons, measures response
+// times against the ideal and checks the invariants against what the backend
+// stand-ins recorded.
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"guavayoke/internal/experiment"
+	"guavayoke/internal/standin"
+	"guavayoke/pkg/client"
+	"guavayoke/pkg/verdict"
+)
+
+// Config builds a run.
+type Config struct {
+	// Workload gives run times and bursts.
+	Workload experiment.Workload
+	// Callers are the caller addresses; requests go to them in turn.
+	Callers []string
+	// Operators are operator addresses, for the wasted messages.
+	Operators []string
+	// Controls are the control addresses of the backend stand-ins.
+	Controls []string
+	Team     string
+	Service  string
+	// Rate is the mean number of task starts a second.
+	Rate   float64
+	Length time.Duration
+	Seed   uint64
+	// JobShare is the part of the tasks that come in jobs of up to JobMost.
+	JobShare float64
+	JobMost  int
+	// FixedRun replaces the run times of the workload, if above zero.
+	FixedRun time.Duration
+	Deadline time.Duration
+	// Clients is the number of callers with a home token of their own.
+	Clients int
+}
+
+// Kind says what a submission was.
+type Kind string
+
+// The kinds of submissions.
+const (
+	KindIdempotent Kind = "Idempotent"
+	KindOnce       Kind = "Once"
+	KindJob        Kind = "Job"
+)
+
+// sample is one submission and its answer.
+type sample struct {
+	kind     Kind
+	at       time.Duration
+	response time.Duration
+	ideal    time.Duration
+	works    []standin.Work
+	result   client.Result
+	err      error
+}
+
+// plan is one submission to be made.
+type plan struct {
+	kind  Kind
+	at    time.Duration
+	works []standin.Work
+}
+
+// plans draws all submissions of a run. They depend on the seed alone.
+func (c Config) plans() []plan {
+	r := rand.New(rand.NewPCG(c.Seed, 3))
+	var list []plan
+	at := time.Duration(0)
+	for n := 0; at < c.Length; n++ {
+		p := plan{kind: KindOnce, at: at}
+		size := 1
+		switch x := r.Float64(); {
+		case x < c.jobChance():
+			p.kind = KindJob
+			size = 2 + r.IntN(max(1, c.JobMost-1))
+		case x < 0.5:
+			p.kind = KindIdempotent
+		}
+		for i := range size {
+			p.works = append(p.works, standin.Work{
+				Text:  fmt.Sprintf("seed %d submission %d task %d", c.Seed, n, i),
+				RunMs: float64(c.run(r).Microseconds()) / 1000,
+			})
+		}
+		list = append(list, p)
+		step := r.ExpFloat64() * float64(size) / c.Workload.Rate(at, c.Rate)
+		at += time.Duration(step * float64(time.Second))
+	}
+	return list
+}
+
+// jobChance is the chance that a submission is a job, so that JobShare of the
+// tasks come in jobs.
+func (c Config) jobChance() float64 {
+	mean := 2 + float64(max(1, c.JobMost-1)-1)/2
+	return c.JobShare / (c.JobShare + (1-c.JobShare)*mean)
+}
+
+func (c Config) run(r *rand.Rand) time.Duration {
+	if c.FixedRun > 0 {
+		return c.FixedRun
+	}
+	return c.Workload.Run(r)
+}
+
+// Run carries out a run and returns its report.
+func Run(ctx context.Context, c Config) (Report, error) {
+	before, err := readWasted(c.Operators)
+	if err != nil {
+		return Report{}, err
+	}
+	clients := make([]*client.Client, c.Clients)
+	for i := range clients {
+		turn := i % len(c.Callers)
+		addresses := append(append([]string(nil), c.Callers[turn:]...), c.Callers[:turn]...)
+		clients[i] = client.New(client.Config{Addresses: addresses, MaxConnections: 4096})
+	}
+	samples := c.send(ctx, clients)
+	records, err := readRecords(c.Controls)
+	if err != nil {
+		return Report{}, err
+	}
+	after, err := readWasted(c.Operators)
+	if err != nil {
+		return Report{}, err
+	}
+	return c.report(samples, records, after.since(before)), nil
+}
+
+// send makes all submissions at their times, whatever has been answered.
+func (c Config) send(ctx context.Context, clients []*client.Client) []sample {
+	plans := c.plans()
+	samples := make([]sample, len(plans))
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for i, p := range plans {
+		if wait := p.at - time.Since(begun); wait > 0 {
+			time.Sleep(wait)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			samples[i] = c.one(ctx, clients[i%len(clients)], p, begun)
+		}()
+	}
+	wg.Wait()
+	return samples
+}
+
+// one makes a submission. Its response time counts from the planned time.
+func (c Config) one(ctx context.Context, cl *client.Client, p plan, begun time.Time) sample {
+	s := sample{kind: p.kind, at: p.at, works: p.works}
+	bodies := make([]json.RawMessage, len(p.works))
+	for i, w := range p.works {
+		// A Work can always be encoded.
+		bodies[i], _ = json.Marshal(w)
+		s.ideal = max(s.ideal, time.Duration(w.RunMs*float64(time.Millisecond)))
+	}
+	if p.kind == KindJob {
+		job := client.Job{Team: c.Team, Service: c.Service, Deadline: c.Deadline}
+		for _, b := range bodies {
+			job.Tasks = append(job.Tasks, client.Task{Body: b})
+		}
+		s.result, s.err = cl.Do(ctx, job)
+	} else {
+		s.result, s.err = cl.Send(ctx, client.Request{
+			Team: c.Team, Service: c.Service, Deadline: c.Deadline,
+			Idempotent: p.kind == KindIdempotent, Body: bodies[0],
+		})
+	}
+	s.response = time.Since(begun) - p.at
+	return s
+}
+
+// complete reports whether a submission was answered as a whole.
+func (s sample) complete() bool {
+	return s.err == nil && s.result.State == client.StateComplete && s.result.Verdict == verdict.Ran
+}
--- /dev/null
+++ b/internal/load/main.go
@@ -0,0 +1,148 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"guavayoke/internal/experiment"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+	exitBroken = 3
+)
+
+// Main runs the program and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	if len(args) > 0 {
+		switch args[0] {
+		case "run":
+			return mainRun(args[1:], out, errOut)
+		case "experiment":
+			return mainExperiment(args[1:], out, errOut)
+		}
+	}
+	fmt.Fprint(errOut, `guavayoke-load measures guavayoke.
+
+Usage: guavayoke-load run [FLAGS]         open-loop load on running daemons
+       guavayoke-load experiment [FLAGS]  policies in virtual time, side by side
+
+Checks of a run:
+`+ChecksHelp()+`
+Exit codes: 0 done, 1 failed, 2 wrong use, 3 an invariant was broken.
+`)
+	return exitUsage
+}
+
+func mainRun(args []string, out, errOut io.Writer) int {
+	var c Config
+	fs := flag.NewFlagSet("run", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	workload := fs.String("workload", experiment.Raumwerk.Name, "`name` of the workload: Raumwerk or Resa")
+	callers := fs.String("callers", "", "caller addresses, separated by commas")
+	operators := fs.String("operators", "", "operator addresses, separated by commas")
+	controls := fs.String("controls", "", "control addresses of backend stand-ins, separated by commas")
+	fs.StringVar(&c.Team, "team", "referral", "`name` of the team")
+	fs.StringVar(&c.Service, "service", "booking", "`name` of the service")
+	fs.Float64Var(&c.Rate, "rate", 100, "mean task starts a second")
+	fs.DurationVar(&c.Length, "length", 10*time.Second, "time during which work arrives")
+	fs.Uint64Var(&c.Seed, "seed", 1, "seed of arrivals and run times")
+	fs.Float64Var(&c.JobShare, "job-share", 0.3, "part of the tasks that come in jobs")
+	fs.IntVar(&c.JobMost, "job-most", 30, "most tasks of a job")
+	fs.DurationVar(&c.FixedRun, "fixed-run", 0, "run time of every task, instead of the workload's")
+	fs.DurationVar(&c.Deadline, "deadline", 5*time.Second, "deadline of each submission")
+	fs.IntVar(&c.Clients, "clients", 12, "callers with a home token of their own")
+	output := fs.String("output", "text", "`form` of the output: text or json")
+	plots := fs.String("plot", "", "write a plot of the run as PNG to `file`")
+	if fs.Parse(args) != nil {
+		return exitUsage
+	}
+	w, ok := experiment.Workloads[*workload]
+	if !ok || *callers == "" {
+		fmt.Fprintln(errOut, "guavayoke-load: a known -workload and -callers are needed")
+		return exitUsage
+	}
+	c.Workload = w
+	c.Callers, c.Operators, c.Controls = split(*callers), split(*operators), split(*controls)
+	r, err := Run(context.Background(), c)
+	if err == nil && *plots != "" {
+		err = plotTimeline(r, *plots)
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "guavayoke-load: "+err.Error())
+		return exitFailed
+	}
+	if err := write(out, *output, r, r.Print); err != nil {
+		return exitFailed
+	}
+	if r.Broken() {
+		return exitBroken
+	}
+	return exitOK
+}
+
+func split(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
+}
+
+func write(out io.Writer, form string, v any, text func(io.Writer)) error {
+	if form != "json" {
+		text(out)
+		return nil
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode output: %w", err)
+	}
+	_, err = fmt.Fprintln(out, string(b))
+	return err
+}
+
+func mainExperiment(args []string, out, errOut io.Writer) int {
+	fs := flag.NewFlagSet("experiment", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	workload := fs.String("workload", experiment.Raumwerk.Name, "`name` of the workload: Raumwerk or Resa")
+	policies := fs.String("policies", "Shared,Random,TwoChoices,LeastOutstanding,Shares,Guavayoke", "policies, separated by commas")
+	loads := fs.String("loads", "0.3,0.6,0.8,0.95", "loads as parts of the capacity, separated by commas")
+	hosts := fs.String("hosts", "3,9,60", "numbers of entry hosts, separated by commas")
+	var c experiment.Config
+	fs.Uint64Var(&c.Seed, "seed", 1, "seed of arrivals and run times")
+	fs.DurationVar(&c.Length, "length", 60*time.Second, "virtual time during which work arrives")
+	fs.IntVar(&c.Domains, "domains", 3, "failure domains")
+	fs.IntVar(&c.Servers, "servers", 50, "backend servers")
+	fs.IntVar(&c.Slots, "slots", 8, "slots of a backend server")
+	fs.DurationVar(&c.Deadline, "deadline", 10*time.Second, "deadline of each task")
+	fs.DurationVar(&c.Prior, "prior", 250*time.Millisecond, "declared run time")
+	fs.DurationVar(&c.WastedMessage, "wasted-message", 5*time.Millisecond, "response time that a wasted message is worth")
+	fs.IntVar(&c.FailFast, "fail-fast", 0, "servers that fail every task in a millisecond")
+	output := fs.String("output", "text", "`form` of the output: text or json")
+	if fs.Parse(args) != nil {
+		return exitUsage
+	}
+	w, ok := experiment.Workloads[*workload]
+	if !ok {
+		fmt.Fprintf(errOut, "guavayoke-load: there is no workload %q\n", *workload)
+		return exitUsage
+	}
+	c.Workload = w
+	results, err := experiment.Sweep(c, split(*policies), split(*loads), split(*hosts))
+	if err != nil {
+		fmt.Fprintln(errOut, "guavayoke-load: "+err.Error())
+		return exitUsage
+	}
+	if write(out, *output, results, func(w io.Writer) { experiment.Print(w, results) }) != nil {
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,226 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/standin"
+)
+
+const callTimeout = 30 * time.Second
+
+// Quantiles are response times in milliseconds.
+type Quantiles struct{ P50, P99, P999, Max float64 }
+
+// Second is one second of a run.
+type Second struct {
+	At        int
+	Submitted int
+	Complete  int
+	Other     int
+	// P50Ms and P99Ms are of the response time over the ideal.
+	P50Ms, P99Ms float64
+}
+
+// Report is the result of a run.
+type Report struct {
+	Workload    string
+	RatePerSec  float64
+	Seconds     float64
+	Submissions int
+	Tasks       int
+	// Response counts from the planned time, Overhead is response minus ideal.
+	Response Quantiles
+	Overhead Quantiles
+	// Outcomes counts answers by kind, state, verdict and reason.
+	Outcomes map[string]int
+	// Wasted counts messages without progress by kind, all daemons together.
+	Wasted         map[string]int64
+	WastedPerTask  float64
+	Resent         int
+	Violations     map[string]int
+	ViolationsList []Violation `json:",omitempty"`
+	// MostBusy is the most tasks that any server ran at once, ServersRefused
+	// how often servers refused.
+	MostBusy       int
+	ServersRefused int
+	Timeline       []Second
+}
+
+// Broken reports whether an invariant was broken.
+func (r Report) Broken() bool {
+	for _, n := range r.Violations {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (c Config) report(samples []sample, records []standin.BackendRecord, wasted wastedCounts) Report {
+	r := Report{
+		Workload: c.Workload.Name, RatePerSec: c.Rate, Seconds: c.Length.Seconds(),
+		Submissions: len(samples), Outcomes: map[string]int{}, Wasted: wasted,
+	}
+	response, overhead := newHistogram(), newHistogram()
+	for _, s := range samples {
+		r.Tasks += len(s.works)
+		r.Resent += max(0, s.result.Sends-1)
+		r.Outcomes[s.outcome()]++
+		if s.complete() {
+			record(response, s.response)
+			record(overhead, s.response-s.ideal)
+		}
+	}
+	r.Response, r.Overhead = quantiles(response), quantiles(overhead)
+	var sum int64
+	for _, n := range wasted {
+		sum += n
+	}
+	r.WastedPerTask = float64(sum) / float64(max(1, r.Tasks))
+	for _, rec := range records {
+		r.MostBusy = max(r.MostBusy, rec.MostBusy)
+		r.ServersRefused += rec.Refused
+	}
+	r.ViolationsList, r.Violations = runChecks(samples, records)
+	r.Timeline = timeline(samples, c.Length)
+	return r
+}
+
+// outcome names how a submission ended.
+func (s sample) outcome() string {
+	if s.err != nil {
+		return fmt.Sprintf("%s Error", s.kind)
+	}
+	parts := []string{string(s.kind), s.result.State, s.result.Verdict.String()}
+	if s.result.Reason != "" {
+		parts = append(parts, s.result.Reason)
+	}
+	return strings.Join(parts, " ")
+}
+
+func timeline(samples []sample, length time.Duration) []Second {
+	n := int(length/time.Second) + 1
+	list := make([]Second, n)
+	histograms := make([]*hdrhistogram.Histogram, n)
+	for i := range list {
+		list[i].At = i
+		histograms[i] = newHistogram()
+	}
+	for _, s := range samples {
+		i := min(int(s.at/time.Second), n-1)
+		list[i].Submitted++
+		if !s.complete() {
+			list[i].Other++
+			continue
+		}
+		list[i].Complete++
+		record(histograms[i], s.response-s.ideal)
+	}
+	for i, h := range histograms {
+		q := quantiles(h)
+		list[i].P50Ms, list[i].P99Ms = q.P50, q.P99
+	}
+	return list
+}
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 3_600_000_000, 3) }
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// Values outside the range of the histogram are counted at its bounds.
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), 3_600_000_000))
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{at(50), at(99), at(99.9), float64(h.Max()) / 1000}
+}
+
+// Print writes the report as a table.
+func (r Report) Print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "workload\t%s, %.0f tasks/s for %.0f s: %d submissions, %d tasks, %d sent again\n", r.Workload, r.RatePerSec, r.Seconds, r.Submissions, r.Tasks, r.Resent)
+	fmt.Fprintf(t, "response ms\tp50 %.2f\tp99 %.2f\tp99.9 %.2f\tmax %.2f\n", r.Response.P50, r.Response.P99, r.Response.P999, r.Response.Max)
+	fmt.Fprintf(t, "over ideal ms\tp50 %.2f\tp99 %.2f\tp99.9 %.2f\tmax %.2f\n", r.Overhead.P50, r.Overhead.P99, r.Overhead.P999, r.Overhead.Max)
+	fmt.Fprintf(t, "wasted per task\t%.4f\t%v\n", r.WastedPerTask, r.Wasted)
+	fmt.Fprintf(t, "servers\tmost busy %d\trefused %d\n", r.MostBusy, r.ServersRefused)
+	fmt.Fprintf(t, "violations\t%v\n", r.Violations)
+	_ = t.Flush()
+	names := make([]string, 0, len(r.Outcomes))
+	for n := range r.Outcomes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		fmt.Fprintf(w, "%8d  %s\n", r.Outcomes[n], n)
+	}
+	for _, v := range r.ViolationsList {
+		fmt.Fprintf(w, "BROKEN %s %s: %s\n", v.Invariant, v.ID, v.Text)
+	}
+}
+
+// wastedCounts holds the daemons' counters of wasted messages by kind.
+type wastedCounts map[string]int64
+
+const wastedPrefix = "Wasted."
+
+// readWasted adds the counters of all daemons that answer. What a daemon
+// counted that has been killed since is lost.
+func readWasted(operators []string) (wastedCounts, error) {
+	sum := wastedCounts{}
+	for _, a := range operators {
+		var m map[string]struct {
+			Count int64 `json:"count"`
+		}
+		if err := getJSON(a, "/metrics", &m); err != nil {
+			continue
+		}
+		for name, v := range m {
+			if strings.HasPrefix(name, wastedPrefix) {
+				sum[strings.TrimPrefix(name, wastedPrefix)] += v.Count
+			}
+		}
+	}
+	return sum, nil
+}
+
+// since returns the difference to an earlier reading; a restarted daemon
+// begins at zero, which may make a difference too small but never negative.
+func (w wastedCounts) since(before wastedCounts) wastedCounts {
+	out := wastedCounts{}
+	for k, v := range w {
+		out[k] = max(0, v-before[k])
+	}
+	return out
+}
+
+func readRecords(controls []string) ([]standin.BackendRecord, error) {
+	var all []standin.BackendRecord
+	for _, a := range controls {
+		var list []standin.BackendRecord
+		if err := getJSON(a, "/v1/record", &list); err != nil {
+			return nil, fmt.Errorf("read records of %s: %w", a, err)
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
+
+func getJSON(address, path string, v any) error {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("http://" + address + path)
+	if err := fasthttp.DoTimeout(req, res, callTimeout); err != nil {
+		return err
+	}
+	return json.Unmarshal(res.Body(), v)
+}
