Model-check claims and home tokens

Cause: rules 1 to 3 of the design (I1, I4, I5) were argued, not proved.

Broken variants stand beside them; spec/check.sh fails unless each is refuted.

--- /dev/null
+++ b/spec/check.sh
@@ -0,0 +1,43 @@
+#!/bin/sh
+# Checks the models and shows that each broken variant is refuted.
+set -eu
+cd "$(dirname "$0")"
+command -v spin >/dev/null || { echo "check.sh: spin is not installed" >&2; exit 1; }
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+
+# verify NAME MODEL WANT PAN-FLAGS DEFINES...
+verify() {
+	name=$1 model=$2 want=$3 flags=$4
+	shift 4
+	cp "$model" "$work/model.pml"
+	(cd "$work" && rm -f pan* model.pml.trail &&
+		spin "$@" -a model.pml >spin.out 2>&1 &&
+		gcc -O2 -DVECTORSZ=2048 -DCOLLAPSE -w -o pan pan.c &&
+		./pan -m200000 $flags >pan.out 2>&1) || { cat "$work/spin.out" "$work/pan.out" 2>/dev/null; exit 1; }
+	if grep -q 'max search depth too small\|out of memory\|aborted' "$work/pan.out"; then
+		echo "check.sh: $name was not searched whole" >&2
+		exit 1
+	fi
+	errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$work/pan.out")
+	states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$work/pan.out")
+	if [ "$want" = holds ] && [ "$errors" != 0 ]; then
+		echo "check.sh: $name: a violation was found" >&2
+		exit 1
+	fi
+	if [ "$want" = refuted ] && [ "$errors" = 0 ]; then
+		echo "check.sh: $name: no violation was found in a broken variant" >&2
+		exit 1
+	fi
+	printf '%-28s %-8s states %s\n' "$name" "$want" "$states"
+}
+
+verify 'claim, 2 hosts' claim.pml holds '-E'
+verify 'claim, 3 hosts' claim.pml holds '-E' -DTHREE_HOSTS
+for v in NO_NONCE START_BEFORE_CLAIM TAKEOVER READ_IS_PROOF DELETED_BUCKETS; do
+	verify "claim $v" claim.pml refuted '-E' "-D$v"
+done
+verify 'home' home.pml holds '-a -N final'
+for v in ANY_INCARNATION TAKEOVER FORGET_EARLY SILENCE_IS_PROOF; do
+	verify "home $v" home.pml refuted '-a -N final' "-D$v"
+done
