Ask a lender of quota again only when its loan has ended

Change: a lender is asked again when it has the rate back; the lender goes without it 0.2 s longer than the borrower may use it (the borrower counts from its ask, which is earlier, so the slack need only cover clock rates).

--- a/internal/caller/quota.go
+++ b/internal/caller/quota.go
@@ -264,7 +264,7 @@
 		t.askAfter[lender] = now.Add(quotaAskAgain)
 		return
 	}
-	t.askAfter[lender] = askedAt.Add(quotaLease - quotaSlack)
+	t.askAfter[lender] = now.Add(quotaLease + quotaSlack)
 	if loan.Units > 0 && loan.Rate == 0 {
 		t.askAfter[lender] = now.Add(quotaAskAgain)
 	}
