--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -210,6 +210,12 @@
 	case <-ctx.Done():
 	}
 	s.closed.Store(true)
+	// The listener closes first: else callers that come again without end would
+	// keep the host from ever being idle.
+	if err := s.server.ShutdownWithContext(ctx); err != nil {
+		s.logLeft()
+		return fmt.Errorf("close connections of callers: %w", err)
+	}
 	for s.active.Load() > 0 || s.open() > 0 {
 		select {
 		case <-time.After(backend.TickInterval):
@@ -218,9 +224,6 @@
 			return ctx.Err()
 		}
 	}
-	if err := s.server.ShutdownWithContext(ctx); err != nil {
-		return fmt.Errorf("close connections of callers: %w", err)
-	}
 	s.cfg.Log.Info().Msg("DrainEnded")
 	return nil
 }
--- a/internal/caller/submit.go
+++ b/internal/caller/submit.go
@@ -220,18 +220,18 @@
 }
 
 // result returns what a submission can be answered with now.
-func (sub *Submission) result(single bool) result {
+func (s *Submission) result(single bool) result {
 	switch {
-	case sub.Job == nil && sub.isEnded():
+	case s.Job == nil && s.isEnded():
 		r := unsure(fasthttp.StatusServiceUnavailable, false, string(backend.ReasonOverload), "the submission was refused while this request waited for it", homeRetryAfter)
-		r.ID = sub.ID.Raw
+		r.ID = s.ID.Raw
 		return r
-	case sub.Job == nil:
+	case s.Job == nil:
 		r := unsure(fasthttp.StatusServiceUnavailable, false, reasonStore, "the claim of the id is not settled", homeRetryAfter)
-		r.ID = sub.ID.Raw
+		r.ID = s.ID.Raw
 		return r
 	}
-	return jobResult(sub.ID.Raw, sub.Job, single)
+	return jobResult(s.ID.Raw, s.Job, single)
 }
 
 // join answers a repeat of a submission that is held.
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -120,7 +120,8 @@
 		}
 		r.cancel()
 		select {
-		case <-r.done:
+		case err := <-r.done:
+			errs = append(errs, err)
 		case <-ctx.Done():
 			errs = append(errs, fmt.Errorf("stop %s: %w", r.service.Name, ctx.Err()))
 		}
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -129,31 +129,43 @@
 }
 
 // settle finds out what became of a write that failed (rules 2 and 3).
-func (c AcceptConfig) settle(ctx context.Context, doc *document.Document, expect uint64, raw []byte, err error) (Change, error) {
+func (c AcceptConfig) settle(ctx context.Context, doc *document.Document, expect uint64, raw []byte, failure error) (Change, error) {
 	for {
-		current, version, readErr := ReadAccepted(ctx, c.Store, c.Key, c.Environment)
-		var broken *RecordError
-		switch {
-		case errors.As(readErr, &broken):
-			return Change{}, readErr
-		case readErr != nil:
-			err = readErr
-		case version != expect:
-			if found, ok := current.Record.Find(c.Change.WriteID); ok {
-				return found, nil
-			}
-			return Change{}, c.race(current, doc)
-		default:
-			_, err = c.Store.Put(ctx, AcceptedKey(c.Environment), expect, raw)
+		change, err := c.settleOnce(ctx, doc, expect, raw)
+		var unsettled *UnsettledError
+		if !errors.As(err, &unsettled) {
+			return change, err
 		}
+		failure = errors.Join(failure, unsettled.Err)
 		select {
 		case <-time.After(settleInterval):
 		case <-ctx.Done():
-			return Change{}, &UnsettledError{c.Change.WriteID, err}
+			return Change{}, &UnsettledError{c.Change.WriteID, failure}
 		}
 	}
 }
 
+// settleOnce reads back and writes again once. An *UnsettledError says that
+// neither told the outcome.
+func (c AcceptConfig) settleOnce(ctx context.Context, doc *document.Document, expect uint64, raw []byte) (Change, error) {
+	current, version, err := ReadAccepted(ctx, c.Store, c.Key, c.Environment)
+	var broken *RecordError
+	if errors.As(err, &broken) {
+		return Change{}, err
+	}
+	if err != nil {
+		return Change{}, &UnsettledError{c.Change.WriteID, err}
+	}
+	if version == expect {
+		_, err = c.Store.Put(ctx, AcceptedKey(c.Environment), expect, raw)
+		return Change{}, &UnsettledError{c.Change.WriteID, err}
+	}
+	if found, ok := current.Record.Find(c.Change.WriteID); ok {
+		return found, nil
+	}
+	return Change{}, c.race(current, doc)
+}
+
 // Accepted is the record in force with its document, nil if there is none.
 type Accepted struct {
 	Record   Record
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -116,6 +116,9 @@
 	Sends int
 }
 
+// hostStops reports whether a refusal concerns the entry host, not the work.
+func (r Result) hostStops() bool { return r.Reason == "Draining" || r.Reason == "NoConfiguration" }
+
 // TaskResult is the end of one task.
 type TaskResult struct {
 	Verdict verdict.Verdict
@@ -167,8 +170,15 @@
 	w.ID, w.First = c.newID(ctx), true
 	backoff := retryMin
 	for sends := 1; ; sends++ {
-		res, err := c.post(ctx, path, w, time.Until(until)+callGrace)
+		address := c.address()
+		res, err := c.post(ctx, address, path, w, time.Until(until)+callGrace)
 		res.Sends = sends
+		if err == nil && res.Verdict == verdict.NotRun && res.hostStops() && sends <= len(c.cfg.Addresses) {
+			// Nothing was started: the work is submitted elsewhere, as new.
+			c.moveOn(address)
+			w.ID = c.newID(ctx)
+			continue
+		}
 		if err == nil && (res.Final || res.Verdict != verdict.MayHaveRun) {
 			return res, nil
 		}
@@ -252,7 +262,7 @@
 	}
 }
 
-func (c *Client) post(ctx context.Context, path string, w wireSubmission, timeout time.Duration) (Result, error) {
+func (c *Client) post(ctx context.Context, address, path string, w wireSubmission, timeout time.Duration) (Result, error) {
 	res := Result{ID: w.ID, State: StateUnknown}
 	if ctx.Err() != nil {
 		return res, ctx.Err()
@@ -264,7 +274,6 @@
 	if err != nil {
 		return res, fmt.Errorf("encode submission: %w", err)
 	}
-	address := c.address()
 	status, body, err := c.exchange("POST", address, path, b, timeout)
 	if err != nil {
 		c.moveOn(address)
