--- a/internal/caller/home.go
+++ b/internal/caller/home.go
@@ -32,8 +32,6 @@
 	answerRetention = 2 * time.Minute
 	// claimHold is how long a claimed id is held: longer than any host takes it.
 	claimHold = 15 * time.Minute
-	// sweepInterval is the time between two searches for what may be forgotten.
-	sweepInterval = time.Second
 )
 
 // HomeConfig builds a Home.
@@ -51,7 +49,11 @@
 	cfg   HomeConfig
 	held  map[string]*Submission
 	bytes int64
-	swept time.Time
+	// due holds submissions by the second in which they may be forgotten, swept
+	// is the last second that was looked at.
+	due   map[int64][]*Submission
+	swept int64
+	open  int
 	// owned and givenUp hold ids without a token until a time (rule 5).
 	owned   map[string]time.Time
 	givenUp map[string]time.Time
@@ -114,7 +116,7 @@
 
 // NewHome returns a Home that holds nothing.
 func NewHome(c HomeConfig) *Home {
-	return &Home{cfg: c, held: map[string]*Submission{}, owned: map[string]time.Time{}, givenUp: map[string]time.Time{}}
+	return &Home{cfg: c, held: map[string]*Submission{}, due: map[int64][]*Submission{}, owned: map[string]time.Time{}, givenUp: map[string]time.Time{}}
 }
 
 // Token returns a token that names this host as home.
@@ -166,9 +168,17 @@
 	}
 	h.held[id.Raw] = s
 	h.bytes += s.size
+	h.open++
+	h.schedule(s)
 	return s
 }
 
+// schedule puts a submission where Sweep finds it when its time has come.
+func (h *Home) schedule(s *Submission) {
+	second := max(s.keepUntil.Unix(), h.swept) + 1
+	h.due[second] = append(h.due[second], s)
+}
+
 // submissionOverhead is about what holding a submission costs besides its
 // tasks and answers, in bytes.
 const submissionOverhead = 1024
@@ -180,6 +190,7 @@
 	}
 	h.bytes += int64(size)
 	s.size += int64(size)
+	h.open--
 	close(s.ended)
 }
 
@@ -191,6 +202,7 @@
 		h.bytes -= s.size
 	}
 	if !s.isEnded() {
+		h.open--
 		close(s.ended)
 	}
 }
@@ -213,12 +225,30 @@
 // and none was granted.
 func (h *Home) GivenUp(id SubmissionID) bool { return !h.givenUp[id.Raw].IsZero() }
 
-// Sweep forgets what need not be held any more.
+// Sweep forgets what need not be held any more. It looks only at what is due,
+// because a walk over all that is held would delay the requests of that moment.
 func (h *Home) Sweep(now time.Time) {
-	if now.Sub(h.swept) < sweepInterval {
+	second := now.Unix()
+	if second <= h.swept {
 		return
 	}
-	h.swept = now
+	var due []*Submission
+	for at, list := range h.due {
+		if at <= second {
+			due = append(due, list...)
+			delete(h.due, at)
+		}
+	}
+	h.swept = second
+	for _, s := range due {
+		switch {
+		case h.held[s.ID.Raw] != s:
+		case s.isEnded() && !now.Before(s.keepUntil):
+			h.Forget(s)
+		default:
+			h.schedule(s)
+		}
+	}
 	for _, ids := range []map[string]time.Time{h.owned, h.givenUp} {
 		for id, until := range ids {
 			if !now.Before(until) {
@@ -226,11 +256,6 @@
 			}
 		}
 	}
-	for _, s := range h.held {
-		if s.isEnded() && !now.Before(s.keepUntil) {
-			h.Forget(s)
-		}
-	}
 }
 
 func (s *Submission) isEnded() bool {
@@ -245,6 +270,9 @@
 // Held returns the number of submissions held and their size in bytes.
 func (h *Home) Held() (int, int64) { return len(h.held), h.bytes }
 
+// OpenCount returns the number of submissions that have not ended.
+func (h *Home) OpenCount() int { return h.open }
+
 // Open returns the submissions that have not ended.
 func (h *Home) Open() []*Submission {
 	var open []*Submission
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -231,7 +231,7 @@
 func (s *Service) open() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.home.Open())
+	return s.home.OpenCount()
 }
 
 // logLeft names what a stop cuts off.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -28,11 +29,15 @@
 const (
 	platformTimeout = 2 * time.Second
 	maxHeldBytes    = 256 << 20
+	// gcPercent trades memory for fewer collections, which show in the tail of
+	// the response times.
+	gcPercent = 300
 )
 
 // Run runs the daemon until SIGTERM or SIGINT and then stops it gracefully. A
 // second signal or the limit of the settings cuts off what is left.
 func Run(set settings.Daemon) error {
+	debug.SetGCPercent(gcPercent)
 	key, err := hex.DecodeString(set.PeerKey)
 	if err != nil {
 		return fmt.Errorf("PeerKey: %w", err)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -11,6 +11,10 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/backend"
 	"guavayoke/internal/experiment"
 	"guavayoke/internal/standin"
 	"guavayoke/pkg/client"
@@ -39,6 +43,9 @@
 	// FixedRun replaces the run times of the workload, if above zero.
 	FixedRun time.Duration
 	Deadline time.Duration
+	// Direct are addresses of backend servers. If there are any, single requests
+	// go straight to them in turn: the way without a daemon, for comparison.
+	Direct []string
 	// Clients is the number of callers with a home token of their own.
 	Clients int
 }
@@ -169,13 +176,16 @@
 		bodies[i], _ = json.Marshal(w)
 		s.ideal = max(s.ideal, time.Duration(w.RunMs*float64(time.Millisecond)))
 	}
-	if p.kind == KindJob {
+	switch {
+	case len(c.Direct) > 0:
+		s.result, s.err = c.sendDirect(p, bodies[0])
+	case p.kind == KindJob:
 		job := client.Job{Team: c.Team, Service: c.Service, Deadline: c.Deadline}
 		for _, b := range bodies {
 			job.Tasks = append(job.Tasks, client.Task{Body: b})
 		}
 		s.result, s.err = cl.Do(ctx, job)
-	} else {
+	default:
 		s.result, s.err = cl.Send(ctx, client.Request{
 			Team: c.Team, Service: c.Service, Deadline: c.Deadline,
 			Idempotent: p.kind == KindIdempotent, Body: bodies[0],
@@ -185,6 +195,30 @@
 	return s
 }
 
+// direct is the client for the way without a daemon.
+var direct = &fasthttp.Client{MaxConnsPerHost: 1024}
+
+// sendDirect sends a task straight to a backend server.
+func (c Config) sendDirect(p plan, body []byte) (client.Result, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	id := uuid.NewString()
+	req.SetRequestURI("http://" + c.Direct[int(p.at/time.Microsecond)%len(c.Direct)] + "/task")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set(backend.TaskHeader, id+"#0")
+	req.SetBodyRaw(body)
+	if err := direct.DoTimeout(req, res, c.Deadline); err != nil {
+		return client.Result{}, err
+	}
+	r := client.Result{ID: id, State: client.StateRefused, Verdict: verdict.NotRun, Sends: 1}
+	if res.StatusCode() == fasthttp.StatusOK {
+		r.State, r.Verdict = client.StateComplete, verdict.Ran
+		r.Answer = append(json.RawMessage(nil), res.Body()...)
+	}
+	return r, nil
+}
+
 // complete reports whether a submission was answered as a whole.
 func (s sample) complete() bool {
 	return s.err == nil && s.result.State == client.StateComplete && s.result.Verdict == verdict.Ran
--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -20,6 +21,8 @@
 	exitBroken = 3
 )
 
+const loadGCPercent = 800
+
 // Main runs the program and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	if len(args) > 0 {
@@ -60,6 +63,7 @@
 	fs.DurationVar(&c.FixedRun, "fixed-run", 0, "run time of every task, instead of the workload's")
 	fs.DurationVar(&c.Deadline, "deadline", 5*time.Second, "deadline of each submission")
 	fs.IntVar(&c.Clients, "clients", 12, "callers with a home token of their own")
+	direct := fs.String("direct", "", "addresses of backend servers to send to without a daemon, separated by commas")
 	output := fs.String("output", "text", "`form` of the output: text or json")
 	plots := fs.String("plot", "", "write a plot of the run as PNG to `file`")
 	if fs.Parse(args) != nil {
@@ -72,6 +76,9 @@
 	}
 	c.Workload = w
 	c.Callers, c.Operators, c.Controls = split(*callers), split(*operators), split(*controls)
+	c.Direct = split(*direct)
+	// The tool's own collections must not show in what it measures.
+	debug.SetGCPercent(loadGCPercent)
 	r, err := Run(context.Background(), c)
 	if err == nil && *plots != "" {
 		err = plotTimeline(r, *plots)
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -8,12 +8,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 
 	"guavayoke/internal/backend"
 	"guavayoke/internal/burn"
@@ -99,6 +101,10 @@
 }
 
 func (s *Service) serveHTTP(ctx *fasthttp.RequestCtx) {
+	if strings.HasPrefix(string(ctx.Path()), "/debug/pprof/") {
+		pprofhandler.PprofHandler(ctx)
+		return
+	}
 	switch string(ctx.Path()) {
 	case "/health":
 		ctx.SetBodyString("ok\n")
