Hold asks for slots instead of refusing them at once

Cause: at 60 hosts (6.7 slots each) and 80 % load most asks met a host without an idle slot: 0.472 wasted messages a task.

Change: the lender holds an ask for its patience (20 times the price of a wasted message, at most 100 ms) and grants it when a slot is idle and nothing of its own waits. The price is the configured balance: 0 refuses at once.

At 60 hosts the shares are too thin for 95 % load; larger pools shared by fewer hosts of a domain are the next thing to try.

--- a/internal/backend/dispatcher.go
+++ b/internal/backend/dispatcher.go
@@ -365,6 +365,7 @@
 		actions = append(actions, d.send(now, p, sl, t))
 	}
 	actions = append(actions, d.returnIdle(now, p)...)
+	actions = append(actions, d.answerHeld(now, p)...)
 	return append(actions, d.askPeers(now, p)...)
 }
 
--- a/internal/backend/loan.go
+++ b/internal/backend/loan.go
@@ -11,6 +11,8 @@
 //  3. The lender gives idle slots while it has no waiting task of its own. A
 //     slot that is lent is not used by the lender until it comes back or the
 //     loan has ended beyond doubt: its last start plus the longest run time.
+//     An ask that can't be met is held for its patience, which follows from the
+//     price of a wasted message, before it is refused.
 //  4. The borrower starts tasks on the slot until the loan ends, counted from
 //     when it asked, which is before the lender granted. A slot without a task
 //     is returned at once.
@@ -23,14 +25,18 @@
 )
 
 const (
-	loanKeep       = time.Second
-	loanSlack      = time.Second
-	askTimeout     = 250 * time.Millisecond
-	askMost        = 64
-	askBackoffMin  = 50 * time.Millisecond
-	askBackoffMax  = 2 * time.Second
-	loadHalfLife   = 500 * time.Millisecond
-	grantRateDecay = 0.9
+	loanKeep     = time.Second
+	loanSlack    = time.Second
+	askTimeout   = 250 * time.Millisecond
+	patienceMost = 100 * time.Millisecond
+	// patiencePerWasted is the longest hold for each unit of the price of a
+	// wasted message.
+	patiencePerWasted = 20
+	askMost           = 64
+	askBackoffMin     = 50 * time.Millisecond
+	askBackoffMax     = 2 * time.Second
+	loadHalfLife      = 500 * time.Millisecond
+	grantRateDecay    = 0.9
 )
 
 // Ask asks a peer for slots of a service.
@@ -39,6 +45,14 @@
 	Seq     uint64
 	Service string
 	Want    int
+	// Patience is how long the lender may hold the ask until a slot is idle.
+	Patience time.Duration
+}
+
+// heldAsk is an ask that waits for an idle slot.
+type heldAsk struct {
+	Ask
+	until time.Time
 }
 
 // Grant answers an ask. An empty one is a refusal.
@@ -164,10 +178,15 @@
 		s.open = true
 		best.asks[d.nextID] = &openAsk{p.policy.Service, want, now}
 		p.asked += want
-		actions = append(actions, Action{Ask: &Ask{best.id, d.nextID, p.policy.Service, want}})
+		actions = append(actions, Action{Ask: &Ask{best.id, d.nextID, p.policy.Service, want, p.patience()}})
 	}
 }
 
+// patience is how long a lender may hold an ask of this host.
+func (p *pool) patience() time.Duration {
+	return min(patiencePerWasted*p.policy.WastedMessage, patienceMost)
+}
+
 // bestPeer returns the peer that is worth asking most, or nil.
 func (d *Dispatcher) bestPeer(now time.Time, p *pool) *lendingPeer {
 	saved := p.drainTime(float64(p.queue.length) / 2)
@@ -208,14 +227,43 @@
 func (d *Dispatcher) Asked(now time.Time, a Ask) []Action {
 	from := d.peer(a.Peer).service(a.Service)
 	from.idle, from.seen = 0, now
-	g := &Grant{Peer: a.Peer, Seq: a.Seq, Service: a.Service}
 	p := d.pools[a.Service]
-	if p == nil || p.queue.length > 0 {
-		return []Action{{Grant: g}}
+	if p == nil {
+		return []Action{{Grant: &Grant{Peer: a.Peer, Seq: a.Seq, Service: a.Service}}}
+	}
+	p.held = append(p.held, heldAsk{a, now.Add(a.Patience)})
+	return d.answerHeld(now, p)
+}
+
+// answerHeld grants held asks in turn while slots are idle and refuses those
+// whose patience is over.
+func (d *Dispatcher) answerHeld(now time.Time, p *pool) []Action {
+	if len(p.held) == 0 {
+		return nil
+	}
+	var actions []Action
+	kept := p.held[:0]
+	for _, a := range p.held {
+		g := d.lend(now, p, a.Ask)
+		if len(g.Slots) == 0 && now.Before(a.until) {
+			kept = append(kept, a)
+			continue
+		}
+		actions = append(actions, Action{Grant: g})
+	}
+	p.held = kept
+	p.count()
+	return actions
+}
+
+// lend takes up to half of the idle slots for an ask.
+func (d *Dispatcher) lend(now time.Time, p *pool, a Ask) *Grant {
+	g := &Grant{Peer: a.Peer, Seq: a.Seq, Service: a.Service}
+	if p.queue.length > 0 {
+		return g
 	}
 	idle := p.idleCount()
-	give := min(a.Want, (idle+1)/2)
-	for range give {
+	for range min(a.Want, (idle+1)/2) {
 		sl := p.take(now)
 		if sl == nil {
 			break
@@ -231,8 +279,7 @@
 		g.Slots = append(g.Slots, LentSlot{sl.loan, sl.server.Server, sl.ref.Index})
 	}
 	g.Idle = idle - len(g.Slots)
-	p.count()
-	return []Action{{Grant: g}}
+	return g
 }
 
 // Granted delivers the answer to an ask (rule 4).
--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -198,7 +198,7 @@
 	peers.HandleNote(askName, func(from string, b []byte) {
 		var w wireAsk
 		if cbor.Unmarshal(b, &w) == nil {
-			s.post(func(now time.Time) { s.carry(s.dispatch.Asked(now, Ask{from, w.Seq, w.Service, w.Want})) })
+			s.post(func(now time.Time) { s.carry(s.dispatch.Asked(now, Ask{from, w.Seq, w.Service, w.Want, w.Patience})) })
 		}
 	})
 	peers.HandleNote(grantName, func(from string, b []byte) {
@@ -412,7 +412,7 @@
 			s.end(a.Refuse.Task, Answer{Verdict: verdict.NotRun, Reason: a.Refuse.Reason, RetryAfter: a.Refuse.RetryAfter})
 		case a.Ask != nil:
 			s.counts.asks.Inc(1)
-			s.peers.Note(a.Ask.Peer, askName, encode(wireAsk{a.Ask.Seq, a.Ask.Service, a.Ask.Want}))
+			s.peers.Note(a.Ask.Peer, askName, encode(wireAsk{a.Ask.Seq, a.Ask.Service, a.Ask.Want, a.Ask.Patience}))
 		case a.Grant != nil:
 			s.counts.grants.Inc(1)
 			if len(a.Grant.Slots) == 0 {
--- a/internal/backend/slots.go
+++ b/internal/backend/slots.go
@@ -69,6 +69,8 @@
 	retries  float64
 	// asked is the number of slots that open asks want.
 	asked int
+	// held are asks of peers that wait for an idle slot.
+	held []heldAsk
 	// ejected is the number of servers set aside as outliers.
 	ejected int
 	// nextActive is when the next gained slot may be used, zero if none waits.
--- a/internal/backend/wire.go
+++ b/internal/backend/wire.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"time"
+
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -17,9 +19,10 @@
 const loadsPerHeartbeat = 12
 
 type wireAsk struct {
-	Seq     uint64
-	Service string
-	Want    int
+	Seq      uint64
+	Service  string
+	Want     int
+	Patience time.Duration
 }
 
 type wireGrant struct {
