Pace claim writes by partition; fault runs with real processes

Cause: without home tokens, 3 daemons at 300 tasks/s (about 110 claims/s) refused 28 of 2204 submissions and had a p99 of 1227 ms over ideal: 64 partitions left 1.7 claims to a write, and each host had a third of the budget whatever it wrote.

Change: 16 partitions, each with an even part of the budget of all hosts, used by its preferred writer. The budget no longer depends on the number of hosts. The layout is fixed by constants; nothing has been deployed with the former one.

The pause costs much: the paused host's callers wait, and what wakes with it is refused; to be looked at.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -162,7 +162,7 @@
 	s.quota.SetTeams(time.Now(), quotas)
 	s.mu.Unlock()
 	s.document.Store(a.Document)
-	s.setClaimBudget()
+	s.platform.SetClaimBudget(float64(a.Document.Claims.WritesPerSecond))
 }
 
 // membersChanged divides quotas among all hosts that have not ended and chooses
@@ -185,19 +185,6 @@
 	s.quota.SetHosts(counted, lenders)
 	s.claimWriters = writers
 	s.mu.Unlock()
-	s.setClaimBudget()
-}
-
-// setClaimBudget gives each host an even part of the claim writes.
-func (s *Service) setClaimBudget() {
-	d := s.document.Load()
-	if d == nil {
-		return
-	}
-	s.mu.Lock()
-	n := len(s.quota.hosts)
-	s.mu.Unlock()
-	s.platform.SetClaimBudget(float64(d.Claims.WritesPerSecond) / float64(n))
 }
 
 // stop drains: readiness is off, new work is taken for drainNotice, then
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -46,6 +46,10 @@
 	// Direct are addresses of backend servers. If there are any, single requests
 	// go straight to them in turn: the way without a daemon, for comparison.
 	Direct []string
+	// NoToken makes ids without home tokens, which need claims.
+	NoToken bool
+	// FaultAt is when a fault is brought about, for the time to recover.
+	FaultAt time.Duration
 	// Clients is the number of callers with a home token of their own.
 	Clients int
 }
@@ -130,7 +134,7 @@
 	for i := range clients {
 		turn := i % len(c.Callers)
 		addresses := append(append([]string(nil), c.Callers[turn:]...), c.Callers[:turn]...)
-		clients[i] = client.New(client.Config{Addresses: addresses, MaxConnections: 4096})
+		clients[i] = client.New(client.Config{Addresses: addresses, MaxConnections: 4096, NoToken: c.NoToken})
 	}
 	samples := c.send(ctx, clients)
 	records, err := readRecords(c.Controls)
--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -62,6 +62,8 @@
 	fs.IntVar(&c.JobMost, "job-most", 30, "most tasks of a job")
 	fs.DurationVar(&c.FixedRun, "fixed-run", 0, "run time of every task, instead of the workload's")
 	fs.DurationVar(&c.Deadline, "deadline", 5*time.Second, "deadline of each submission")
+	fs.BoolVar(&c.NoToken, "no-token", false, "make ids without home tokens, which are claimed in the platform's store")
+	fs.DurationVar(&c.FaultAt, "fault-at", 0, "when a fault is brought about, to report the time to recover")
 	fs.IntVar(&c.Clients, "clients", 12, "callers with a home token of their own")
 	direct := fs.String("direct", "", "addresses of backend servers to send to without a daemon, separated by commas")
 	output := fs.String("output", "text", "`form` of the output: text or json")
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -28,6 +28,9 @@
 	Other     int
 	// P50Ms and P99Ms are of the response time over the ideal.
 	P50Ms, P99Ms float64
+	// Stretch is the mean response time of complete answers divided by the mean
+	// ideal.
+	Stretch float64
 }
 
 // Report is the result of a run.
@@ -52,7 +55,10 @@
 	// how often servers refused.
 	MostBusy       int
 	ServersRefused int
-	Timeline       []Second
+	// RecoveredAfterS is the time from the fault until stretch and failures are
+	// back, in seconds; -1 if they never are, 0 without a fault.
+	RecoveredAfterS int
+	Timeline        []Second
 }
 
 // Broken reports whether an invariant was broken.
@@ -92,6 +98,9 @@
 	}
 	r.ViolationsList, r.Violations = runChecks(samples, records)
 	r.Timeline = timeline(samples, c.Length)
+	if c.FaultAt > 0 {
+		r.RecoveredAfterS = recovered(r.Timeline, int(c.FaultAt/time.Second))
+	}
 	return r
 }
 
@@ -111,6 +120,7 @@
 	n := int(length/time.Second) + 1
 	list := make([]Second, n)
 	histograms := make([]*hdrhistogram.Histogram, n)
+	response, ideal := make([]time.Duration, n), make([]time.Duration, n)
 	for i := range list {
 		list[i].At = i
 		histograms[i] = newHistogram()
@@ -124,14 +134,51 @@
 		}
 		list[i].Complete++
 		record(histograms[i], s.response-s.ideal)
+		response[i] += s.response
+		ideal[i] += s.ideal
 	}
 	for i, h := range histograms {
 		q := quantiles(h)
 		list[i].P50Ms, list[i].P99Ms = q.P50, q.P99
+		list[i].Stretch = response[i].Seconds() / max(ideal[i].Seconds(), 1e-9)
 	}
 	return list
 }
 
+const (
+	// recoveredStretch is the factor within which the response time is back.
+	recoveredStretch = 1.2
+	// recoveredOther is the share of answers that may be incomplete.
+	recoveredOther = 0.01
+)
+
+// recovered returns the seconds from the fault after which no second is bad any
+// more: stretched above the mean before the fault, or with failures.
+func recovered(list []Second, fault int) int {
+	before, n := 0.0, 0
+	for _, s := range list[:min(fault, len(list))] {
+		if s.Complete > 0 {
+			before += s.Stretch
+			n++
+		}
+	}
+	if n == 0 {
+		return -1
+	}
+	last := fault - 1
+	// The last second is cut short by the end of the arrivals.
+	for _, s := range list[fault : len(list)-1] {
+		bad := s.Stretch > recoveredStretch*before/float64(n)
+		if bad || float64(s.Other) > recoveredOther*float64(s.Submitted) {
+			last = s.At
+		}
+	}
+	if last == len(list)-2 {
+		return -1
+	}
+	return last + 1 - fault
+}
+
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 3_600_000_000, 3) }
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
@@ -152,6 +199,9 @@
 	fmt.Fprintf(t, "over ideal ms\tp50 %.2f\tp99 %.2f\tp99.9 %.2f\tmax %.2f\n", r.Overhead.P50, r.Overhead.P99, r.Overhead.P999, r.Overhead.Max)
 	fmt.Fprintf(t, "wasted per task\t%.4f\t%v\n", r.WastedPerTask, r.Wasted)
 	fmt.Fprintf(t, "servers\tmost busy %d\trefused %d\n", r.MostBusy, r.ServersRefused)
+	if r.RecoveredAfterS != 0 {
+		fmt.Fprintf(t, "recovered\t%d s after the fault\n", r.RecoveredAfterS)
+	}
 	fmt.Fprintf(t, "violations\t%v\n", r.Violations)
 	_ = t.Flush()
 	names := make([]string, 0, len(r.Outcomes))
--- a/internal/platform/claim.go
+++ b/internal/platform/claim.go
@@ -19,7 +19,10 @@
 //     the start of the time range that it holds, and the range only moves
 //     forward. An id of an earlier range is refused by everyone.
 //  7. One write is in flight for each key; attempts that arrive meanwhile
-//     share the next one. Writes are paced by a budget.
+//     share the next one. Each partition has an even part of the write budget of
+//     all hosts. As one host prefers to write a partition, the budget holds
+//     whatever the number of hosts; while hosts disagree about who prefers it,
+//     each of them may use the part.
 
 import (
 	"fmt"
@@ -34,7 +37,7 @@
 // The layout of the journal is fixed: if two hosts used different widths, they
 // would meet the same id at different keys (rule 2).
 const (
-	claimPartitions    = 64
+	claimPartitions    = 16
 	claimBuckets       = 16
 	claimBucketWidth   = time.Minute
 	claimMaxValueBytes = 768 << 10
@@ -86,7 +89,7 @@
 type ClaimerConfig struct {
 	// Incarnation and Address are those of this host.
 	Incarnation, Address string
-	// WritesPerSecond is this host's part of the write budget.
+	// WritesPerSecond is the write budget of all hosts together.
 	WritesPerSecond float64
 	// Nonce returns a value that no other attempt has.
 	Nonce func() uint64
@@ -94,10 +97,10 @@
 
 // Claimer decides about claims. It is not safe for concurrent use.
 type Claimer struct {
-	cfg      ClaimerConfig
-	keys     map[ClaimKey]*claimKeyState
-	tokens   float64
-	refilled time.Time
+	cfg  ClaimerConfig
+	keys map[ClaimKey]*claimKeyState
+	// nextWrite is when each partition may be written again.
+	nextWrite [claimPartitions]time.Time
 }
 
 type claimKeyState struct {
@@ -172,10 +175,10 @@
 
 // NewClaimer returns a Claimer without claims.
 func NewClaimer(c ClaimerConfig) *Claimer {
-	return &Claimer{cfg: c, keys: map[ClaimKey]*claimKeyState{}, tokens: 1}
+	return &Claimer{cfg: c, keys: map[ClaimKey]*claimKeyState{}}
 }
 
-// SetBudget changes this host's part of the write budget.
+// SetBudget changes the write budget of all hosts together.
 func (c *Claimer) SetBudget(writesPerSecond float64) {
 	c.cfg.WritesPerSecond = writesPerSecond
 }
@@ -342,7 +345,7 @@
 		return []ClaimAction{{Read: &ClaimRead{s.key}}}
 	}
 	actions := c.settleKnown(s)
-	if len(s.waiting) == 0 || !c.takeToken(now) {
+	if len(s.waiting) == 0 || !c.mayWrite(now, s.key.Partition) {
 		return actions
 	}
 	return append(actions, c.write(s))
@@ -416,16 +419,13 @@
 	return ClaimAction{Write: &ClaimWrite{s.key, s.version, next}}
 }
 
-func (c *Claimer) takeToken(now time.Time) bool {
-	if c.refilled.IsZero() {
-		c.refilled = now
-	}
-	c.tokens = min(1+c.cfg.WritesPerSecond/10, c.tokens+now.Sub(c.refilled).Seconds()*c.cfg.WritesPerSecond)
-	c.refilled = now
-	if c.tokens < 1 {
+// mayWrite applies the budget to a partition (rule 7).
+func (c *Claimer) mayWrite(now time.Time, partition int) bool {
+	if now.Before(c.nextWrite[partition]) {
 		return false
 	}
-	c.tokens--
+	interval := claimPartitions / c.cfg.WritesPerSecond
+	c.nextWrite[partition] = now.Add(time.Duration(interval * float64(time.Second)))
 	return true
 }
 
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -373,7 +373,7 @@
 	}
 }
 
-// SetClaimBudget sets this host's part of the claim writes.
+// SetClaimBudget sets the claim writes a second of all hosts together.
 func (s *Service) SetClaimBudget(writesPerSecond float64) {
 	s.claims.Offer(func(time.Time) []ClaimAction {
 		s.claimer.SetBudget(writesPerSecond)
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -47,6 +47,9 @@
 	Addresses []string
 	// MaxConnections bounds the connections to each address; 0 means 512.
 	MaxConnections int
+	// NoToken makes ids without a home token, which are claimed in the
+	// platform's store instead.
+	NoToken bool
 }
 
 // Client submits work. It is safe for concurrent use.
@@ -198,6 +201,9 @@
 
 // newID returns an id with a home token, or a UUIDv7 if no token can be had.
 func (c *Client) newID(ctx context.Context) string {
+	if c.cfg.NoToken {
+		return uuid.Must(uuid.NewV7()).String()
+	}
 	if t := c.homeToken(ctx); t != "" {
 		return t + "." + uuid.NewString()
 	}
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -12,7 +12,7 @@
 start() { # start NAME COMMAND...
 	name=$1
 	shift
-	"$@" >"$dir/$name.log" 2>&1 &
+	"$@" >>"$dir/$name.log" 2>&1 &
 	echo $! >"$dir/$name.pid"
 }
 
