--- a/cmd/guavayoke-standin/main.go
+++ b/cmd/guavayoke-standin/main.go
@@ -45,13 +45,22 @@
 		}
 		return standin.RunBackends(set)
 	},
+	"relay": func(file string) error {
+		var set standin.RelaySettings
+		if err := settings.Read(file, &set); err != nil {
+			return err
+		}
+		return standin.RunRelay(set)
+	},
 }
 
 func usage() {
-	fmt.Fprint(os.Stderr, `guavayoke-standin takes the place of the platform or of backend servers.
+	fmt.Fprint(os.Stderr, `guavayoke-standin takes the place of the platform, of backend servers, or of a
+network that can be cut.
 
 Usage: guavayoke-standin platform SETTINGS
        guavayoke-standin backend SETTINGS
+       guavayoke-standin relay SETTINGS
 
 Exit codes: 0 stopped by a signal, 1 failed, 2 wrong use.
 `)
--- /dev/null
+++ b/internal/backend/capacity_test.go
@@ -0,0 +1,109 @@
+package backend
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// fleet returns a dispatcher that shares servers of 4 domains with 20 hosts.
+func fleet(servers int) (*Dispatcher, time.Time) {
+	var list []Server
+	for i := range servers {
+		list = append(list, Server{Name: fmt.Sprintf("server%04d", i), Address: fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250), Service: testService, FailureDomain: fmt.Sprint(i % 4), Slots: 8})
+	}
+	var hosts []Host
+	for i := range 20 {
+		hosts = append(hosts, Host{ID: fmt.Sprint(i), FailureDomain: fmt.Sprint(i % 4)})
+	}
+	d := NewDispatcher(DispatcherConfig{Self: "0", Domain: "0", Rand: rand.New(rand.NewPCG(1, 1))})
+	d.Configure(start, []Policy{testPolicy()}, nil)
+	d.SetHosts(start, hosts)
+	d.SetServers(start, list)
+	now := start.Add(ShareDelay)
+	d.Tick(now)
+	return d, now
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+var sizes = []int{50, 150, 500, 1500}
+
+// BenchmarkFleetMemory reports the heap of a dispatcher by servers in the list.
+func BenchmarkFleetMemory(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				before := heap()
+				d, _ := fleet(n)
+				b.ReportMetric(float64(heap()-before), "heap-bytes")
+				runtime.KeepAlive(d)
+			}
+		})
+	}
+}
+
+// BenchmarkReshare is a change of the list of servers.
+func BenchmarkReshare(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d, now := fleet(n)
+			b.ResetTimer()
+			for range b.N {
+				d.SetServers(now, d.servers)
+			}
+		})
+	}
+}
+
+// BenchmarkStart is a task from the offer to the answer, with 80 % of the own
+// slots in use.
+func BenchmarkStart(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d, now := fleet(n)
+			var running []uint64
+			offer := func(i int) {
+				actions, _ := d.Offer(now, []*Task{task(uint64(i+1), now.Add(time.Minute))})
+				for _, a := range actions {
+					if a.Send != nil {
+						running = append(running, a.Send.Attempt)
+					}
+				}
+			}
+			for i := range d.Loads()[0].Idle * 8 / 10 {
+				offer(i)
+			}
+			b.ResetTimer()
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(time.Microsecond)
+				offer(1_000_000 + i)
+				d.Done(now, running[0], OutcomeAnswered)
+				running = running[1:]
+			}
+		})
+	}
+}
+
+// BenchmarkTick is the regular work with nothing waiting.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d, now := fleet(n)
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(TickInterval)
+				d.Tick(now)
+				d.Loads()
+			}
+		})
+	}
+}
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -1,7 +1,10 @@
 package burn
 
 import (
+	"encoding/json"
+	"fmt"
 	"math"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -55,14 +58,35 @@
 	}
 }
 
-func BenchmarkAdd(b *testing.B) {
+// BenchmarkExact compares the exact counters with what a prefix sketch would
+// save: the cost of one answer, the heap and the encoded size of 200 teams in 20
+// services, all of them active.
+func BenchmarkExact(b *testing.B) {
+	var keys []Key
+	for i := range 200 {
+		for j := range 20 {
+			keys = append(keys, Key{fmt.Sprintf("service%d", j), fmt.Sprintf("team%d", i)})
+		}
+	}
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	before := m.HeapAlloc
 	table := NewTable(start)
-	keys := make([]Key, 4000)
-	for i := range keys {
-		keys[i] = Key{string(rune('a' + i%20)), string(rune('A' + i/20))}
+	for _, k := range keys {
+		table.Add(start, k, true)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	heap := m.HeapAlloc - before
+	raw, err := json.Marshal(table.Snapshot(start))
+	if err != nil {
+		b.Fatal(err)
 	}
 	b.ResetTimer()
 	for i := range b.N {
 		table.Add(start.Add(time.Duration(i)*time.Microsecond), keys[i%len(keys)], true)
 	}
+	b.ReportMetric(float64(heap), "heap-bytes")
+	b.ReportMetric(float64(len(raw)), "json-bytes")
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -330,3 +330,36 @@
 		t.Error("a bad body is not run")
 	}
 }
+
+// TestHandover: what a home that stops has held is answered by its successor,
+// whole, to a repeat with the same content only, and is not started again.
+func TestHandover(t *testing.T) {
+	old := testHome("old")
+	id := mint(t, old, start)
+	sub := old.Begin(start, id, 7, "team", "service", 10)
+	sub.Job = NewJob(2, start)
+	for i := range 2 {
+		sub.Job.Task(i, TaskEnd{Verdict: verdict.Ran, Body: []byte(fmt.Sprintf("%d", i))})
+	}
+	old.Ended(start, sub, 2)
+	running := old.Begin(start, mint(t, old, start), 8, "team", "service", 10)
+	ends := old.Ends(start)
+	if len(ends) != 1 || ends[0] == running {
+		t.Fatalf("%d ends are handed over, want the one that has ended", len(ends))
+	}
+	s := &Service{cfg: Config{Home: HomeConfig{Incarnation: "new", Key: testKey}}, home: testHome("new")}
+	if _, err := s.handleHandover(t.Context(), encode([]wireEnd{newWireEnd(start, sub)})); err != nil {
+		t.Fatal(err)
+	}
+	step, got := s.home.Decide(start, id, func(string) bool { return true })
+	if step != StepHeld {
+		t.Fatalf("step %d at the successor", step)
+	}
+	want, have := jobResult(id.Raw, sub.Job, false), s.join(&order{id: id, digest: 7}, got)
+	if string(render(have.wireResult)) != string(render(want.wireResult)) || have.status != want.status {
+		t.Errorf("got %s, want %s", render(have.wireResult), render(want.wireResult))
+	}
+	if r := s.join(&order{id: id, digest: 9}, got); r.Reason != reasonOtherContent {
+		t.Errorf("another content is answered with %s", r.Reason)
+	}
+}
--- /dev/null
+++ b/internal/caller/handover.go
@@ -0,0 +1,184 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/peer"
+	"guavayoke/pkg/verdict"
+)
+
+// A home that stops gracefully hands the ends that it holds to another host, its
+// successor, so that a caller that lost its answer still gets it (I3, I7). The
+// successor only answers; it never starts what it has not been given, so at most
+// once (I1) does not depend on the handover.
+
+const (
+	handoverName    = "Handover"
+	handoverBatch   = 1 << 20
+	handoverTimeout = 3 * time.Second
+)
+
+// wireEnd is the end of a submission as it is handed over.
+type wireEnd struct {
+	ID       string
+	Digest   uint64
+	Single   bool
+	State    JobState
+	Reason   string
+	Tasks    []wireTaskEnd
+	HoldFor  time.Duration
+	Team     string
+	Service  string
+	Deadline time.Time
+}
+
+type wireTaskEnd struct {
+	Verdict verdict.Verdict
+	Reason  string
+	Body    []byte
+}
+
+// Ends returns the ends that are still held.
+func (h *Home) Ends(now time.Time) []*Submission {
+	var ends []*Submission
+	for _, s := range h.held {
+		if s.Job != nil && s.isEnded() && now.Before(s.keepUntil) {
+			ends = append(ends, s)
+		}
+	}
+	return ends
+}
+
+// Inherit holds the end of a submission of another home.
+func (h *Home) Inherit(now time.Time, s *Submission, hold time.Duration) {
+	if h.held[s.ID.Raw] != nil {
+		return
+	}
+	s.Phase, s.Begun, s.keepUntil = PhaseStarted, now, now.Add(hold)
+	s.size = int64(s.Job.size()) + submissionOverhead
+	s.ended, s.cancelled = make(chan struct{}), make(chan struct{})
+	close(s.ended)
+	h.held[s.ID.Raw] = s
+	h.bytes += s.size
+	h.schedule(s)
+}
+
+// handOver gives what this home holds to a successor and returns its
+// incarnation, empty if there is none.
+func (s *Service) handOver(ctx context.Context) string {
+	successor, ok := s.successor()
+	if !ok {
+		return ""
+	}
+	now := time.Now()
+	s.mu.Lock()
+	ends := s.home.Ends(now)
+	s.mu.Unlock()
+	var batch []wireEnd
+	size, given := 0, 0
+	for i, sub := range ends {
+		batch = append(batch, newWireEnd(now, sub))
+		size += sub.Job.size() + submissionOverhead
+		if size < handoverBatch && i < len(ends)-1 {
+			continue
+		}
+		if err := s.give(ctx, successor, batch); err != nil {
+			s.cfg.Log.Warn().Str("Successor", successor.Name).Int("Given", given).Int("Left", len(ends)-given).Err(err).Msg("HandoverFailed")
+			break
+		}
+		given += len(batch)
+		batch, size = nil, 0
+	}
+	s.cfg.Log.Info().Str("Successor", successor.Name).Int("Given", given).Msg("HandoverEnded")
+	return successor.Incarnation
+}
+
+// successor returns a host that is up, of the own failure domain if there is one.
+func (s *Service) successor() (peer.Member, bool) {
+	self := s.peers.Self()
+	var best peer.Member
+	for _, m := range s.peers.Members() {
+		if m.State != peer.Alive {
+			continue
+		}
+		if best.Incarnation == "" || m.FailureDomain == self.FailureDomain && best.FailureDomain != self.FailureDomain {
+			best = m
+		}
+	}
+	return best, best.Incarnation != ""
+}
+
+func newWireEnd(now time.Time, s *Submission) wireEnd {
+	w := wireEnd{
+		ID: s.ID.Raw, Digest: s.Digest, Single: s.Single, State: s.Job.State, Reason: s.Job.Reason,
+		HoldFor: s.keepUntil.Sub(now), Team: s.Team, Service: s.Service, Deadline: s.Job.Deadline,
+	}
+	for _, t := range s.Job.Tasks {
+		w.Tasks = append(w.Tasks, wireTaskEnd{t.Verdict, t.Reason, t.Body})
+	}
+	return w
+}
+
+func (s *Service) give(ctx context.Context, to peer.Member, batch []wireEnd) error {
+	callCtx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	_, err := s.peers.Call(callCtx, to.Address, to.Incarnation, handoverName, encode(batch))
+	return err
+}
+
+// handleHandover takes over what a home that stops has held.
+func (s *Service) handleHandover(_ context.Context, b []byte) ([]byte, error) {
+	var batch []wireEnd
+	if err := cbor.Unmarshal(b, &batch); err != nil {
+		return nil, fmt.Errorf("decode handover: %w", err)
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range batch {
+		id, err := ParseID(s.cfg.Home.Key, w.ID)
+		if err != nil {
+			continue
+		}
+		job := &Job{State: w.State, Reason: w.Reason, Deadline: w.Deadline}
+		for _, t := range w.Tasks {
+			job.Tasks = append(job.Tasks, TaskEnd{Verdict: t.Verdict, Reason: t.Reason, Body: t.Body, done: true})
+		}
+		s.home.Inherit(now, &Submission{ID: id, Digest: w.Digest, Team: w.Team, Service: w.Service, Single: w.Single, Job: job}, w.HoldFor)
+	}
+	return nil, nil
+}
+
+// askSuccessor asks the successor of a home that has ended, if it named one.
+func (s *Service) askSuccessor(q op, incarnation string) result {
+	ended := unsure(fasthttp.StatusBadGateway, true, reasonHomeEnded, "the home of the id has ended", 0)
+	next, ok := s.heir(incarnation)
+	if !ok || next.Incarnation == s.cfg.Home.Incarnation {
+		return ended
+	}
+	q.Inherited = true
+	if r := s.callHome(q, next.Address, next.Incarnation); r.Final {
+		return r
+	}
+	return ended
+}
+
+// maxHeirs bounds how many hosts in turn may have stopped since.
+const maxHeirs = 8
+
+// heir follows successors to one that has not ended.
+func (s *Service) heir(incarnation string) (peer.Member, bool) {
+	for range maxHeirs {
+		m, ok := s.peers.Find(incarnation)
+		if !ok || m.State != peer.Dead {
+			return m, ok
+		}
+		incarnation = m.Successor
+	}
+	return peer.Member{}, false
+}
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -112,6 +112,7 @@
 	}
 	s.peers.HandleCall(forwardName, s.handleForward)
 	s.peers.HandleCall(quotaName, s.handleQuota)
+	s.peers.HandleCall(handoverName, s.handleHandover)
 	s.peers.OnChange(s.membersChanged)
 	s.platform.OnApply(s.applied)
 	listener, err := net.Listen("tcp", s.cfg.Address)
@@ -211,6 +212,7 @@
 			return ctx.Err()
 		}
 	}
+	s.peers.SetSuccessor(s.handOver(ctx))
 	s.cfg.Log.Info().Msg("DrainEnded")
 	return nil
 }
--- a/internal/caller/submit.go
+++ b/internal/caller/submit.go
@@ -40,7 +40,7 @@
 	case StepHeld:
 		return s.join(o, sub)
 	case StepEnded:
-		return unsure(fasthttp.StatusBadGateway, true, reasonHomeEnded, "the home of the id has ended", 0).of(o)
+		return s.askSuccessor(o.op(body), o.id.Token.Incarnation).of(o)
 	case StepExpired:
 		return unsure(fasthttp.StatusGone, true, reasonExpired, "the id's token has expired and its answer is not held", 0).of(o)
 	case StepFull:
@@ -332,7 +332,7 @@
 	switch c.Outcome {
 	case platform.ClaimHeld:
 		if s.hasEnded(c.Holder.Incarnation) {
-			return unsure(fasthttp.StatusBadGateway, true, reasonHomeEnded, "the home of the id has ended", 0).of(o)
+			return s.askSuccessor(o.op(body), c.Holder.Incarnation).of(o)
 		}
 		return s.forward(o, body, c.Holder.Address, c.Holder.Incarnation, mayForward)
 	case platform.ClaimGivenUp:
@@ -393,6 +393,8 @@
 	Body   []byte
 	// Remaining is how long the caller still waits.
 	Remaining time.Duration
+	// Inherited asks for what another home has handed over: nothing is started.
+	Inherited bool
 }
 
 // opReply is the answer to an op.
@@ -406,8 +408,12 @@
 	if !may {
 		return unsure(fasthttp.StatusServiceUnavailable, false, reasonHomeSilent, "the order was forwarded to a host that is not its home", homeRetryAfter).of(o)
 	}
-	r := s.callHome(op{Kind: opSubmit, ID: o.id.Raw, Single: o.single, Body: body, Remaining: o.deadline}, address, incarnation)
-	return r.of(o)
+	return s.callHome(o.op(body), address, incarnation).of(o)
+}
+
+// op is the question that forwards an order.
+func (o *order) op(body []byte) op {
+	return op{Kind: opSubmit, ID: o.id.Raw, Single: o.single, Body: body, Remaining: o.deadline}
 }
 
 // callHome asks a home and judges what silence or proof of its end means.
@@ -445,7 +451,7 @@
 		return nil, err
 	}
 	var r result
-	if q.Kind == opSubmit {
+	if q.Kind == opSubmit && !q.Inherited {
 		o, bad := s.parseOrder(q.Body, q.Single)
 		if bad != nil {
 			r = *bad
@@ -472,7 +478,7 @@
 	case StepForward:
 		return s.callHome(q, id.Token.Address, id.Token.Incarnation)
 	case StepEnded:
-		return unsure(fasthttp.StatusBadGateway, true, reasonHomeEnded, "the home of the id has ended", 0)
+		return s.askSuccessor(q, id.Token.Incarnation)
 	case StepClaim, StepFull:
 		return s.operateClaimed(q, id)
 	}
--- /dev/null
+++ b/internal/cli/reference/main.go
@@ -0,0 +1,29 @@
+// Command reference writes the generated pages of the documentation.
+package main
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"guavayoke/internal/cli"
+)
+
+func main() {
+	configuration := flag.String("configuration", "", "`file` for the configuration reference")
+	commands := flag.String("commands", "", "`file` for the command reference")
+	flag.Parse()
+	write(*configuration, cli.WriteConfiguration)
+	write(*commands, cli.WriteCommands)
+}
+
+func write(file string, page func(io.Writer)) {
+	var b bytes.Buffer
+	page(&b)
+	if err := os.WriteFile(file, b.Bytes(), 0o644); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -75,6 +75,8 @@
 	Region        string
 	State         State
 	Seq           uint64
+	// Successor is the incarnation that answers for this one after its goodbye.
+	Successor string
 	// RTT is the round trip to the member as measured by this host.
 	RTT time.Duration `cbor:"-" json:"-"`
 }
@@ -182,6 +184,9 @@
 // Self returns the host's own entry.
 func (m *Members) Self() Member { return m.self }
 
+// SetSuccessor names who answers for this incarnation after its goodbye.
+func (m *Members) SetSuccessor(incarnation string) { m.self.Successor = incarnation }
+
 // SetSeeds replaces the addresses to start from.
 func (m *Members) SetSeeds(addresses []string) { m.seeds = addresses }
 
@@ -474,7 +479,8 @@
 // Goodbye handles the farewell of a member.
 func (m *Members) Goodbye(now time.Time, from Member) []Action {
 	m.apply(now, from)
-	return m.ProvenDead(now, from.Incarnation)
+	from.State = Dead
+	return m.apply(now, from)
 }
 
 // heard takes over the sender and the news of a message.
@@ -515,6 +521,9 @@
 	if !wins(n, e.Member) {
 		return nil
 	}
+	if n.Successor != "" {
+		e.Successor = n.Successor
+	}
 	changed := n.State != e.State
 	n.State, e.State = e.State, n.State
 	e.Seq = max(e.Seq, n.Seq)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -175,6 +175,13 @@
 	return s.members.Find(incarnation)
 }
 
+// SetSuccessor names who answers for this incarnation after its goodbye.
+func (s *Service) SetSuccessor(incarnation string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members.SetSuccessor(incarnation)
+}
+
 // SetSeeds replaces the addresses to start from: those of the settings and of
 // the platform's list.
 func (s *Service) SetSeeds(addresses []string) {
--- /dev/null
+++ b/pkg/document/reference.go
@@ -0,0 +1,62 @@
+package document
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+)
+
+// WriteReference writes a Markdown table of the fields of v, a struct with
+// validate and doc tags.
+func WriteReference(w io.Writer, v any) {
+	fmt.Fprint(w, "| field | type | limits | meaning |\n|---|---|---|---|\n")
+	writeFields(w, reflect.TypeOf(v), "")
+}
+
+func writeFields(w io.Writer, t reflect.Type, path string) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := join(path, f.Name)
+		elem := f.Type
+		if elem.Kind() == reflect.Slice {
+			elem, name = elem.Elem(), name+"[]"
+		}
+		fmt.Fprintf(w, "| `%s` | %s | %s | %s |\n", name, typeName(elem), limits(f), f.Tag.Get("doc"))
+		if elem.Kind() == reflect.Struct {
+			writeFields(w, elem, name)
+		}
+	}
+}
+
+func typeName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "object"
+	case reflect.String:
+		return "string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "number"
+	}
+	return "whole number"
+}
+
+// limits puts the validate tag of a field into words.
+func limits(f reflect.StructField) string {
+	kind := f.Type.Kind()
+	var words []string
+	for _, tag := range strings.Split(f.Tag.Get("validate"), ",") {
+		if tag == "" {
+			continue
+		}
+		if tag == "dive" {
+			kind = f.Type.Elem().Kind()
+			continue
+		}
+		name, param, _ := strings.Cut(tag, "=")
+		words = append(words, strings.TrimPrefix(describe(name, param, kind), "must "))
+	}
+	return strings.Join(words, ", ")
+}
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -36,19 +36,31 @@
 	d=$((d + 1))
 done
 
+# With RELAY set, the daemons of the last failure domain reach the platform
+# through a relay that can be cut.
+last=$platform
+if [ -n "${RELAY:-}" ]; then
+	last=127.0.0.1:${base}950
+	printf '{"Address": "%s", "Target": "%s", "ControlAddress": "127.0.0.1:%s951"}\n' "$last" "$platform" "$base" >"$dir/relay.json"
+	start platform-relay "$bin/guavayoke-standin" relay "$dir/relay.json"
+fi
+
 callers= operators=
 n=1
 while [ "$n" -le "$daemons" ]; do
 	callers="$callers${callers:+, }\"127.0.0.1:${base}1$(printf %02d "$n")\""
 	operators="$operators${operators:+, }\"127.0.0.1:${base}3$(printf %02d "$n")\""
+	domain=$(((n - 1) % domains + 1))
+	store=$platform
+	[ "$domain" != "$domains" ] || store=$last
 	cat >"$dir/daemon$n.json" <<EOF
 {
   "Name": "entry$n", "Environment": "production", "Region": "region1",
-  "FailureDomain": "domain$(((n - 1) % domains + 1))",
+  "FailureDomain": "domain$domain",
   "CallerAddress": "127.0.0.1:${base}1$(printf %02d "$n")",
   "PeerAddress": "127.0.0.1:${base}2$(printf %02d "$n")",
   "OperatorAddress": "127.0.0.1:${base}3$(printf %02d "$n")",
-  "PlatformAddresses": ["$platform"],
+  "PlatformAddresses": ["$store"],
   "Seeds": ["127.0.0.1:${base}201"],
   "PeerKey": "$key", "StopLimitMs": 20000, "LogLevel": "info"
 }
