Tick slowly while idle

Change: the claims' ticker runs only while claims are pending, the dispatcher ticks every 100 ms without work.

--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -22,7 +22,10 @@
 // Name is the name of the service in the kernel.
 const Name = "Backend"
 
-const eventRing = 1 << 16
+const (
+	eventRing        = 1 << 16
+	idleTickInterval = 5 * TickInterval
+)
 
 // Request is one task to be sent.
 type Request struct {
@@ -154,10 +157,12 @@
 	return done, nil
 }
 
-// loop owns the dispatcher.
+// loop owns the dispatcher. Without work it ticks slowly, to spend little on an
+// idle host.
 func (s *Service) loop(ctx context.Context) {
 	t := time.NewTicker(TickInterval)
 	defer t.Stop()
+	slow := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -168,7 +173,18 @@
 			s.carry(s.dispatch.Tick(now))
 			s.publish()
 		}
+		if idle := s.dispatch.InFlight() == 0; idle != slow {
+			slow = idle
+			t.Reset(tickEvery(idle))
+		}
+	}
+}
+
+func tickEvery(idle bool) time.Duration {
+	if idle {
+		return idleTickInterval
 	}
+	return TickInterval
 }
 
 // publish copies what other goroutines may ask for.
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -381,7 +381,7 @@
 	})
 }
 
-// claimDuty owns the claimer.
+// claimDuty owns the claimer. Its ticker runs only while claims are pending.
 func (s *Service) claimDuty(ctx context.Context) {
 	t := time.NewTicker(claimTickInterval)
 	defer t.Stop()
@@ -392,12 +392,13 @@
 			close(s.claimsEnded)
 			return
 		case f := <-s.claims.C():
+			t.Reset(claimTickInterval)
 			actions = f(time.Now())
 		case now := <-t.C:
+			actions = s.claimer.Tick(now)
 			if !s.claimer.Pending() {
-				continue
+				t.Stop()
 			}
-			actions = s.claimer.Tick(now)
 		}
 		for _, a := range actions {
 			s.carryClaim(ctx, a)
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -37,7 +37,8 @@
 i=0
 while [ $i -lt 1500 ]; do
 	name=$(printf 'far%04d' $i)
-	printf 'url = "http://127.0.0.1:%s000/v1/hosts/%s?TTLMs=600000"\nrequest = PUT\ndata = "{\\"Name\\":\\"%s\\",\\"Kind\\":\\"Backend\\",\\"Address\\":\\"127.1.%d.%d:9\\",\\"Service\\":\\"booking\\",\\"FailureDomain\\":\\"domain%d\\"}"\nnext\n' \
+	[ $i -eq 0 ] || echo next
+	printf 'url = "http://127.0.0.1:%s000/v1/hosts/%s?TTLMs=600000"\nrequest = PUT\ndata = "{\\"Name\\":\\"%s\\",\\"Kind\\":\\"Backend\\",\\"Address\\":\\"127.1.%d.%d:9\\",\\"Service\\":\\"booking\\",\\"FailureDomain\\":\\"domain%d\\"}"\n' \
 		"$base" "$name" "$name" $((i / 250)) $((i % 250)) $((i % 3 + 1))
 	i=$((i + 1))
 done >"$dir/curl.txt"
