--- a/internal/backend/dispatcher_test.go
+++ b/internal/backend/dispatcher_test.go
@@ -72,6 +72,7 @@
 	host int
 	Send
 	ref SlotRef
+	at  time.Time
 }
 
 func newWorld(r *rand.Rand, hosts int) *world {
@@ -104,7 +105,7 @@
 			ref := w.hosts[i].running[a.Send.Attempt].slot.ref
 			w.running[ref]++
 			w.overfull = w.overfull || w.running[ref] > 1
-			w.sends[a.Send.Attempt<<8|uint64(i)] = &send{i, *a.Send, ref}
+			w.sends[a.Send.Attempt<<8|uint64(i)] = &send{i, *a.Send, ref, w.now}
 		case a.Refuse != nil:
 			w.ended[a.Refuse.Task]++
 		case a.Ask != nil:
@@ -138,20 +139,34 @@
 	f()
 }
 
+// endLongRuns ends what has run for the longest run time: the service does not
+// wait for an answer any longer.
+func (w *world) endLongRuns() {
+	for key, s := range w.sends {
+		if w.now.Sub(s.at) >= testPolicy().MaxRun-4*time.Second {
+			w.end(key, s, OutcomeLost)
+		}
+	}
+}
+
 // finish ends a running send with an outcome.
 func (w *world) finish(o Outcome) {
 	for key, s := range w.sends {
-		delete(w.sends, key)
-		w.running[s.ref]--
-		over, actions := w.hosts[s.host].Done(w.now, s.Attempt, o)
-		if over {
-			w.ended[s.Task]++
-		}
-		w.carry(s.host, actions)
+		w.end(key, s, o)
 		return
 	}
 }
 
+func (w *world) end(key uint64, s *send, o Outcome) {
+	delete(w.sends, key)
+	w.running[s.ref]--
+	over, actions := w.hosts[s.host].Done(w.now, s.Attempt, o)
+	if over {
+		w.ended[s.Task]++
+	}
+	w.carry(s.host, actions)
+}
+
 func (w *world) offer() {
 	i := w.rand.IntN(len(w.hosts))
 	w.offered++
@@ -179,9 +194,16 @@
 				w.deliver()
 			case step < 16:
 				w.finish(Outcome(r.IntN(6)))
-			default:
+			case step < 19:
 				w.now = w.now.Add(time.Duration(r.IntN(100)) * time.Millisecond)
 				w.tick(r.IntN(3))
+			default:
+				// Long enough for loans to end while their slots are in use.
+				w.now = w.now.Add(time.Duration(r.IntN(4)) * time.Second)
+				for i := range w.hosts {
+					w.tick(i)
+				}
+				w.endLongRuns()
 			}
 			if w.overfull {
 				t.Fatal("a slot runs two tasks")
@@ -458,10 +480,16 @@
 // no task is sent, and a list that lags does not bring the server back.
 func TestLeavingServerGetsNothing(t *testing.T) {
 	d, now := one(t, 2, 2, testPolicy(), nil)
+	for i := range 4 {
+		d.Offer(now, []*Task{task(uint64(100+i), now.Add(time.Minute))})
+	}
 	if actions := d.Leaving(now, "server0"); len(actions) == 0 || actions[0].Leave == nil {
 		t.Fatal("the peers are not told")
 	}
 	d.SetServers(now, testServers(2, 2))
+	for attempt := range d.running {
+		d.Done(now, attempt, OutcomeAnswered)
+	}
 	for i := range 20 {
 		actions, _ := d.Offer(now, []*Task{task(uint64(i+1), now.Add(time.Minute))})
 		for _, a := range actions {
@@ -472,6 +500,57 @@
 	}
 }
 
+// TestLoanEnds covers rule 4 of loan.go: after the loan has ended, counted from
+// the ask, the borrower starts nothing on the slot and returns it.
+func TestLoanEnds(t *testing.T) {
+	for name, after := range map[string]time.Duration{"Before": loanKeep - time.Millisecond, "After": loanKeep} {
+		t.Run(name, func(t *testing.T) {
+			d, now := one(t, 1, 1, testPolicy(), nil)
+			for i := range 4 {
+				d.Offer(now, []*Task{task(uint64(i+1), now.Add(time.Minute))})
+			}
+			peer := d.peer("b")
+			peer.asks[99] = &openAsk{testService, 1, now}
+			actions := d.Granted(now, Grant{Peer: "b", Seq: 99, Service: testService, Slots: []LentSlot{{5, Server{Name: "far", Service: testService, Slots: 1}, 0}}})
+			borrowed := actions[0].Send
+			if borrowed == nil || borrowed.Server.Name != "far" {
+				t.Fatalf("got %+v", actions[0])
+			}
+			_, actions = d.Done(now.Add(after), borrowed.Attempt, OutcomeAnswered)
+			sent, returned := false, false
+			for _, a := range actions {
+				sent = sent || a.Send != nil && a.Send.Server.Name == "far"
+				returned = returned || a.Return != nil
+			}
+			if want := name == "Before"; sent != want || returned == want {
+				t.Errorf("sent %t, returned %t", sent, returned)
+			}
+		})
+	}
+}
+
+// TestGainedSlotsRest: slots of a host that has gone are used after ShareDelay,
+// when all hosts have heard of it, and not before.
+func TestGainedSlotsRest(t *testing.T) {
+	d := NewDispatcher(DispatcherConfig{Self: "a", Domain: "d", Rand: rand.New(rand.NewPCG(1, 1))})
+	d.Configure(start, []Policy{testPolicy()}, nil)
+	d.SetHosts(start, []Host{{ID: "a", FailureDomain: "d"}, {ID: "b", FailureDomain: "d"}})
+	d.SetServers(start, testServers(4, 4))
+	now := start.Add(ShareDelay)
+	d.Tick(now)
+	if idle := d.Loads()[0].Idle; idle != 8 {
+		t.Fatalf("%d idle slots of 16 shared by two", idle)
+	}
+	d.SetHosts(now, []Host{{ID: "a", FailureDomain: "d"}})
+	tests := map[time.Duration]int{0: 8, ShareDelay - TickInterval: 8, ShareDelay: 16}
+	for _, after := range []time.Duration{0, ShareDelay - TickInterval, ShareDelay} {
+		d.Tick(now.Add(after))
+		if idle := d.Loads()[0].Idle; idle != tests[after] {
+			t.Errorf("%d idle slots after %v, want %d", idle, after, tests[after])
+		}
+	}
+}
+
 // TestEjection covers the rules of eject.go.
 func TestEjection(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -50,6 +50,24 @@
 	}
 }
 
+// TestManyHosts: with 60 hosts, each of which owns less than seven slots, the 99th
+// percentile at 80 % load stays within 1.10 times that of a shared queue, which
+// shares without loans do not reach.
+func TestManyHosts(t *testing.T) {
+	for _, w := range Workloads {
+		ideal := run(t, base(w, "Shared", 0.8))
+		c := base(w, "Guavayoke", 0.8)
+		c.Hosts = 60
+		if r := run(t, c); r.P99Ms > 1.10*ideal.P99Ms {
+			t.Errorf("%s: p99 is %.1f ms, of a shared queue %.1f ms", w.Name, r.P99Ms, ideal.P99Ms)
+		}
+		c.Policy = "Shares"
+		if r := run(t, c); r.P99Ms <= 1.10*ideal.P99Ms {
+			t.Errorf("%s: shares without loans reach %.1f ms; the test shows nothing", w.Name, r.P99Ms)
+		}
+	}
+}
+
 // TestOverloadTarget: at twice the capacity, goodput is at least 0.95 of it,
 // and a team within its share has a p99 of at most 1.2 times its p99 without
 // the overload.
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -88,8 +88,7 @@
 const relayBuffer = 64 << 10
 
 func (r *Relay) copy(to, from net.Conn) {
-	defer to.Close()
-	defer from.Close()
+	defer closeBoth(to, from)
 	b := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(b)
@@ -105,6 +104,11 @@
 	}
 }
 
+func closeBoth(a, b net.Conn) {
+	_ = a.Close()
+	_ = b.Close()
+}
+
 // RunRelay runs a relay until a signal.
 func RunRelay(set RelaySettings) error {
 	stop, cancel := signalled()
