--- /dev/null
+++ b/internal/backend/eject_test.go
@@ -0,0 +1,113 @@
+package backend
+
+import (
+	"testing"
+	"time"
+)
+
+// TestLeavingServerGetsNothing covers I6 at one host: after the first signal
+// no task is sent, and a list that lags does not bring the server back.
+func TestLeavingServerGetsNothing(t *testing.T) {
+	d, now := one(t, 2, 2, testPolicy(), nil)
+	for i := range 4 {
+		d.Offer(now, []*Task{task(uint64(100+i), now.Add(time.Minute))})
+	}
+	if actions := d.Leaving(now, "server0"); len(actions) == 0 || actions[0].Leave == nil {
+		t.Fatal("the peers are not told")
+	}
+	d.SetServers(now, testServers(2, 2))
+	for attempt := range d.running {
+		d.Done(now, attempt, OutcomeAnswered)
+	}
+	for i := range 20 {
+		actions, _ := d.Offer(now, []*Task{task(uint64(i+1), now.Add(time.Minute))})
+		for _, a := range actions {
+			if a.Send != nil && a.Send.Server.Name == "server0" {
+				t.Fatal("a task was sent to a leaving server")
+			}
+		}
+	}
+}
+
+// TestStragglerIsEjected covers rules 2 and 4 of eject.go: a server that takes five
+// times as long is ejected, none of the others is, and it comes back when a probe
+// ends soon enough.
+func TestStragglerIsEjected(t *testing.T) {
+	d, now := one(t, 10, 4, testPolicy(), nil)
+	ends := map[uint64]time.Time{}
+	factor := time.Duration(5)
+	step := func(i int) {
+		now = now.Add(10 * time.Millisecond)
+		for id, at := range ends {
+			if !now.Before(at) {
+				delete(ends, id)
+				d.Done(now, id, OutcomeAnswered)
+			}
+		}
+		actions, _ := d.Offer(now, []*Task{task(uint64(i+1), now.Add(time.Minute))})
+		for _, a := range actions {
+			if a.Send == nil {
+				continue
+			}
+			run := 100 * time.Millisecond
+			if a.Send.Server.Name == "server3" {
+				run *= factor
+			}
+			ends[a.Send.Attempt] = now.Add(run)
+		}
+	}
+	for i := range 3000 {
+		step(i)
+	}
+	p := d.pools[testService]
+	if p.ejected != 1 || !p.servers["server3"].health.ejected {
+		t.Fatalf("%d servers are ejected, server3: %t", p.ejected, p.servers["server3"].health.ejected)
+	}
+	factor = 1
+	for i := range 10_000 {
+		step(3000 + i)
+	}
+	if p.ejected != 0 {
+		t.Errorf("%d servers are ejected after the server is well again", p.ejected)
+	}
+}
+
+// TestEjection covers the rules of eject.go.
+func TestEjection(t *testing.T) {
+	tests := map[string]struct {
+		bad         map[string]bool
+		wantEjected int
+	}{
+		"OneOfTen":   {map[string]bool{"server3": true}, 1},
+		"All":        {nil, 0},
+		"FourOfTen":  {map[string]bool{"server1": true, "server2": true, "server3": true, "server4": true}, 2},
+		"NoneIsSick": {map[string]bool{"none": true}, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, now := one(t, 10, 4, testPolicy(), nil)
+			failed := 0
+			for i := range 2000 {
+				now = now.Add(time.Millisecond)
+				actions, _ := d.Offer(now, []*Task{task(uint64(i+1), now.Add(time.Minute))})
+				for _, a := range actions {
+					if a.Send == nil {
+						continue
+					}
+					o := OutcomeAnswered
+					if tc.bad == nil || tc.bad[a.Send.Server.Name] {
+						o = OutcomeFailed
+						failed++
+					}
+					d.Done(now, a.Send.Attempt, o)
+				}
+			}
+			if got := d.pools[testService].ejected; got != tc.wantEjected {
+				t.Errorf("%d servers are ejected, want %d", got, tc.wantEjected)
+			}
+			if name == "OneOfTen" && failed > 20 {
+				t.Errorf("%d of 2000 tasks failed, want under 1 %%", failed)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/backend/lists.go
@@ -0,0 +1,99 @@
+package backend
+
+import (
+	"time"
+
+	"guavayoke/internal/peer"
+	"guavayoke/internal/platform"
+	"guavayoke/pkg/document"
+)
+
+func (s *Service) membersChanged(members []peer.Member) {
+	s.post(func(now time.Time) { s.setMembers(now, members) })
+}
+
+func (s *Service) setMembers(now time.Time, members []peer.Member) {
+	hosts := []Host{{ID: s.cfg.Self, FailureDomain: s.cfg.Domain}}
+	for _, m := range members {
+		if m.Up() {
+			hosts = append(hosts, Host{ID: m.Incarnation, FailureDomain: m.FailureDomain, Hop: m.RTT.Seconds() / 2})
+		}
+	}
+	s.hosts = hosts
+	s.carry(s.dispatch.SetHosts(now, hosts))
+	s.keepClients()
+}
+
+func (s *Service) applied(a *platform.Applied) {
+	s.post(func(now time.Time) {
+		s.document = a.Document
+		weights := map[string]float64{}
+		for _, t := range a.Document.Teams {
+			weights[t.Name] = float64(t.Weight)
+		}
+		s.carry(s.dispatch.Configure(now, Policies(a.Document), weights))
+		s.setServers(now)
+	})
+}
+
+// Policies returns the dispatcher's part of a document.
+func Policies(d *document.Document) []Policy {
+	policies := make([]Policy, 0, len(d.Services))
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	for _, v := range d.Services {
+		policies = append(policies, Policy{
+			Service: v.Name, MemoryMB: v.MemoryMB,
+			PriorRun: ms(v.PriorRunMs), MaxRun: ms(v.MaxRunMs),
+			RetryBudget: float64(v.Retry.BudgetPercent) / 100, MaxAttempts: v.Retry.MaxAttempts,
+			BackoffMin: ms(v.Retry.BackoffMinMs), BackoffMax: ms(v.Retry.BackoffMaxMs),
+			MaxEjectedPercent: v.Ejection.MaxPercent, ProbeInterval: ms(v.Ejection.ProbeMs),
+			WastedMessage: time.Duration(d.Measures.WastedMessageMs * float64(time.Millisecond)),
+		})
+	}
+	return policies
+}
+
+func (s *Service) hostsChanged(hosts []platform.Host) {
+	s.post(func(now time.Time) {
+		s.servers = s.servers[:0]
+		for _, h := range hosts {
+			if h.Kind == platform.BackendServer {
+				s.servers = append(s.servers, Server{
+					Name: h.Name, Service: h.Service, Address: h.Address, FailureDomain: h.FailureDomain, Leaving: h.Leaving,
+				})
+			}
+		}
+		s.setServers(now)
+	})
+}
+
+// setServers joins the platform's list with the slots of the document.
+func (s *Service) setServers(now time.Time) {
+	if s.document == nil {
+		return
+	}
+	var servers []Server
+	for _, v := range s.servers {
+		if svc, ok := s.document.Service(v.Service); ok {
+			v.Slots = svc.Slots
+			servers = append(servers, v)
+		}
+	}
+	s.carry(s.dispatch.SetServers(now, servers))
+	s.keepClients()
+}
+
+// keepClients divides the connections of each server among the hosts: the own
+// slots, or an even part of what the slots leave over, if that is more.
+func (s *Service) keepClients() {
+	if s.document == nil {
+		return
+	}
+	keep := map[string]int{}
+	for _, v := range s.servers {
+		if svc, ok := s.document.Service(v.Service); ok {
+			keep[v.Address] = max(s.dispatch.OwnSlots(v.Service, v.Name), (svc.Connections-svc.Slots)/len(s.hosts))
+		}
+	}
+	s.clients.setKeep(keep)
+}
--- /dev/null
+++ b/internal/backend/reshare.go
@@ -0,0 +1,171 @@
+package backend
+
+import (
+	"sort"
+	"time"
+)
+
+// ShareDelay is how long a host waits before it uses a slot that another host
+// may have owned until a change of shares.
+const ShareDelay = 3 * time.Second
+
+// Configure puts policies and team weights in force. Tasks of a service that
+// has gone are refused; what is running ends normally.
+func (d *Dispatcher) Configure(now time.Time, policies []Policy, weights map[string]float64) []Action {
+	d.weights = weights
+	var actions []Action
+	keep := map[string]bool{}
+	for _, p := range policies {
+		keep[p.Service] = true
+		if old := d.pools[p.Service]; old != nil {
+			old.policy = p
+			continue
+		}
+		d.pools[p.Service] = newPool(p)
+	}
+	for _, name := range d.order {
+		if !keep[name] {
+			dropped := d.pools[name].queue.expire(func(*Task) bool { return true })
+			actions = append(actions, refuseAll(dropped, ReasonNoService, 0)...)
+			delete(d.pools, name)
+		}
+	}
+	d.order = d.order[:0]
+	for name := range d.pools {
+		d.order = append(d.order, name)
+	}
+	sort.Strings(d.order)
+	return append(actions, d.reshare(now)...)
+}
+
+// SetServers replaces the list of backend servers.
+func (d *Dispatcher) SetServers(now time.Time, servers []Server) []Action {
+	d.servers = servers
+	return d.reshare(now)
+}
+
+// SetHosts replaces the list of live entry hosts, this one included.
+func (d *Dispatcher) SetHosts(now time.Time, hosts []Host) []Action {
+	d.hosts = hosts
+	actions := d.reshare(now)
+	live := map[string]bool{}
+	for _, h := range hosts {
+		live[h.ID] = true
+		if h.ID != d.cfg.Self {
+			d.peer(h.ID).update(h, d.cfg.Domain)
+		}
+	}
+	for _, id := range append([]string(nil), d.peerOrder...) {
+		if !live[id] {
+			actions = append(actions, d.peerGone(now, id)...)
+		}
+	}
+	return actions
+}
+
+// reshare recomputes the own slots. A slot lost is given up at once, a slot
+// gained is used after ShareDelay, when its former owner has given it up.
+func (d *Dispatcher) reshare(now time.Time) []Action {
+	known := map[string]bool{}
+	for _, s := range d.servers {
+		known[s.Name] = true
+		if p := d.pools[s.Service]; p != nil {
+			p.setServer(s)
+		}
+	}
+	from := now.Add(ShareDelay)
+	owned := map[string]map[SlotRef]bool{}
+	for _, name := range d.order {
+		owned[name] = map[SlotRef]bool{}
+	}
+	byName := d.serviceOf()
+	for _, ref := range Shares(d.cfg.Self, d.servers, d.hosts) {
+		service := byName[ref.Server]
+		if p := d.pools[service]; p != nil {
+			owned[service][ref] = true
+			if p.own[ref] == nil {
+				p.add(ref, p.servers[ref.Server], from)
+			}
+		}
+	}
+	var actions []Action
+	for _, name := range d.order {
+		p := d.pools[name]
+		p.dropLost(owned[name])
+		p.dropServers(known)
+		p.activate(now)
+		p.count()
+		actions = append(actions, d.dispatch(now, p)...)
+	}
+	return actions
+}
+
+func (d *Dispatcher) serviceOf() map[string]string {
+	m := make(map[string]string, len(d.servers))
+	for _, s := range d.servers {
+		m[s.Name] = s.Service
+	}
+	return m
+}
+
+// setServer takes over what the list says of a server.
+func (p *pool) setServer(s Server) {
+	known := p.servers[s.Name]
+	if known == nil {
+		p.servers[s.Name] = &server{Server: s}
+		return
+	}
+	// A server that said itself that it is leaving stays so: the list lags.
+	s.Leaving = s.Leaving || known.Leaving && s.Address == known.Address
+	wasLeaving := known.Leaving
+	known.Server = s
+	if s.Leaving && !wasLeaving {
+		p.setAside(known)
+	}
+}
+
+// dropLost gives up the own slots that are not in owned.
+func (p *pool) dropLost(owned map[SlotRef]bool) {
+	for _, ref := range p.sortedOwn() {
+		if !owned[ref] {
+			p.drop(p.own[ref])
+		}
+	}
+}
+
+func (p *pool) drop(sl *slot) {
+	delete(p.own, sl.ref)
+	if sl.state == slotBusy || sl.state == slotLent {
+		sl.state = slotGone
+		return
+	}
+	p.forget(sl)
+}
+
+// dropServers forgets servers that are not listed and have no slot in use.
+func (p *pool) dropServers(known map[string]bool) {
+	for name, s := range p.servers {
+		if known[name] || len(s.slots) > 0 {
+			continue
+		}
+		if s.health.ejected {
+			p.ejected--
+		}
+		delete(p.servers, name)
+	}
+}
+
+// OwnSlots returns how many slots of a server this host owns.
+func (d *Dispatcher) OwnSlots(service, name string) int {
+	p := d.pools[service]
+	if p == nil || p.servers[name] == nil {
+		return 0
+	}
+	n := 0
+	for _, sl := range p.servers[name].slots {
+		if sl.lender == "" && sl.state != slotGone {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/backend/send.go
@@ -0,0 +1,66 @@
+package backend
+
+import (
+	"context"
+	"time"
+)
+
+// send carries out one send in a goroutine of its own, which ends with the
+// answer or after the longest run time.
+func (s *Service) send(a Send) {
+	ref := s.tasks[a.Task]
+	if ref.group == nil {
+		s.post(func(now time.Time) { s.sent(now, a, exchange{outcome: OutcomeUnreached}, 0) })
+		return
+	}
+	r := ref.group.Tasks[ref.index]
+	sentAt := time.Now()
+	deadline := sentAt.Add(s.dispatch.MaxRun(r.Service))
+	s.counts.sends.Inc(1)
+	go func() {
+		c := s.clients.get(a.Server.Address)
+		x := c.send(r.ID, r.Body, deadline)
+		s.clients.put(a.Server.Address, c)
+		run := time.Since(sentAt)
+		s.counts.run.Update(run)
+		// The dispatcher must hear of every end, so this waits for room.
+		_ = s.events.Put(context.Background(), func(now time.Time) { s.sent(now, a, x, run) })
+	}()
+}
+
+// sent tells the dispatcher how a send ended and ends the task if it is over.
+func (s *Service) sent(now time.Time, a Send, x exchange, run time.Duration) {
+	s.countOutcome(x.outcome)
+	over, actions := s.dispatch.Done(now, a.Attempt, x.outcome)
+	if x.leaving {
+		actions = append(actions, s.dispatch.Leaving(now, a.Server.Name)...)
+	}
+	if over {
+		s.end(a.Task, newAnswer(x, run))
+	}
+	s.carry(actions)
+}
+
+func newAnswer(x exchange, run time.Duration) Answer {
+	answer := Answer{Verdict: x.outcome.Verdict(), Status: x.status, Body: x.body, Run: run}
+	switch x.outcome {
+	case OutcomeFailed:
+		answer.Reason = ReasonTaskFailed
+	case OutcomeLost:
+		answer.Reason = ReasonLost
+	}
+	return answer
+}
+
+func (s *Service) countOutcome(o Outcome) {
+	switch o {
+	case OutcomeAnswered, OutcomeFailed:
+		s.counts.answers.Inc(1)
+	case OutcomeBusy:
+		s.counts.wastedBusy.Inc(2)
+	case OutcomeLeaving:
+		s.counts.wastedLeaving.Inc(2)
+	case OutcomeUnreached:
+		s.counts.wastedUnreached.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,172 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"guavayoke/pkg/verdict"
+)
+
+// IncarnationError reports that an address answers, but not as the incarnation
+// that was called: that one has ended.
+type IncarnationError struct{ Want, Got string }
+
+// Error implements error.
+func (e *IncarnationError) Error() string {
+	return fmt.Sprintf("incarnation %s has ended: its address answers as %s", e.Want, e.Got)
+}
+
+func (s *Service) sendPing(p Ping) {
+	body := s.heartbeat(p.Message)
+	go func() {
+		l, err := s.link(s.ctx, p.Address)
+		if err == nil && l.out.Offer(frame{Kind: framePing, Body: body}) {
+			s.count(len(body))
+			return
+		}
+		s.events.Offer(func(time.Time) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.members.PingFailed(p.Message.Seq)
+		})
+	}()
+}
+
+func (s *Service) sendTo(address string, f frame) {
+	go func() {
+		l, err := s.link(s.ctx, address)
+		if err == nil && l.out.Offer(f) {
+			s.count(len(f.Body))
+		}
+	}()
+}
+
+func (s *Service) count(bytes int) {
+	s.Stats.SentFrames.Add(1)
+	s.Stats.SentBytes.Add(uint64(bytes) + frameOverhead)
+}
+
+// frameOverhead is about what the frame and the WebSocket add to a body, in bytes.
+const frameOverhead = 40
+
+// link returns the link to an address and dials it if there is none.
+func (s *Service) link(ctx context.Context, address string) (*link, error) {
+	for {
+		s.mu.Lock()
+		if l := s.links[address]; l != nil && !l.closed() {
+			s.mu.Unlock()
+			return l, nil
+		}
+		wait := s.dialing[address]
+		if wait == nil {
+			wait = make(chan struct{})
+			s.dialing[address] = wait
+			s.mu.Unlock()
+			return s.dial(ctx, address, wait)
+		}
+		s.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("dial peer: %w", ctx.Err())
+		}
+		s.mu.Lock()
+		l := s.links[address]
+		s.mu.Unlock()
+		if l == nil {
+			return nil, fmt.Errorf("dial peer %s: failed just now", address)
+		}
+	}
+}
+
+func (s *Service) dial(ctx context.Context, address string, wait chan struct{}) (*link, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	l, err := dialLink(dialCtx, address, s.cfg.Key, s.cfg.Self.Incarnation)
+	s.mu.Lock()
+	delete(s.dialing, address)
+	if err == nil {
+		s.links[address] = l
+	}
+	s.mu.Unlock()
+	close(wait)
+	if err != nil {
+		var he *HandshakeError
+		if errors.As(err, &he) {
+			s.Stats.Refused.Add(1)
+			s.cfg.Log.Warn().Str("Address", address).Err(err).Msg("PeerRefused")
+		}
+		return nil, err
+	}
+	go func() {
+		l.run(func(f frame) { s.handle(f, l.incarnation, func(r frame) { l.out.Offer(r) }) })
+		s.mu.Lock()
+		if s.links[address] == l {
+			delete(s.links, address)
+		}
+		s.mu.Unlock()
+	}()
+	return l, nil
+}
+
+// Call asks the incarnation target at an address and waits for the answer. An
+// empty target means whoever listens there. The error says whether the call
+// may have been handled; an *IncarnationError is proof that the target ended.
+func (s *Service) Call(ctx context.Context, address, target, name string, body []byte) ([]byte, error) {
+	l, err := s.link(ctx, address)
+	if err != nil {
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Reason: "PeerUnreachable", Err: err}
+	}
+	if target != "" && l.incarnation != target {
+		return nil, s.proven(target, l.incarnation)
+	}
+	r, sent, err := l.call(ctx, frame{Kind: frameCall, Target: target, Name: name, Body: body})
+	if err != nil {
+		v := verdict.MayHaveRun
+		if !sent {
+			v = verdict.NotRun
+		}
+		return nil, &verdict.Error{Verdict: v, Reason: "PeerUnreachable", Err: err}
+	}
+	s.count(len(body))
+	switch r.Failure {
+	case failureNone:
+		return r.Body, nil
+	case failureIncarnation:
+		return nil, s.proven(target, r.From)
+	case failureName:
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Reason: "PeerUnknownCall"}
+	}
+	return nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "PeerFailed"}
+}
+
+func (s *Service) proven(target, got string) error {
+	s.events.Offer(func(now time.Time) {
+		s.decide(now, func(now time.Time) []Action { return s.members.ProvenDead(now, target) }, nil)
+	})
+	return &IncarnationError{target, got}
+}
+
+// Note sends a one-way message to a member. It reports whether the message was
+// handed to a link that is up; otherwise a link is dialed for the next one.
+func (s *Service) Note(incarnation, name string, body []byte) bool {
+	m, ok := s.Find(incarnation)
+	if !ok {
+		return false
+	}
+	f := frame{Kind: frameNote, Name: name, Body: body}
+	s.mu.Lock()
+	l := s.links[m.Address]
+	s.mu.Unlock()
+	if l == nil || l.closed() || l.incarnation != incarnation {
+		s.sendTo(m.Address, f)
+		return true
+	}
+	if !l.out.Offer(f) {
+		return false
+	}
+	s.count(len(body))
+	return true
+}
--- a/internal/platform/claim.go
+++ b/internal/platform/claim.go
@@ -25,12 +25,9 @@
 //     each of them may use the part.
 
 import (
-	"fmt"
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
 )
 
@@ -52,39 +49,6 @@
 // ClaimSkew is how far in the future an id may have been minted.
 const ClaimSkew = time.Minute
 
-// ClaimKey names one journal value.
-type ClaimKey struct{ Bucket, Partition int }
-
-// Key returns the store key of the journal value in an environment.
-func (k ClaimKey) Key(environment string) string {
-	return fmt.Sprintf("Claims/%s/%02d/%02d", environment, k.Bucket, k.Partition)
-}
-
-// Claim is an entry of the journal: which attempt owns a submission.
-type Claim struct {
-	ID          uuid.UUID
-	Incarnation string
-	Address     string
-	Nonce       uint64
-}
-
-// Journal is the value at a claim key.
-type Journal struct {
-	// Start is the first mint time that the value holds, in Unix milliseconds.
-	Start  int64
-	Claims []Claim
-}
-
-// find returns the claim of id.
-func (j *Journal) find(id uuid.UUID) (Claim, bool) {
-	for _, c := range j.Claims {
-		if c.ID == id {
-			return c, true
-		}
-	}
-	return Claim{}, false
-}
-
 // ClaimerConfig builds a Claimer.
 type ClaimerConfig struct {
 	// Incarnation and Address are those of this host.
@@ -183,25 +147,6 @@
 	c.cfg.WritesPerSecond = writesPerSecond
 }
 
-// KeyOf returns the key of an id and the start of its bucket (rule 2).
-func KeyOf(id uuid.UUID) (ClaimKey, int64) {
-	width := claimBucketWidth.Milliseconds()
-	n := mintTime(id) / width
-	return ClaimKey{
-		Bucket:    int(n % claimBuckets),
-		Partition: int(xxhash.Sum64(id[:]) % claimPartitions),
-	}, n * width
-}
-
-// mintTime returns the mint time of a UUIDv7 in Unix milliseconds.
-func mintTime(id uuid.UUID) int64 {
-	var ms int64
-	for _, b := range id[:6] {
-		ms = ms<<8 | int64(b)
-	}
-	return ms
-}
-
 // Want begins an attempt to claim id, which is given up at deadline. It
 // returns the nonce of the attempt.
 func (c *Claimer) Want(now time.Time, id uuid.UUID, deadline time.Time) (uint64, []ClaimAction) {
@@ -432,24 +377,3 @@
 func settled(a *claimAttempt, o ClaimOutcome, holder Claim) ClaimAction {
 	return ClaimAction{Settled: &ClaimSettled{ID: a.id, Nonce: a.nonce, Outcome: o, Holder: holder}}
 }
-
-// EncodeJournal returns the bytes of a journal value.
-func EncodeJournal(j Journal) ([]byte, error) {
-	b, err := cbor.Marshal(j)
-	if err != nil {
-		return nil, fmt.Errorf("encode claim journal: %w", err)
-	}
-	return b, nil
-}
-
-// DecodeJournal reads a journal value. No bytes make an empty journal.
-func DecodeJournal(b []byte) (Journal, error) {
-	var j Journal
-	if len(b) == 0 {
-		return j, nil
-	}
-	if err := cbor.Unmarshal(b, &j); err != nil {
-		return j, fmt.Errorf("decode claim journal: %w", err)
-	}
-	return j, nil
-}
--- /dev/null
+++ b/internal/platform/claims.go
@@ -0,0 +1,116 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Claim asks for the claim of a submission without a token and waits for the
+// outcome. It is given up at deadline.
+func (s *Service) Claim(ctx context.Context, id uuid.UUID, deadline time.Time) (ClaimSettled, error) {
+	c := make(chan ClaimSettled, 1)
+	err := s.claims.Put(ctx, func(now time.Time) []ClaimAction {
+		nonce, actions := s.claimer.Want(now, id, deadline)
+		s.waiting[nonce] = c
+		return actions
+	})
+	if err != nil {
+		return ClaimSettled{ID: id, Outcome: ClaimGivenUp}, err
+	}
+	// The claimer settles every attempt by its deadline. There is no other way
+	// out while it runs: a grant that nobody waits for would start nothing.
+	select {
+	case settled := <-c:
+		return settled, nil
+	case <-s.claimsEnded:
+		return ClaimSettled{ID: id, Outcome: ClaimGivenUp}, nil
+	}
+}
+
+// SetClaimBudget sets the claim writes a second of all hosts together.
+func (s *Service) SetClaimBudget(writesPerSecond float64) {
+	s.claims.Offer(func(time.Time) []ClaimAction {
+		s.claimer.SetBudget(writesPerSecond)
+		return nil
+	})
+}
+
+// claimDuty owns the claimer. Its ticker runs only while claims are pending.
+func (s *Service) claimDuty(ctx context.Context) {
+	t := time.NewTicker(claimTickInterval)
+	defer t.Stop()
+	for {
+		var actions []ClaimAction
+		select {
+		case <-ctx.Done():
+			close(s.claimsEnded)
+			return
+		case f := <-s.claims.C():
+			t.Reset(claimTickInterval)
+			actions = f(time.Now())
+		case now := <-t.C:
+			actions = s.claimer.Tick(now)
+			if !s.claimer.Pending() {
+				t.Stop()
+			}
+		}
+		for _, a := range actions {
+			s.carryClaim(ctx, a)
+		}
+	}
+}
+
+func (s *Service) carryClaim(ctx context.Context, a ClaimAction) {
+	switch {
+	case a.Settled != nil:
+		if c := s.waiting[a.Settled.Nonce]; c != nil {
+			delete(s.waiting, a.Settled.Nonce)
+			c <- *a.Settled
+		}
+	case a.Read != nil:
+		go s.readClaims(ctx, *a.Read)
+	case a.Write != nil:
+		go s.writeClaims(ctx, *a.Write)
+	}
+}
+
+func (s *Service) readClaims(ctx context.Context, r ClaimRead) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	v, err := s.cfg.Store.Get(callCtx, r.Key.Key(s.cfg.Environment))
+	var j Journal
+	if err == nil {
+		j, err = DecodeJournal(v.Data)
+	}
+	if err != nil {
+		s.cfg.Log.Warn().Str("Key", r.Key.Key(s.cfg.Environment)).Err(err).Msg("ClaimReadFailed")
+	}
+	_ = s.claims.Put(ctx, func(now time.Time) []ClaimAction {
+		return s.claimer.ReadDone(now, r.Key, v.Version, j, err == nil)
+	})
+}
+
+func (s *Service) writeClaims(ctx context.Context, w ClaimWrite) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, version := WriteUnknown, uint64(0)
+	b, err := EncodeJournal(w.Value)
+	if err == nil {
+		version, err = s.cfg.Store.Put(callCtx, w.Key.Key(s.cfg.Environment), w.Expect, b)
+	}
+	var conflict *ConflictError
+	switch {
+	case err == nil:
+		result = WriteDone
+	case errors.As(err, &conflict):
+		result = WriteConflict
+	default:
+		s.cfg.Log.Warn().Str("Key", w.Key.Key(s.cfg.Environment)).Err(err).Msg("ClaimWriteUnsettled")
+	}
+	_ = s.claims.Put(ctx, func(now time.Time) []ClaimAction {
+		return s.claimer.WriteDone(now, w.Key, result, version)
+	})
+}
--- /dev/null
+++ b/internal/platform/journal.go
@@ -0,0 +1,84 @@
+package platform
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+)
+
+// The rules cited here are those of claim.go.
+
+// ClaimKey names one journal value.
+type ClaimKey struct{ Bucket, Partition int }
+
+// Key returns the store key of the journal value in an environment.
+func (k ClaimKey) Key(environment string) string {
+	return fmt.Sprintf("Claims/%s/%02d/%02d", environment, k.Bucket, k.Partition)
+}
+
+// Claim is an entry of the journal: which attempt owns a submission.
+type Claim struct {
+	ID          uuid.UUID
+	Incarnation string
+	Address     string
+	Nonce       uint64
+}
+
+// Journal is the value at a claim key.
+type Journal struct {
+	// Start is the first mint time that the value holds, in Unix milliseconds.
+	Start  int64
+	Claims []Claim
+}
+
+// find returns the claim of id.
+func (j *Journal) find(id uuid.UUID) (Claim, bool) {
+	for _, c := range j.Claims {
+		if c.ID == id {
+			return c, true
+		}
+	}
+	return Claim{}, false
+}
+
+// KeyOf returns the key of an id and the start of its bucket (rule 2).
+func KeyOf(id uuid.UUID) (ClaimKey, int64) {
+	width := claimBucketWidth.Milliseconds()
+	n := mintTime(id) / width
+	return ClaimKey{
+		Bucket:    int(n % claimBuckets),
+		Partition: int(xxhash.Sum64(id[:]) % claimPartitions),
+	}, n * width
+}
+
+// mintTime returns the mint time of a UUIDv7 in Unix milliseconds.
+func mintTime(id uuid.UUID) int64 {
+	var ms int64
+	for _, b := range id[:6] {
+		ms = ms<<8 | int64(b)
+	}
+	return ms
+}
+
+// EncodeJournal returns the bytes of a journal value.
+func EncodeJournal(j Journal) ([]byte, error) {
+	b, err := cbor.Marshal(j)
+	if err != nil {
+		return nil, fmt.Errorf("encode claim journal: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeJournal reads a journal value. No bytes make an empty journal.
+func DecodeJournal(b []byte) (Journal, error) {
+	var j Journal
+	if len(b) == 0 {
+		return j, nil
+	}
+	if err := cbor.Unmarshal(b, &j); err != nil {
+		return j, fmt.Errorf("decode claim journal: %w", err)
+	}
+	return j, nil
+}
