--- a/internal/cli/page.go
+++ b/internal/cli/page.go
@@ -33,7 +33,7 @@
 </style></head><body>
 <h1>Burn of {{.Report.Environment}}</h1>
 <p>At {{clock .Report.AtMs}} UTC, worst first. A rate of 1 uses up the error budget just within its window.</p>
-<table><tr><th>Service</th><th>Team</th><th>Target</th><th>Budget left</th><th>Exhausted in</th>{{range .Pairs}}<th>{{.Name}}</th>{{end}}</tr>
+<table><tr><th>Service</th><th>Team</th><th>Target</th><th>Budget left (3d)</th><th>Exhausted in</th>{{range .Pairs}}<th>{{.Name}}</th>{{end}}</tr>
 {{range .Report.Lines}}<tr><td>{{.Service}}</td><td>{{.Team}}</td><td>{{.TargetPercent}}%</td><td>{{percent .BudgetLeft}}</td><td>{{until .Exhausted}}</td>
 {{range .Pairs}}<td{{if .Alert}} class="alert"{{end}}>{{rate .Short.Rate}} / {{rate .Long.Rate}}</td>{{end}}</tr>
 {{end}}</table>
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -105,7 +105,7 @@
 func (c *call) printBurn(r burnReport) {
 	fmt.Fprintf(c.out, "Burn of %s at %s\n", r.Environment, clock(r.AtMs))
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
-	fmt.Fprint(w, "SERVICE\tTEAM\tTARGET\tBUDGET LEFT\tEXHAUSTED IN\t")
+	fmt.Fprint(w, "SERVICE\tTEAM\tTARGET\tBUDGET LEFT (3D)\tEXHAUSTED IN\t")
 	for _, p := range burn.Pairs {
 		fmt.Fprintf(w, "%s\t", p.Name)
 	}
