Test the checks of the load tool; one reader of JSON over HTTP

Cause: the checks that judge every run had no test of their own; reading JSON stood twice; two tests used fixed ports.

Change: TestChecksSeeViolations, TestRecovered, TestPlansFollowTheSeed; internal/httpjson; free ports. recovery.sh knows hang, slow and leave.

Conclusion: each check was seen to find its violation.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -132,7 +133,7 @@
 	<-closed
 	for c.conn != nil && c.conn.open() {
 		// The close is on its way over loopback.
-		time.Sleep(time.Millisecond)
+		runtime.Gosched()
 	}
 	if x := c.send("second", nil, time.Now().Add(time.Second)); x.outcome != OutcomeAnswered {
 		t.Errorf("outcome %d (%v)", x.outcome, x.err)
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavayoke/internal/burn"
+	"guavayoke/internal/httpjson"
 	"guavayoke/internal/operator"
 	"guavayoke/internal/platform"
 	"guavayoke/pkg/document"
@@ -81,7 +82,7 @@
 		src := burnSource{Name: h.Status.Name, Address: h.Address, Error: h.Error}
 		if h.Error == "" {
 			var data operator.BurnData
-			if err := fetch(h.Address, "/v1/burn", &data); err != nil {
+			if err := httpjson.Get(h.Address, "/v1/burn", callTimeout, &data); err != nil {
 				src.Error = err.Error()
 			}
 			src.SinceMs = data.SinceMs
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"slices"
@@ -11,8 +10,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
+	"guavayoke/internal/httpjson"
 	"guavayoke/internal/operator"
 	"guavayoke/internal/peer"
 	"guavayoke/internal/platform"
@@ -52,21 +50,6 @@
 	Hosts      []hostStatus
 }
 
-// fetch reads JSON from an operator address.
-func fetch(address, path string, v any) error {
-	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(res)
-	req.SetRequestURI("http://" + address + path)
-	if err := fasthttp.DoTimeout(req, res, callTimeout); err != nil {
-		return err
-	}
-	if res.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("status %d", res.StatusCode())
-	}
-	return json.Unmarshal(res.Body(), v)
-}
-
 // askAll asks all daemons of an environment: those of the settings, and those
 // that they name as members.
 func askAll(env Environment) []hostStatus {
@@ -86,7 +69,7 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				if err := fetch(round[i].Address, "/v1/status", &round[i].Status); err != nil {
+				if err := httpjson.Get(round[i].Address, "/v1/status", callTimeout, &round[i].Status); err != nil {
 					round[i].Error = err.Error()
 				}
 			}()
--- /dev/null
+++ b/internal/load/check_test.go
@@ -0,0 +1,106 @@
+package load
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"guavayoke/internal/standin"
+	"guavayoke/pkg/client"
+	"guavayoke/pkg/verdict"
+)
+
+// good returns a job of two tasks that was answered whole.
+func good(t *testing.T) sample {
+	t.Helper()
+	s := sample{kind: KindJob, works: []standin.Work{{Text: "a b"}, {Text: "c"}}}
+	s.result = client.Result{ID: "id", State: client.StateComplete, Verdict: verdict.Ran}
+	for _, w := range s.works {
+		b, err := json.Marshal(w.Expected())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.result.Tasks = append(s.result.Tasks, client.TaskResult{Verdict: verdict.Ran, Answer: b})
+	}
+	return s
+}
+
+// TestChecksSeeViolations: each check finds its violation and no other does.
+func TestChecksSeeViolations(t *testing.T) {
+	tests := map[string]struct {
+		change func(s *sample)
+		starts []string
+		want   string
+	}{
+		"Good":          {func(*sample) {}, []string{"id#0", "id#1"}, ""},
+		"StartedTwice":  {func(*sample) {}, []string{"id#0", "id#1", "id#1"}, "I1 I5"},
+		"Partly":        {func(s *sample) { s.result.Tasks = s.result.Tasks[:1] }, nil, "I2"},
+		"Swapped":       {func(s *sample) { s.result.Tasks[0], s.result.Tasks[1] = s.result.Tasks[1], s.result.Tasks[0] }, nil, "I3"},
+		"RefusedButRan": {func(s *sample) { s.result.Tasks[1].Verdict = verdict.NotRun }, []string{"id#1"}, "I4"},
+		"Idempotent":    {func(s *sample) { s.kind, s.result.Answer = KindIdempotent, s.result.Tasks[0].Answer }, []string{"id#0", "id#0"}, ""},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := good(t)
+			tc.change(&s)
+			var rec standin.BackendRecord
+			for _, task := range tc.starts {
+				rec.Starts = append(rec.Starts, standin.Start{Task: task})
+			}
+			_, counts := runChecks([]sample{s}, []standin.BackendRecord{rec})
+			got := ""
+			for _, c := range checks {
+				if counts[c.Name] > 0 {
+					if got != "" {
+						got += " "
+					}
+					got += c.Name
+				}
+			}
+			if got != tc.want {
+				t.Errorf("violations of %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestRecovered(t *testing.T) {
+	second := func(at int, stretch float64, other int) Second {
+		return Second{At: at, Submitted: 100, Complete: 100 - other, Other: other, Stretch: stretch}
+	}
+	tests := map[string]struct {
+		after []Second
+		want  int
+	}{
+		"NothingSeen": {[]Second{second(2, 1.1, 0), second(3, 1.1, 0)}, 0},
+		"Stretched":   {[]Second{second(2, 1.9, 0), second(3, 1.1, 0)}, 1},
+		"Failed":      {[]Second{second(2, 1, 5), second(3, 1, 0)}, 1},
+		"Never":       {[]Second{second(2, 1, 5), second(3, 1, 5)}, -1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			list := append([]Second{second(0, 1, 0), second(1, 1, 0)}, tc.after...)
+			list = append(list, second(4, 9, 0)) // Cut short, not counted.
+			if got := recovered(list, 2); got != tc.want {
+				t.Errorf("recovered after %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestPlansFollowTheSeed: the same seed gives the same work, and the mean rate is
+// the one asked for.
+func TestPlansFollowTheSeed(t *testing.T) {
+	c := Config{Rate: 1000, Length: 20 * time.Second, Seed: 3, JobShare: 0.5, JobMost: 20}
+	a, b := c.plans(), c.plans()
+	tasks := 0
+	for i := range a {
+		if a[i].at != b[i].at || len(a[i].works) != len(b[i].works) {
+			t.Fatalf("submission %d differs", i)
+		}
+		tasks += len(a[i].works)
+	}
+	if tasks < 18_000 || tasks > 22_000 {
+		t.Errorf("%d tasks in 20 s at 1000 a second", tasks)
+	}
+}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"sort"
@@ -10,8 +9,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/valyala/fasthttp"
 
+	"guavayoke/internal/httpjson"
 	"guavayoke/internal/standin"
 )
 
@@ -230,7 +229,7 @@
 		var m map[string]struct {
 			Count int64 `json:"count"`
 		}
-		if err := getJSON(a, "/metrics", &m); err != nil {
+		if err := httpjson.Get(a, "/metrics", callTimeout, &m); err != nil {
 			continue
 		}
 		for name, v := range m {
@@ -256,21 +255,10 @@
 	var all []standin.BackendRecord
 	for _, a := range controls {
 		var list []standin.BackendRecord
-		if err := getJSON(a, "/v1/record", &list); err != nil {
+		if err := httpjson.Get(a, "/v1/record", callTimeout, &list); err != nil {
 			return nil, fmt.Errorf("read records of %s: %w", a, err)
 		}
 		all = append(all, list...)
 	}
 	return all, nil
 }
-
-func getJSON(address, path string, v any) error {
-	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(res)
-	req.SetRequestURI("http://" + address + path)
-	if err := fasthttp.DoTimeout(req, res, callTimeout); err != nil {
-		return err
-	}
-	return json.Unmarshal(res.Body(), v)
-}
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -15,9 +16,21 @@
 	"guavayoke/pkg/verdict"
 )
 
+// freeAddress returns a loopback address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // startService runs a service on a free loopback port.
-func startService(t *testing.T, name, key, listen string) *Service {
+func startService(t *testing.T, name, key string) *Service {
 	t.Helper()
+	listen := freeAddress(t)
 	s := New(Config{
 		Self: Member{Name: name, Incarnation: name, Address: listen},
 		Key:  []byte(key), Log: event.New(io.Discard, "error"), Rand: rand.New(rand.NewPCG(1, 1)),
@@ -35,8 +48,8 @@
 }
 
 func TestCall(t *testing.T) {
-	a := startService(t, "a", "key", "127.0.0.1:18901")
-	b := startService(t, "b", "key", "127.0.0.1:18902")
+	a := startService(t, "a", "key")
+	b := startService(t, "b", "key")
 	b.HandleCall("Echo", func(_ context.Context, body []byte) ([]byte, error) { return body, nil })
 	b.HandleCall("Fail", func(context.Context, []byte) ([]byte, error) { return nil, errors.New("no") })
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
@@ -46,12 +59,12 @@
 		want                  verdict.Verdict
 		ended                 bool
 	}{
-		"Good":             {"127.0.0.1:18902", "b", "Echo", verdict.Ran, false},
-		"AnyIncarnation":   {"127.0.0.1:18902", "", "Echo", verdict.Ran, false},
-		"OtherIncarnation": {"127.0.0.1:18902", "b0", "Echo", verdict.MayHaveRun, true},
-		"UnknownCall":      {"127.0.0.1:18902", "b", "None", verdict.NotRun, false},
-		"HandlerFails":     {"127.0.0.1:18902", "b", "Fail", verdict.MayHaveRun, false},
-		"NobodyListens":    {"127.0.0.1:18999", "c", "Echo", verdict.NotRun, false},
+		"Good":             {b.cfg.Self.Address, "b", "Echo", verdict.Ran, false},
+		"AnyIncarnation":   {b.cfg.Self.Address, "", "Echo", verdict.Ran, false},
+		"OtherIncarnation": {b.cfg.Self.Address, "b0", "Echo", verdict.MayHaveRun, true},
+		"UnknownCall":      {b.cfg.Self.Address, "b", "None", verdict.NotRun, false},
+		"HandlerFails":     {b.cfg.Self.Address, "b", "Fail", verdict.MayHaveRun, false},
+		"NobodyListens":    {freeAddress(t), "c", "Echo", verdict.NotRun, false},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -74,11 +87,11 @@
 }
 
 func TestPeersProveTheKey(t *testing.T) {
-	startService(t, "a", "key", "127.0.0.1:18903")
-	b := startService(t, "b", "another key", "127.0.0.1:18904")
+	a := startService(t, "a", "key")
+	b := startService(t, "b", "another key")
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	if _, err := b.Call(ctx, "127.0.0.1:18903", "", "Echo", nil); verdict.Of(err) != verdict.NotRun {
+	if _, err := b.Call(ctx, a.cfg.Self.Address, "", "Echo", nil); verdict.Of(err) != verdict.NotRun {
 		t.Errorf("error is %v", err)
 	}
 }
@@ -86,9 +99,9 @@
 // TestMalformedFramesAreDropped: a frame that can't be understood is counted
 // and the link goes on; one that is too large ends the link.
 func TestMalformedFramesAreDropped(t *testing.T) {
-	a := startService(t, "a", "key", "127.0.0.1:18905")
+	a := startService(t, "a", "key")
 	a.HandleCall("Echo", func(_ context.Context, body []byte) ([]byte, error) { return body, nil })
-	l, err := dialLink(t.Context(), "127.0.0.1:18905", []byte("key"), "b")
+	l, err := dialLink(t.Context(), a.cfg.Self.Address, []byte("key"), "b")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/scripts/recovery.sh
+++ b/scripts/recovery.sh
@@ -5,7 +5,8 @@
 # stopped gracefully, started again), both (kill, then restart of another),
 # pause (SIGSTOP for 5 s), outage (the platform answers nothing for 10 s), lose
 # (a third of the platform's writes lose their answers), failfast (one server of
-# 50 fails every task).
+# 50 fails every task), hang (one never answers), slow (one takes five times as
+# long), leave (one says that it leaves).
 set -eu
 cd "$(dirname "$0")/.."
 dir=$1 workload=$2 fault=$3 daemons=${4:-3}
@@ -43,6 +44,9 @@
 	pause) kill -STOP "$(pid 2)"; sleep 5; kill -CONT "$(pid 2)" ;;
 	outage) faults 000/v1/faults '{"Outage": true}'; sleep 10; faults 000/v1/faults '{}' ;;
 	lose) faults 000/v1/faults '{"LoseAnswers": 0.33, "LandLateMs": 300}' ;;
+	hang) faults '901/v1/faults?Server=server1' '{"Hang": true}' ;;
+	slow) faults '901/v1/faults?Server=server1' '{"SlowFactor": 5}' ;;
+	leave) faults '901/v1/leave?Server=server1' '{}' ;;
 	failfast) faults '901/v1/faults?Server=server1' '{"FailAll": true}' ;;
 	esac
 }
