--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -35,7 +35,8 @@
 type BackendFaults struct {
 	// FailAll answers every task with a failure within a millisecond.
 	FailAll bool
-	// Hang never answers.
+	// Hang holds tasks, without an answer, until the faults change or the server
+	// leaves.
 	Hang bool
 	// SlowFactor multiplies run times; 0 means 1.
 	SlowFactor float64
@@ -78,19 +79,30 @@
 	busy    int
 	leaving bool
 	faults  BackendFaults
-	starts  []Start
-	refused int
-	most    int
+	// released is closed when tasks that hang are let go.
+	released chan struct{}
+	starts   []Start
+	refused  int
+	most     int
 }
 
 // NewBackend returns an idle backend server.
-func NewBackend(set ServerSettings) *Backend { return &Backend{set: set} }
+func NewBackend(set ServerSettings) *Backend {
+	return &Backend{set: set, released: make(chan struct{})}
+}
 
 // SetFaults replaces the faults.
 func (b *Backend) SetFaults(f BackendFaults) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.faults = f
+	b.release()
+}
+
+// release lets tasks that hang go. The caller holds mu.
+func (b *Backend) release() {
+	close(b.released)
+	b.released = make(chan struct{})
 }
 
 // Leave makes the server refuse new tasks.
@@ -98,6 +110,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.leaving = true
+	b.release()
 }
 
 // Busy returns the number of tasks that run.
@@ -139,6 +152,10 @@
 	if leaving {
 		ctx.Response.Header.Set(backend.LeavingHeader, "1")
 	}
+	if f.Hang {
+		dropConnection(ctx)
+		return
+	}
 	if err != nil || f.FailAll {
 		ctx.Error("the task failed", fasthttp.StatusInternalServerError)
 		ctx.Response.Header.Set(backend.TaskHeader, task)
@@ -173,7 +190,7 @@
 // run takes as long as the work says and the faults allow.
 func (b *Backend) run(w Work) BackendFaults {
 	b.mu.Lock()
-	f := b.faults
+	f, released := b.faults, b.released
 	b.mu.Unlock()
 	took := time.Duration(w.RunMs * float64(time.Millisecond))
 	if f.SlowFactor > 0 {
@@ -181,17 +198,15 @@
 	}
 	switch {
 	case f.FailAll:
-		took = time.Millisecond
+		time.Sleep(time.Millisecond)
 	case f.Hang:
-		took = hangTime
+		<-released
+	default:
+		time.Sleep(took)
 	}
-	time.Sleep(took)
 	return f
 }
 
-// hangTime is longer than any task may run.
-const hangTime = 10 * time.Minute
-
 func (b *Backend) end() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
