Keep a home's time from going back

A home forgets a submission when its token has expired by its clock.

Change: the home's time is the highest that it has seen. TestHomeStartsOnce sets the clock back now and then.

Run: go test -run TestHomeStartsOnce ./internal/caller.

A clock that jumps far ahead and back leaves tokens unexpired and answers held for that long; safe, and bounded by what a home may hold.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -69,7 +69,7 @@
 }
 
 // TestHomeStartsOnce covers rule 2: whatever the times of repeats, ends and
-// sweeps, an id is started once.
+// sweeps, also when the host's clock is set back, an id is started once.
 func TestHomeStartsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
@@ -79,6 +79,9 @@
 		var ids []SubmissionID
 		for range 200 {
 			now = now.Add(time.Duration(r.IntN(20_000)) * time.Millisecond)
+			if r.IntN(20) == 0 {
+				now = now.Add(-time.Duration(r.IntN(600)) * time.Second)
+			}
 			switch r.IntN(4) {
 			case 0:
 				id, err := h.mintID(now)
--- a/internal/caller/home.go
+++ b/internal/caller/home.go
@@ -8,6 +8,8 @@
 //     until its token has expired by the home's own clock, and its end has been
 //     held for answerRetention. An id that is not held and whose token has
 //     expired is refused; as it may have been forgotten, it may have run.
+//     The home's time never goes back: were its clock set back, an id that has
+//     been forgotten would seem fresh.
 //  3. An incarnation is known to have ended only by proof: another incarnation
 //     answered at its address, or it said goodbye. Then the answer is final:
 //     failed, may have run. A home that is merely silent may still finish; the
@@ -54,6 +56,8 @@
 	due   map[int64][]*Submission
 	swept int64
 	open  int
+	// latest is the highest time seen (rule 2).
+	latest time.Time
 	// owned and givenUp hold ids without a token until a time (rule 5).
 	owned   map[string]time.Time
 	givenUp map[string]time.Time
@@ -119,14 +123,25 @@
 	return &Home{cfg: c, held: map[string]*Submission{}, due: map[int64][]*Submission{}, owned: map[string]time.Time{}, givenUp: map[string]time.Time{}}
 }
 
+// advance returns the home's time, which never goes back.
+func (h *Home) advance(now time.Time) time.Time {
+	// Round takes the monotonic reading off: tokens hold wall time.
+	if now = now.Round(0); now.After(h.latest) {
+		h.latest = now
+	}
+	return h.latest
+}
+
 // Token returns a token that names this host as home.
 func (h *Home) Token(now time.Time) Token {
+	now = h.advance(now)
 	return Token{h.cfg.Incarnation, h.cfg.Address, h.cfg.FailureDomain, now.Add(TokenLife).UnixMilli()}
 }
 
 // Decide says what to do with an id. ended tells whether an incarnation is
 // known to have ended.
 func (h *Home) Decide(now time.Time, id SubmissionID, ended func(incarnation string) bool) (Step, *Submission) {
+	now = h.advance(now)
 	if s := h.held[id.Raw]; s != nil {
 		return StepHeld, s
 	}
@@ -155,6 +170,7 @@
 
 // Begin holds a submission (rules 2 and 4).
 func (h *Home) Begin(now time.Time, id SubmissionID, digest uint64, team, service string, size int) *Submission {
+	now = h.advance(now)
 	s := &Submission{
 		ID: id, Digest: digest, Team: team, Service: service, Begun: now,
 		Phase: PhaseStarted, size: int64(size) + submissionOverhead, ended: make(chan struct{}), cancelled: make(chan struct{}),
@@ -185,7 +201,7 @@
 
 // Ended records the end of a submission, whose answers have the given size.
 func (h *Home) Ended(now time.Time, s *Submission, size int) {
-	if until := now.Add(answerRetention); until.After(s.keepUntil) {
+	if until := h.advance(now).Add(answerRetention); until.After(s.keepUntil) {
 		s.keepUntil = until
 	}
 	h.bytes += int64(size)
@@ -210,14 +226,14 @@
 // Granted records that this host holds the claim of a submission.
 func (h *Home) Granted(now time.Time, s *Submission) {
 	s.Phase = PhaseStarted
-	h.owned[s.ID.Raw] = now.Add(claimHold)
+	h.owned[s.ID.Raw] = h.advance(now).Add(claimHold)
 	delete(h.givenUp, s.ID.Raw)
 }
 
 // GiveUp forgets a submission and records that nothing will be started under
 // the attempt to claim it.
 func (h *Home) GiveUp(now time.Time, s *Submission) {
-	h.givenUp[s.ID.Raw] = now.Add(claimHold)
+	h.givenUp[s.ID.Raw] = h.advance(now).Add(claimHold)
 	h.Forget(s)
 }
 
@@ -228,6 +244,7 @@
 // Sweep forgets what need not be held any more. It looks only at what is due,
 // because a walk over all that is held would delay the requests of that moment.
 func (h *Home) Sweep(now time.Time) {
+	now = h.advance(now)
 	second := now.Unix()
 	if second <= h.swept {
 		return
