A claim allows one start only

A host remembers its claim of an id without a token for 15 minutes from the grant, the submission for 15 minutes from its beginning, up to 2 s earlier.

Change: the memory of the claim, which is there for starts that were refused, ends with the start.

Run: TestOwnedIDStartsOnce; a trial with the change off fails with '15m1s later the id is started again'.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -113,6 +113,33 @@
 	})
 }
 
+// TestOwnedIDStartsOnce covers rule 5: an id that this host has claimed may be
+// started as long as its start was only refused. Once started it is not, also when
+// its answer has been forgotten.
+func TestOwnedIDStartsOnce(t *testing.T) {
+	const claimed = 2 * time.Second
+	for _, after := range []time.Duration{claimHold - time.Second, claimHold, claimHold + time.Second, claimHold + claimed, claimHold + 2*claimed} {
+		h := testHome("home")
+		id := SubmissionID{Raw: uuid.Must(uuid.NewV7()).String()}
+		h.Granted(start.Add(claimed), h.Begin(start, id, 1, "team", "service", 1))
+		h.Forget(h.held[id.Raw])
+		if step, _ := h.Decide(start.Add(claimed), id, never); step != StepStart {
+			t.Fatalf("after a refused start: step %d, want start", step)
+		}
+		// Another id is started with its grant, which comes after its beginning.
+		id.Raw = uuid.Must(uuid.NewV7()).String()
+		h = testHome("home")
+		s := h.Begin(start, id, 1, "team", "service", 1)
+		h.Granted(start.Add(claimed), s)
+		h.Started(s)
+		h.Ended(start.Add(claimed), s, 1)
+		h.Sweep(start.Add(after))
+		if step, _ := h.Decide(start.Add(after), id, never); step == StepStart {
+			t.Errorf("%v later the id is started again", after)
+		}
+	}
+}
+
 func TestHomeRefusesWhenFull(t *testing.T) {
 	h := testHome("home")
 	h.Begin(start, mint(t, h, start), 1, "team", "service", 2<<20)
--- a/internal/caller/home.go
+++ b/internal/caller/home.go
@@ -230,6 +230,10 @@
 	delete(h.givenUp, s.ID.Raw)
 }
 
+// Started records that tasks of a submission have been started: its claim no
+// longer allows a start when the submission is forgotten.
+func (h *Home) Started(s *Submission) { delete(h.owned, s.ID.Raw) }
+
 // GiveUp forgets a submission and records that nothing will be started under
 // the attempt to claim it.
 func (h *Home) GiveUp(now time.Time, s *Submission) {
--- a/internal/caller/submit.go
+++ b/internal/caller/submit.go
@@ -115,6 +115,9 @@
 		r := refuseBy(refusal)
 		return &r
 	}
+	s.mu.Lock()
+	s.home.Started(sub)
+	s.mu.Unlock()
 	go s.watchDeadline(sub, g, deadline)
 	return nil
 }
