--- a/internal/caller/wire.go
+++ b/internal/caller/wire.go
@@ -15,7 +15,6 @@
 
 const (
 	maxBodyBytes = 4 << 20
-	maxTasks     = 1000
 )
 
 // wireRequest is the body of a single request.
