--- /dev/null
+++ b/internal/daemon/adapted.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
+
+	"guavayoke/internal/kernel"
+	"guavayoke/internal/operator"
+	"guavayoke/internal/peer"
+	"guavayoke/internal/platform"
+	"guavayoke/internal/settings"
+	"guavayoke/internal/worker"
+	adapter "guavayoke/platform"
+)
+
+const (
+	// storeTimeout bounds a call to the store, which answers in milliseconds.
+	storeTimeout = 800 * time.Millisecond
+	// serversInterval is how often the list of backend servers is read; it
+	// bounds how long a leaving one is still given work.
+	serversInterval = 700 * time.Millisecond
+)
+
+// adaptedFollow suits a store whose watches may fall silent: each waits no
+// longer than a configuration may take to be in force.
+var adaptedFollow = platform.FollowTimes{
+	Poll: 5 * time.Second, Start: 200 * time.Millisecond, Retry: 300 * time.Millisecond,
+	Fetch: 500 * time.Millisecond, Wait: time.Second, Timeout: storeTimeout + 200*time.Millisecond,
+}
+
+// buildAdapted makes the kernel of a daemon that runs on the users' platform.
+func buildAdapted(set settings.Daemon, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
+	registry := metrics.NewRegistry()
+	count := func(op string) { metrics.GetOrRegisterCounter("Calls."+op, registry).Inc(1) }
+	seed := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	self := worker.Candidate{Incarnation: incarnation, Address: set.PeerAddress, FailureDomain: set.FailureDomain}
+	peers := peer.New(peer.Config{
+		Self: peer.Member{
+			Name: set.Name, Incarnation: incarnation, Address: set.PeerAddress, Operator: set.OperatorAddress,
+			FailureDomain: set.FailureDomain, Region: set.Region,
+		},
+		Key: key, Seeds: set.Seeds, Log: logger, Rand: seed(),
+	})
+	plat := platform.New(platform.Config{
+		Store: adapter.NewStore(adapter.StoreConfig{
+			Address: set.PlatformAddresses[0], Timeout: storeTimeout, Log: logger, Calls: count,
+		}),
+		Self: platform.Host{
+			Name: set.Name, Kind: platform.EntryHost, Address: set.PeerAddress,
+			FailureDomain: set.FailureDomain, Region: set.Region,
+		},
+		Incarnation: incarnation, PeerAddress: set.PeerAddress, Environment: set.Environment,
+		Key: key, Nonce: rand.Uint64, Log: logger,
+		Believe: adapter.DecodeConfiguration, Follow: adaptedFollow, HostsInterval: serversInterval,
+	})
+	jobs := worker.New(worker.Config{
+		Self: self, Orders: adapter.NewOrders(adapter.OrdersConfig{Log: logger, Calls: count}),
+		Log: logger, Metrics: registry, Rand: seed(), Now: bootTime, Wall: time.Now,
+	})
+	ops := operator.New(operator.Config{
+		Address: set.OperatorAddress, MetricsAddress: set.MetricsAddress, Environment: set.Environment,
+		Log: logger, Metrics: registry, Started: time.Now(),
+	})
+	front := adapter.NewFront(adapter.FrontConfig{Address: set.CallerAddress, Log: logger})
+	return kernel.New(peers.Service(), plat.Service(), jobs.Service(), ops.Service(), front.Service())
+}
+
+// bootTime reads the clock that also runs while the host is suspended.
+func bootTime() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// Every supported kernel has this clock.
+		panic(err)
+	}
+	return time.Unix(ts.Unix())
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,8 @@
 	// gcPercent trades memory for fewer collections, which show in the tail of
 	// the response times.
 	gcPercent = 300
+	// killMargin is what a stop leaves of the time before the process is killed.
+	killMargin = 400 * time.Millisecond
 )
 
 // Run runs the daemon until SIGTERM or SIGINT and then stops it gracefully. A
@@ -48,6 +50,9 @@
 	}
 	logger := event.New(os.Stdout, set.LogLevel)
 	k := build(set, key, id.String(), logger)
+	if set.Adapter != "" {
+		k = buildAdapted(set, key, id.String(), logger)
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	stop, cancel := context.WithCancel(context.Background())
@@ -63,7 +68,11 @@
 
 // stopLimit ends with the limit of the settings or the next signal.
 func stopLimit(set settings.Daemon, signals <-chan os.Signal) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(set.StopLimitMs)*time.Millisecond)
+	limit := time.Duration(set.StopLimitMs) * time.Millisecond
+	if set.StopKillSeconds > 0 {
+		limit = time.Duration(set.StopKillSeconds*float64(time.Second)) - killMargin
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	go func() {
 		select {
 		case <-signals:
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -23,6 +23,7 @@
 	"guavayoke/internal/kernel"
 	"guavayoke/internal/peer"
 	"guavayoke/internal/platform"
+	"guavayoke/internal/worker"
 )
 
 // Name is the name of the service in the kernel.
@@ -35,6 +36,8 @@
 	Log         *log.Logger
 	Metrics     metrics.Registry
 	Started     time.Time
+	// MetricsAddress, if set, also serves the metrics.
+	MetricsAddress string
 }
 
 // Service serves operators.
@@ -45,6 +48,7 @@
 	platform *platform.Service
 	backends *backend.Service
 	callers  *caller.Service
+	workers  *worker.Service
 
 	mu   sync.Mutex
 	burn *burn.Table
@@ -75,15 +79,18 @@
 	if s.platform, err = kernel.Find[*platform.Service](k, platform.Name); err != nil {
 		return nil, err
 	}
-	if s.backends, err = kernel.Find[*backend.Service](k, backend.Name); err != nil {
-		return nil, err
-	}
-	if s.callers, err = kernel.Find[*caller.Service](k, caller.Name); err != nil {
-		return nil, err
+	// A daemon serves either requests to slots or jobs under leases.
+	if s.workers, err = kernel.Find[*worker.Service](k, worker.Name); err != nil {
+		if s.backends, err = kernel.Find[*backend.Service](k, backend.Name); err != nil {
+			return nil, err
+		}
+		if s.callers, err = kernel.Find[*caller.Service](k, caller.Name); err != nil {
+			return nil, err
+		}
 	}
-	listener, err := net.Listen("tcp", s.cfg.Address)
+	listener, err := s.listen()
 	if err != nil {
-		return nil, fmt.Errorf("listen for operators: %w", err)
+		return nil, err
 	}
 	s.server = &fasthttp.Server{Handler: s.serveHTTP, Name: "guavayoke", NoDefaultServerHeader: true}
 	done, served := make(chan error, 1), make(chan error, 1)
@@ -100,6 +107,28 @@
 	return done, nil
 }
 
+// listen listens for operators and for collectors of metrics.
+func (s *Service) listen() (net.Listener, error) {
+	listener, err := net.Listen("tcp", s.cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for operators: %w", err)
+	}
+	if s.cfg.MetricsAddress == "" {
+		return listener, nil
+	}
+	collectors, err := net.Listen("tcp", s.cfg.MetricsAddress)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("listen for metrics: %w", err), listener.Close())
+	}
+	server := &fasthttp.Server{Handler: s.serveHTTP, Name: "guavayoke", NoDefaultServerHeader: true}
+	go func() {
+		if err := server.Serve(collectors); err != nil {
+			s.cfg.Log.Error().Err(err).Msg("MetricsEnded")
+		}
+	}()
+	return listener, nil
+}
+
 func (s *Service) serveHTTP(ctx *fasthttp.RequestCtx) {
 	if strings.HasPrefix(string(ctx.Path()), "/debug/pprof/") {
 		pprofhandler.PprofHandler(ctx)
@@ -122,7 +151,7 @@
 }
 
 func (s *Service) serveReady(ctx *fasthttp.RequestCtx) {
-	if s.callers.Ready() {
+	if s.ready() {
 		ctx.SetBodyString("ready\n")
 		return
 	}
@@ -131,10 +160,17 @@
 }
 
 func (s *Service) serveMetrics(ctx *fasthttp.RequestCtx) {
-	held, bytes := s.callers.Held()
-	metrics.GetOrRegisterGauge("Caller.Held", s.cfg.Metrics).Update(int64(held))
-	metrics.GetOrRegisterGauge("Caller.HeldBytes", s.cfg.Metrics).Update(bytes)
-	metrics.GetOrRegisterGauge("Backend.InFlight", s.cfg.Metrics).Update(int64(s.backends.InFlight()))
+	if s.workers != nil {
+		st := s.workers.Status()
+		metrics.GetOrRegisterGauge("Worker.Jobs", s.cfg.Metrics).Update(int64(st.Jobs))
+		metrics.GetOrRegisterGauge("Worker.Waiting", s.cfg.Metrics).Update(int64(st.Waiting))
+		metrics.GetOrRegisterGauge("Worker.Servers", s.cfg.Metrics).Update(int64(st.Load.Servers))
+	} else {
+		held, bytes := s.callers.Held()
+		metrics.GetOrRegisterGauge("Caller.Held", s.cfg.Metrics).Update(int64(held))
+		metrics.GetOrRegisterGauge("Caller.HeldBytes", s.cfg.Metrics).Update(bytes)
+		metrics.GetOrRegisterGauge("Backend.InFlight", s.cfg.Metrics).Update(int64(s.backends.InFlight()))
+	}
 	p := &s.peers.Stats
 	metrics.GetOrRegisterGauge("Peer.SentFrames", s.cfg.Metrics).Update(int64(p.SentFrames.Load()))
 	metrics.GetOrRegisterGauge("Peer.SentBytes", s.cfg.Metrics).Update(int64(p.SentBytes.Load()))
@@ -146,6 +182,14 @@
 	metrics.WriteJSONOnce(s.cfg.Metrics, ctx)
 }
 
+// ready reports whether callers should be sent to this host.
+func (s *Service) ready() bool {
+	if s.workers != nil {
+		return s.platform.Applied() != nil && s.workers.Ready()
+	}
+	return s.callers.Ready()
+}
+
 func serveJSON(ctx *fasthttp.RequestCtx, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -175,6 +219,8 @@
 	Held      int
 	HeldBytes int64
 	Loads     []backend.Load
+	// Worker is set where jobs run under leases.
+	Worker *worker.Status `json:",omitempty"`
 	Members   []MemberStatus
 }
 
@@ -190,14 +236,19 @@
 	self := s.peers.Self()
 	st := Status{
 		Name: self.Name, Incarnation: self.Incarnation, Environment: s.cfg.Environment,
-		FailureDomain: self.FailureDomain, Region: self.Region, Ready: s.callers.Ready(),
+		FailureDomain: self.FailureDomain, Region: self.Region, Ready: s.ready(),
 		StartedMs: s.cfg.Started.UnixMilli(), NowMs: now.UnixMilli(), StoreDown: s.platform.StoreDown(),
-		InFlight: s.backends.InFlight(), Loads: s.backends.Loads(),
+	}
+	if s.workers != nil {
+		w := s.workers.Status()
+		st.Worker = &w
+	} else {
+		st.InFlight, st.Loads = s.backends.InFlight(), s.backends.Loads()
+		st.Held, st.HeldBytes = s.callers.Held()
 	}
 	if a := s.platform.Applied(); a != nil {
 		st.Version, st.Digest, st.AppliedMs = a.Version, a.Digest, a.AtMs
 	}
-	st.Held, st.HeldBytes = s.callers.Held()
 	for _, m := range s.peers.Members() {
 		st.Members = append(st.Members, MemberStatus{
 			m.Name, m.Incarnation, m.Operator, m.FailureDomain, m.Region, m.State.String(), float64(m.RTT.Microseconds()) / 1000,
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -50,9 +50,11 @@
 			}
 		}
 	}()
+	var streams streamSet
 	defer func() {
 		close(done)
 		_ = c.Close()
+		streams.end()
 		s.mu.Lock()
 		delete(s.accepted, c)
 		s.mu.Unlock()
@@ -68,6 +70,10 @@
 			}
 			return
 		}
+		if f.Kind == frameStream {
+			s.handleStream(f, from, &streams, out.Offer, func() { _ = c.Close() })
+			continue
+		}
 		s.handle(f, from, func(r frame) {
 			if out.Offer(r) {
 				s.count(len(r.Body))
@@ -76,6 +82,29 @@
 	}
 }
 
+// handleStream passes a message of a stream on; the first one opens it.
+func (s *Service) handleStream(f frame, from string, streams *streamSet, offer func(frame) bool, closeLink func()) {
+	s.Stats.ReceivedFrames.Add(1)
+	s.Stats.ReceivedBytes.Add(uint64(len(f.Body)) + frameOverhead)
+	st := streams.find(f.Name)
+	if st == nil {
+		h := s.streamHandler(f.Name)
+		if h == nil {
+			s.Stats.Malformed.Add(1)
+			return
+		}
+		st = &Stream{
+			Peer: from, name: f.Name, closeLink: closeLink,
+			send: func(f frame) bool { return s.sendCounted(offer, f) },
+		}
+		st.receive, st.closed = h(st)
+		streams.add(st)
+	}
+	if len(f.Body) > 0 {
+		st.receive(f.Body)
+	}
+}
+
 // handle passes a frame on to its duty.
 func (s *Service) handle(f frame, from string, reply func(frame)) {
 	s.Stats.ReceivedFrames.Add(1)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -27,6 +27,8 @@
 	done        chan struct{}
 	closeOnce   sync.Once
 
+	streams streamSet
+
 	mu      sync.Mutex
 	nextSeq uint64
 	calls   map[uint64]chan frame
@@ -62,6 +64,7 @@
 // run reads and writes until the link breaks.
 func (l *link) run(handle func(frame)) {
 	go l.write()
+	defer l.streams.end()
 	defer l.close()
 	for {
 		var f frame
@@ -72,9 +75,15 @@
 			}
 			return
 		}
-		if f.Kind == frameReply {
+		switch f.Kind {
+		case frameReply:
 			l.answer(f)
 			continue
+		case frameStream:
+			if st := l.streams.find(f.Name); st != nil {
+				st.receive(f.Body)
+			}
+			continue
 		}
 		handle(f)
 	}
@@ -101,6 +110,8 @@
 	})
 }
 
+func (l *link) addStream(st *Stream) { l.streams.add(st) }
+
 func (l *link) closed() bool {
 	select {
 	case <-l.done:
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -61,6 +61,7 @@
 	handlers  sync.RWMutex
 	calls     map[string]func(ctx context.Context, body []byte) ([]byte, error)
 	notes     map[string]func(from string, body []byte)
+	streams   map[string]func(*Stream) (func([]byte), func())
 	published []publisher
 	onChange  []func([]Member)
 }
@@ -81,6 +82,7 @@
 		accepted: map[*websocket.Conn]bool{},
 		calls:    map[string]func(context.Context, []byte) ([]byte, error){},
 		notes:    map[string]func(string, []byte){},
+		streams:  map[string]func(*Stream) (func([]byte), func()){},
 	}
 }
 
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -31,6 +31,7 @@
 	frameCall
 	frameReply
 	frameNote
+	frameStream
 )
 
 // frame is one message on a link between entry hosts.
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -17,14 +17,23 @@
 //  4. While the store can't be reached a host keeps what it has; one that has
 //     nothing takes the highest version that its peers hold.
 
-const (
-	followPollInterval  = 30 * time.Second
-	followStartInterval = time.Second
-	followRetryInterval = time.Second
-	followFetchTimeout  = 3 * time.Second
-	followWatchWait     = 30 * time.Second
-	followWatchTimeout  = 5 * time.Second
-)
+// FollowTimes are the intervals of a Follower.
+type FollowTimes struct {
+	// Poll is the pace of reads by hosts that don't watch, Start the pace while
+	// nothing is in force, Retry the delay after a failed call.
+	Poll, Start, Retry time.Duration
+	// Fetch bounds a fetch from a peer.
+	Fetch time.Duration
+	// Wait is how long a watch waits at the store, Timeout how much longer its
+	// answer may take before another one is sent.
+	Wait, Timeout time.Duration
+}
+
+// defaultFollowTimes suit a store that answers each watch.
+var defaultFollowTimes = FollowTimes{
+	Poll: 30 * time.Second, Start: time.Second, Retry: time.Second,
+	Fetch: 3 * time.Second, Wait: 30 * time.Second, Timeout: 5 * time.Second,
+}
 
 // Applied is the configuration in force on a host.
 type Applied struct {
@@ -58,6 +67,8 @@
 // Follower decides how a host learns of accepted configurations. It is not
 // safe for concurrent use.
 type Follower struct {
+	// Times are the intervals; the zero value means defaultFollowTimes.
+	Times        FollowTimes
 	version      uint64
 	storeVersion uint64
 	watcher      bool
@@ -72,6 +83,13 @@
 	Stale uint64
 }
 
+func (f *Follower) times() FollowTimes {
+	if f.Times == (FollowTimes{}) {
+		return defaultFollowTimes
+	}
+	return f.Times
+}
+
 // Version returns the version in force, 0 if there is none.
 func (f *Follower) Version() uint64 { return f.version }
 
@@ -93,20 +111,20 @@
 	}
 	if watcher && f.storeVersion > 0 {
 		f.watching = true
-		f.watchUntil = now.Add(followWatchWait + followWatchTimeout)
-		return []FollowAction{{Watch: &FollowWatch{f.storeVersion, followWatchWait}}}
+		f.watchUntil = now.Add(f.times().Wait + f.times().Timeout)
+		return []FollowAction{{Watch: &FollowWatch{f.storeVersion, f.times().Wait}}}
 	}
 	f.reading = true
-	f.readUntil = now.Add(followWatchTimeout)
+	f.readUntil = now.Add(f.times().Timeout)
 	f.nextRead = now.Add(f.pollInterval())
 	return []FollowAction{{Read: true}}
 }
 
 func (f *Follower) pollInterval() time.Duration {
 	if f.version == 0 || f.watcher {
-		return followStartInterval
+		return f.times().Start
 	}
-	return followPollInterval
+	return f.times().Poll
 }
 
 // StoreAnswered delivers what a read or a watch returned. A nil record means
@@ -114,7 +132,7 @@
 func (f *Follower) StoreAnswered(now time.Time, storeVersion uint64, a *Applied) []FollowAction {
 	f.watching, f.reading = false, false
 	if a == nil {
-		f.nextRead = now.Add(followRetryInterval)
+		f.nextRead = now.Add(f.times().Retry)
 		return nil
 	}
 	f.storeVersion = max(f.storeVersion, storeVersion)
@@ -127,7 +145,7 @@
 		return nil
 	}
 	f.fetching = true
-	f.fetchUntil = now.Add(followFetchTimeout)
+	f.fetchUntil = now.Add(f.times().Fetch)
 	return []FollowAction{{Fetch: peer}}
 }
 
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -43,6 +43,14 @@
 	Key   []byte
 	Nonce func() uint64
 	Log   *log.Logger
+	// Believe reads what the store or a peer holds as the accepted
+	// configuration; nil means a record that is signed with Key.
+	Believe func(raw []byte) (*Applied, error)
+	// Follow holds the intervals for following the configuration.
+	Follow FollowTimes
+	// HostsInterval is the pace at which the list of hosts is read; 0 means
+	// hostsInterval.
+	HostsInterval time.Duration
 }
 
 // Service keeps the daemon's view of the platform.
@@ -66,7 +74,12 @@
 
 // New returns a service; it is started by the kernel.
 func New(c Config) *Service {
+	if c.HostsInterval == 0 {
+		c.HostsInterval = hostsInterval
+	}
 	return &Service{
+		follower: Follower{Times: c.Follow},
+
 		cfg:    c,
 		claims: ring.New[func(time.Time) []ClaimAction](claimRing),
 		claimer: NewClaimer(ClaimerConfig{
@@ -213,12 +226,24 @@
 // believe verifies a record; a record that is forged or broken is logged and
 // treated as no answer.
 func (s *Service) believe(raw []byte, source string) *Applied {
-	r, d, err := DecodeRecord(s.cfg.Key, s.cfg.Environment, raw)
+	read := s.cfg.Believe
+	if read == nil {
+		read = s.believeRecord
+	}
+	a, err := read(raw)
 	if err != nil {
 		s.cfg.Log.Error().Str("Source", source).Err(err).Msg("ConfigurationRejected")
 		return nil
 	}
-	return &Applied{Version: r.Change.Version, Digest: r.Change.Digest, Document: d, Raw: raw}
+	return a
+}
+
+func (s *Service) believeRecord(raw []byte) (*Applied, error) {
+	r, d, err := DecodeRecord(s.cfg.Key, s.cfg.Environment, raw)
+	if err != nil {
+		return nil, err
+	}
+	return &Applied{Version: r.Change.Version, Digest: r.Change.Digest, Document: d, Raw: raw}, nil
 }
 
 func (s *Service) read(ctx context.Context) {
@@ -243,7 +268,24 @@
 	if err == nil {
 		a = s.believe(v.Data, "Store")
 	}
+	before := s.Applied()
 	s.follow(ctx, func(now time.Time) []FollowAction { return s.follower.StoreAnswered(now, v.Version, a) })
+	if s.Applied() != before {
+		s.tellDomain()
+	}
+}
+
+// tellDomain tells the members of this host's failure domain at once of a
+// configuration that the store has just delivered; heartbeats would take
+// several intervals to reach all.
+func (s *Service) tellDomain() {
+	body := s.publishVersion()
+	self := s.peers.Self()
+	for _, m := range s.peers.Members() {
+		if m.Up() && m.FailureDomain == self.FailureDomain {
+			s.peers.Note(m.Incarnation, configurationName, body)
+		}
+	}
 }
 
 // noteStore logs when the platform goes away and comes back.
@@ -294,7 +336,7 @@
 }
 
 func (s *Service) hostsDuty(ctx context.Context) {
-	every(ctx, hostsInterval, func() {
+	every(ctx, s.cfg.HostsInterval, func() {
 		s.mu.Lock()
 		known := s.hosts.Version
 		s.mu.Unlock()
@@ -307,7 +349,12 @@
 		}
 		slices.SortFunc(list.Hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
 		s.mu.Lock()
+		same := s.hosts.Hosts != nil && slices.EqualFunc(s.hosts.Hosts, list.Hosts, Host.Equal)
 		s.hosts = list
+		if same {
+			s.mu.Unlock()
+			return
+		}
 		listeners := s.onHosts
 		s.mu.Unlock()
 		s.peers.SetSeeds(entryAddresses(list.Hosts))
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"reflect"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -88,6 +90,20 @@
 	Region        string
 	// Leaving is set once the host has been told to stop.
 	Leaving bool
+	// CPUMilli (thousandths of a core), MemoryMB and GPUs are the capacity of a
+	// backend server that runs tasks under leases; 0 where slots are counted.
+	CPUMilli int `json:",omitempty"`
+	MemoryMB int `json:",omitempty"`
+	GPUs     int `json:",omitempty"`
+	// Labels hold the kind and the rack of a backend server.
+	Labels []string `json:",omitempty"`
+}
+
+// Equal reports whether two entries say the same.
+func (h Host) Equal(o Host) bool {
+	labels := slices.Equal(h.Labels, o.Labels)
+	h.Labels, o.Labels = nil, nil
+	return labels && reflect.DeepEqual(h, o)
 }
 
 // HostList is the platform's list of hosts. Unchanged means that the version
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,9 @@
 	Seeds             []string `validate:"max=64,dive,ip_port" doc:"peer addresses to start from when the platform can't be reached"`
 	PeerKey           string   `validate:"required,min=32,max=128,hexadecimal" doc:"shared key of all entry hosts, hexadecimal"`
 	StopLimitMs       int      `validate:"min=100,max=600000" doc:"longest graceful stop, in milliseconds"`
+	StopKillSeconds   float64  `validate:"min=0,max=600" doc:"seconds after which whoever stops the process kills it; if set, the graceful stop ends before, whatever StopLimitMs says"`
+	MetricsAddress    string   `validate:"omitempty,ip_port" doc:"where metrics are served besides OperatorAddress"`
+	Adapter           string   `validate:"omitempty,oneof=Users" doc:"Users: callers, backend servers and the platform's service speak the protocol of the users' platform; empty: the product's own"`
 	LogLevel          string   `validate:"oneof=debug info warn error" doc:"lowest level that is logged"`
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -278,7 +278,7 @@
 		list = append(list, h.host)
 	}
 	slices.SortFunc(list, func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
-	if !slices.Equal(list, p.list.Hosts) {
+	if !slices.EqualFunc(list, p.list.Hosts, platform.Host.Equal) {
 		p.list = platform.HostList{Version: p.list.Version + 1, Hosts: list}
 	}
 }
--- /dev/null
+++ b/internal/worker/admission.go
@@ -0,0 +1,141 @@
+package worker
+
+// Admission. It answers bursts: a job that would wait until nobody has use for
+// its answer is refused when it comes, not when its time is over.
+//
+//  1. A job that no server could ever hold is refused.
+//  2. A job is refused if the work that goes before it, divided by what the
+//     servers run at once, leaves too little time to end while the answer is of
+//     use to the caller.
+//  3. A job that has waited so long that it can't end in that time, and of which
+//     nothing has begun, is refused at once.
+//  4. Retry-After is the time that the work in the queue takes.
+
+import (
+	"time"
+)
+
+const (
+	retryAfterMin = 500 * time.Millisecond
+	retryAfterMax = 5 * time.Second
+)
+
+// admit decides about a job that has just come.
+func (p *Pool) admit(now time.Time, j *job) (Result, bool) {
+	refuse := func(reason string, after time.Duration) (Result, bool) {
+		p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", reason).Int("Queued", len(p.queue)).
+			Int64("WaitMs", p.waitFor(now, j).Milliseconds()).Int64("RetryAfterMs", after.Milliseconds()).Msg("JobRefused")
+		return Result{Outcome: Refused, Reason: reason, RetryAfter: after}, false
+	}
+	switch {
+	case p.draining:
+		return Result{Outcome: Moved, Reason: "OwnerLeaving"}, false
+	case !p.owner:
+		return Result{Outcome: Moved, Reason: "NotOwner"}, false
+	}
+	known := 0
+	for i := range j.Steps {
+		fits := false
+		for _, s := range p.order {
+			if s.Service == j.Service {
+				known++
+				fits = fits || j.Steps[i].Need.Fits(s.Capacity) && (j.Steps[i].Requires == "" || s.hasLabel(j.Steps[i].Requires))
+			}
+		}
+		if !fits && known > 0 {
+			return refuse("FitsNowhere", retryAfterMax)
+		}
+	}
+	if known == 0 {
+		return refuse("NoServer", retryAfterMin)
+	}
+	if wait := p.waitFor(now, j); now.Add(wait + j.work).After(j.latest()) {
+		return refuse("QueueFull", p.drainTime())
+	}
+	return Result{}, true
+}
+
+// slots returns how many tasks like the given one the servers run at once.
+func (p *Pool) slots(service string, need Resources) int {
+	n := 0
+	for _, s := range p.order {
+		if s.Service == service && s.usable() && need.CPUMilli > 0 && s.Capacity.CPUMilli > 0 {
+			n += s.Capacity.CPUMilli / need.CPUMilli
+		}
+	}
+	return n
+}
+
+// waitFor estimates how long a job waits until its last task is started.
+func (p *Pool) waitFor(now time.Time, j *job) time.Duration {
+	var ahead time.Duration
+	for _, o := range p.queue {
+		if o == j || o.Priority > j.Priority && !o.begun || o.late(now) {
+			continue
+		}
+		ahead += time.Duration(o.waiting) * p.learned.run(&o.Job, 0)
+	}
+	if len(j.Steps) == 0 {
+		return 0
+	}
+	slots := p.slots(j.Service, j.Steps[0].Need)
+	if slots == 0 {
+		return time.Second
+	}
+	width := j.Steps[0].Count
+	own := time.Duration(max(0, width-slots)) * p.learned.run(&j.Job, 0)
+	return (ahead + own) / time.Duration(slots)
+}
+
+// drainTime is how long the waiting work takes (rule 4).
+func (p *Pool) drainTime() time.Duration {
+	var work time.Duration
+	slots := 1
+	for _, o := range p.queue {
+		work += time.Duration(o.waiting) * p.learned.run(&o.Job, 0)
+		slots = max(slots, p.slots(o.Service, o.Steps[0].Need))
+	}
+	return min(max(work/time.Duration(slots), retryAfterMin), retryAfterMax)
+}
+
+// refuseHopeless applies rule 3.
+func (p *Pool) refuseHopeless(now time.Time) {
+	for _, j := range p.sortedJobs() {
+		if !j.begun && now.Add(j.work).After(j.latest()) {
+			p.finish(now, j, Result{Outcome: Refused, Reason: "WaitedTooLong", RetryAfter: p.drainTime()})
+		}
+	}
+}
+
+// Load is what an owner tells of itself with its heartbeats.
+type Load struct {
+	_ struct{} `cbor:",toarray"`
+	// WaitMs is how long a new job waits, in milliseconds.
+	WaitMs int64
+	// FreeCPUMilli is the room that is free, in thousandths of a core.
+	FreeCPUMilli int
+	// Servers counts the servers that may be used.
+	Servers int
+}
+
+// Load returns the load now.
+func (p *Pool) Load() Load {
+	var l Load
+	for _, s := range p.order {
+		if s.usable() {
+			l.Servers++
+			l.FreeCPUMilli += s.free().CPUMilli
+		}
+	}
+	var work time.Duration
+	slots := 1
+	for _, o := range p.queue {
+		if o.waiting == 0 {
+			continue
+		}
+		work += time.Duration(o.waiting) * p.learned.run(&o.Job, 0)
+		slots = max(slots, p.slots(o.Service, o.Steps[0].Need))
+	}
+	l.WaitMs = (work / time.Duration(slots)).Milliseconds()
+	return l
+}
--- /dev/null
+++ b/internal/worker/entry.go
@@ -0,0 +1,556 @@
+package worker
+
+// The side of the host that holds the callers' connections, and who owns what.
+//
+//  1. For each failure domain a host has a session with the one host that it
+//     takes for the owner: the one that it had, as long as that one answers and
+//     says that it is the owner; else the oldest member of the domain, or the
+//     one that this member names.
+//  2. A host is the owner of its own domain if no other candidate is older and
+//     answers. Two hosts that both think so are settled by the fencing tokens:
+//     the one whose token is refused yields, and stands back for avoidTime. An
+//     owner that hears of an older one yields too.
+//  3. A job goes to the owner of the host's own domain unless another one's
+//     queue is shorter by spillMargin. A refused job, of which nothing has
+//     run, is offered to the other owners before the caller hears of it.
+//  4. When a session breaks or falls silent for entryLease, its jobs are lost:
+//     the callers are told at once that they may come again. The owner has
+//     stopped what ran of them before a caller does (session.go).
+//  5. A host that leaves is no candidate. Its successor takes the servers that
+//     it doesn't keep any more.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+const (
+	// avoidTime is how long a host that didn't answer is no candidate.
+	avoidTime = 2 * time.Second
+	// electAfter is how long a host listens for older members before it takes
+	// itself for the owner.
+	electAfter = 1500 * time.Millisecond
+	// openPatience bounds the opening of a session.
+	openPatience = 500 * time.Millisecond
+	// spillMargin is how much shorter another domain's queue must be, for the
+	// way there costs time and traffic between domains.
+	spillMargin = 15 * time.Millisecond
+	// noOwnerRetry is when a caller may come again if no owner answers.
+	noOwnerRetry = time.Second
+)
+
+// Candidate is a member of the deployment.
+type Candidate struct {
+	Incarnation   string
+	Address       string
+	FailureDomain string
+}
+
+// TicketID names one caller's wait for a job.
+type TicketID uint64
+
+// EntryAction is what the service has to carry out: exactly one field is set.
+type EntryAction struct {
+	// Open asks for a session with a candidate.
+	Open *Candidate
+	// Close ends the session with an incarnation.
+	Close string
+	// Send sends a message on the session with an incarnation.
+	Send *EntrySend
+	// Local hands a job to this host's own pool, or takes it back.
+	Local *message
+	// Answer delivers a result to a caller.
+	Answer *EntryAnswer
+	// Own makes this host the owner; Spared names servers to leave alone.
+	Own *Ownership
+	// Yield makes it give everything up.
+	Yield string
+}
+
+// EntrySend is a message for an owner.
+type EntrySend struct {
+	To      string
+	Message message
+}
+
+// EntryAnswer is the result for one caller.
+type EntryAnswer struct {
+	Ticket TicketID
+	Result Result
+}
+
+// Ownership tells which servers of the domain are another's.
+type Ownership struct{ Spared []string }
+
+// view is what a host knows of the owner of one domain.
+type view struct {
+	domain string
+	target Candidate
+	open   bool
+	since  time.Time
+	heard  time.Time
+	stamp  stamp
+}
+
+// usable reports whether jobs may be sent there.
+func (v *view) usable() bool { return v.open && v.stamp.Owner && !v.stamp.Leaving }
+
+// entryJob is a job that callers of this host wait for.
+type entryJob struct {
+	job     Job
+	owner   string
+	tickets []TicketID
+	tried   []string
+	began   time.Time
+}
+
+// EntryConfig builds an Entry.
+type EntryConfig struct {
+	Self Candidate
+	Log  *log.Logger
+	// Now is when the host started.
+	Now time.Time
+}
+
+// Entry decides for the host that holds callers. It is not safe for concurrent
+// use.
+type Entry struct {
+	cfg        EntryConfig
+	candidates []Candidate
+	views      map[string]*view
+	// behind holds sessions with leaving owners that still finish jobs.
+	behind     map[string]*view
+	avoid      map[string]time.Time
+	jobs       map[string]*entryJob
+	tickets    map[TicketID]string
+	lastTicket TicketID
+	owning     bool
+	leaving    bool
+	local      Load
+	out        []EntryAction
+}
+
+// NewEntry returns an Entry that knows no other host.
+func NewEntry(c EntryConfig) *Entry {
+	return &Entry{
+		cfg: c, views: map[string]*view{}, behind: map[string]*view{}, avoid: map[string]time.Time{}, jobs: map[string]*entryJob{},
+		tickets: map[TicketID]string{}, candidates: []Candidate{c.Self},
+	}
+}
+
+// Take returns the actions that are due and empties the list.
+func (e *Entry) Take() []EntryAction {
+	out := e.out
+	e.out = nil
+	return out
+}
+
+// Jobs returns the number of jobs that callers of this host wait for.
+func (e *Entry) Jobs() int { return len(e.jobs) }
+
+// Members delivers the members that are up, this host not among them.
+func (e *Entry) Members(now time.Time, list []Candidate) {
+	e.candidates = append(slices.Clone(list), e.cfg.Self)
+	slices.SortFunc(e.candidates, func(a, b Candidate) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	e.Tick(now)
+}
+
+// SetLoad tells the load of this host's own pool.
+func (e *Entry) SetLoad(l Load) { e.local = l }
+
+// Leave makes this host no candidate any more (rule 5).
+func (e *Entry) Leave(now time.Time) {
+	e.leaving = true
+	e.owning = false
+	e.Tick(now)
+}
+
+// Hint is the incarnation that this host takes for the owner of its domain.
+func (e *Entry) Hint() string {
+	if e.owning {
+		return e.cfg.Self.Incarnation
+	}
+	if v := e.views[e.cfg.Self.FailureDomain]; v != nil && v.usable() {
+		return v.target.Incarnation
+	}
+	return ""
+}
+
+// Deposed handles a fencing token that was refused (rule 2).
+func (e *Entry) Deposed(now time.Time) {
+	if !e.owning {
+		return
+	}
+	e.owning = false
+	e.avoid[e.cfg.Self.Incarnation] = now.Add(avoidTime)
+	e.out = append(e.out, EntryAction{Yield: "Deposed"})
+	e.cfg.Log.Warn().Str("Domain", e.cfg.Self.FailureDomain).Msg("OwnerYields")
+	e.Tick(now)
+}
+
+// OwnerClaimed handles the heartbeat of a member that owns a domain.
+func (e *Entry) OwnerClaimed(now time.Time, incarnation string) {
+	if !e.owning || incarnation >= e.cfg.Self.Incarnation {
+		return
+	}
+	for _, c := range e.candidates {
+		if c.Incarnation == incarnation && c.FailureDomain == e.cfg.Self.FailureDomain && now.After(e.avoid[incarnation]) {
+			e.Deposed(now)
+			return
+		}
+	}
+}
+
+// Tick does what is due with time.
+func (e *Entry) Tick(now time.Time) {
+	for id, until := range e.avoid {
+		if now.After(until) {
+			delete(e.avoid, id)
+		}
+	}
+	for _, d := range e.domains() {
+		v := e.views[d]
+		if v == nil {
+			v = &view{domain: d}
+			e.views[d] = v
+		}
+		e.tickView(now, v)
+	}
+	e.tickBehind(now)
+}
+
+// tickBehind ends the sessions with leaving owners that are silent or done.
+func (e *Entry) tickBehind(now time.Time) {
+	for _, id := range sortedKeys(e.behind) {
+		v := e.behind[id]
+		if now.Sub(v.heard) > entryLease {
+			e.dropBehind(now, id, "SessionSilent")
+			continue
+		}
+		needed := e.owning && v.domain == e.cfg.Self.FailureDomain && len(v.stamp.Keeping) > 0
+		for _, j := range e.jobs {
+			needed = needed || j.owner == id
+		}
+		if !needed {
+			e.dropBehind(now, id, "Done")
+		}
+	}
+}
+
+// dropBehind ends the session with a leaving owner. What it kept is free.
+func (e *Entry) dropBehind(now time.Time, id, reason string) {
+	v := e.behind[id]
+	delete(e.behind, id)
+	e.out = append(e.out, EntryAction{Close: id})
+	e.loseJobs(now, id, reason)
+	if e.owning && v.domain == e.cfg.Self.FailureDomain {
+		e.out = append(e.out, EntryAction{Own: &Ownership{}})
+	}
+}
+
+func sortedKeys(m map[string]*view) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// domains returns all failure domains in order.
+func (e *Entry) domains() []string {
+	var list []string
+	for _, c := range e.candidates {
+		if !slices.Contains(list, c.FailureDomain) {
+			list = append(list, c.FailureDomain)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (e *Entry) tickView(now time.Time, v *view) {
+	if v.domain == e.cfg.Self.FailureDomain && e.owning {
+		return
+	}
+	if v.target.Incarnation != "" {
+		silent := now.Sub(v.heard) > entryLease
+		if !v.open {
+			silent = now.Sub(v.since) > openPatience
+		}
+		if silent {
+			e.lost(now, v, "SessionSilent")
+		}
+	}
+	if v.usable() {
+		return
+	}
+	next, ok := e.choose(now, v)
+	if !ok || next.Incarnation == v.target.Incarnation {
+		return
+	}
+	e.follow(now, v, next)
+}
+
+// choose returns the host to take for the owner of a domain (rule 1).
+func (e *Entry) choose(now time.Time, v *view) (Candidate, bool) {
+	leaving := ""
+	if v.open && v.stamp.Leaving {
+		leaving = v.target.Incarnation
+	}
+	hint := ""
+	if v.open && !v.stamp.Owner {
+		hint = v.stamp.Hint
+	}
+	var first *Candidate
+	for i := range e.candidates {
+		c := &e.candidates[i]
+		self := c.Incarnation == e.cfg.Self.Incarnation
+		if c.FailureDomain != v.domain || !e.avoid[c.Incarnation].IsZero() || c.Incarnation == leaving || self && e.leaving {
+			continue
+		}
+		if c.Incarnation == hint && !self {
+			return *c, true
+		}
+		if first == nil {
+			first = c
+		}
+	}
+	if first == nil {
+		return Candidate{}, false
+	}
+	if first.Incarnation == e.cfg.Self.Incarnation && now.Sub(e.cfg.Now) < electAfter {
+		return Candidate{}, false
+	}
+	return *first, true
+}
+
+// follow turns to another host for a domain.
+func (e *Entry) follow(now time.Time, v *view, next Candidate) {
+	e.cfg.Log.Info().Str("Domain", v.domain).Str("From", v.target.Incarnation).Str("To", next.Incarnation).Msg("OwnerChosen")
+	var spared []string
+	switch {
+	case v.open && v.stamp.Leaving:
+		old := *v
+		e.behind[v.target.Incarnation] = &old
+		spared = v.stamp.Keeping
+	case v.target.Incarnation != "":
+		e.out = append(e.out, EntryAction{Close: v.target.Incarnation})
+		e.loseJobs(now, v.target.Incarnation, "OwnerChanged")
+	}
+	if next.Incarnation == e.cfg.Self.Incarnation {
+		*v = view{domain: v.domain}
+		e.owning = true
+		e.out = append(e.out, EntryAction{Own: &Ownership{spared}})
+		return
+	}
+	*v = view{domain: v.domain, target: next, since: now}
+	e.out = append(e.out, EntryAction{Open: &next})
+}
+
+// Opened tells that the session with an incarnation is open.
+func (e *Entry) Opened(now time.Time, incarnation string) {
+	for _, v := range e.views {
+		if v.target.Incarnation == incarnation && !v.open {
+			v.open, v.heard = true, now
+		}
+	}
+}
+
+// Closed tells that a session broke or could not be opened (rule 4).
+func (e *Entry) Closed(now time.Time, incarnation, reason string) {
+	for _, d := range e.domains() {
+		if v := e.views[d]; v != nil && v.target.Incarnation == incarnation {
+			e.lost(now, v, reason)
+		}
+	}
+	if e.behind[incarnation] != nil {
+		e.dropBehind(now, incarnation, reason)
+	}
+	e.loseJobs(now, incarnation, reason)
+	e.Tick(now)
+}
+
+// lost gives up the session of a view.
+func (e *Entry) lost(now time.Time, v *view, reason string) {
+	gone := v.target.Incarnation
+	e.cfg.Log.Warn().Str("Domain", v.domain).Str("Owner", gone).Str("Reason", reason).
+		Int64("SilentMs", now.Sub(v.heard).Milliseconds()).Msg("OwnerLost")
+	e.avoid[gone] = now.Add(avoidTime)
+	e.out = append(e.out, EntryAction{Close: gone})
+	*v = view{domain: v.domain}
+	e.loseJobs(now, gone, reason)
+}
+
+// loseJobs answers all callers whose jobs an owner had.
+func (e *Entry) loseJobs(now time.Time, owner, reason string) {
+	for _, j := range e.sortedJobs() {
+		if j.owner == owner {
+			e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reason})
+		}
+	}
+}
+
+func (e *Entry) sortedJobs() []*entryJob {
+	list := make([]*entryJob, 0, len(e.jobs))
+	for _, j := range e.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *entryJob) int { return cmp.Compare(a.job.ID, b.job.ID) })
+	return list
+}
+
+// Stamped handles a stamp: it is echoed, and what it says is noted.
+func (e *Entry) Stamped(now time.Time, from string, st stamp) {
+	for _, d := range e.domains() {
+		v := e.views[d]
+		if v == nil || v.target.Incarnation != from || !v.open {
+			continue
+		}
+		v.heard, v.stamp = now, st
+		e.out = append(e.out, EntryAction{Send: &EntrySend{from, message{Echo: st.Number}}})
+		e.tickView(now, v)
+		return
+	}
+	v := e.behind[from]
+	if v == nil {
+		return
+	}
+	changed := len(v.stamp.Keeping) != len(st.Keeping)
+	v.heard, v.stamp = now, st
+	e.out = append(e.out, EntryAction{Send: &EntrySend{from, message{Echo: st.Number}}})
+	if changed && e.owning && v.domain == e.cfg.Self.FailureDomain {
+		e.out = append(e.out, EntryAction{Own: &Ownership{st.Keeping}})
+	}
+}
+
+// Submit takes a caller's job and returns the ticket under which its result
+// will be delivered.
+func (e *Entry) Submit(now time.Time, job Job) TicketID {
+	e.lastTicket++
+	t := e.lastTicket
+	e.tickets[t] = job.ID
+	if j := e.jobs[job.ID]; j != nil {
+		j.tickets = append(j.tickets, t)
+		return t
+	}
+	j := &entryJob{job: job, tickets: []TicketID{t}, began: now}
+	e.jobs[job.ID] = j
+	e.offer(now, j, Result{ID: job.ID, Outcome: Refused, Reason: "NoOwner", RetryAfter: noOwnerRetry})
+	return t
+}
+
+// offer sends a job to the best owner that it wasn't offered yet (rule 3);
+// otherwise is the answer if there is none.
+func (e *Entry) offer(now time.Time, j *entryJob, otherwise Result) {
+	best, bestCost := "", time.Duration(0)
+	consider := func(incarnation string, l Load, cost time.Duration) {
+		cost += time.Duration(l.WaitMs) * time.Millisecond
+		if l.Servers > 0 && !slices.Contains(j.tried, incarnation) && (best == "" || cost < bestCost) {
+			best, bestCost = incarnation, cost
+		}
+	}
+	if e.owning {
+		consider(e.cfg.Self.Incarnation, e.local, 0)
+	}
+	for _, d := range e.domains() {
+		v := e.views[d]
+		if v == nil || !v.usable() {
+			continue
+		}
+		cost := spillMargin
+		if d == e.cfg.Self.FailureDomain {
+			cost = 0
+		}
+		consider(v.target.Incarnation, v.stamp.Load, cost)
+	}
+	if best == "" {
+		e.answer(now, j, otherwise)
+		return
+	}
+	j.owner = best
+	j.tried = append(j.tried, best)
+	job := j.job
+	if job.Budget > 0 {
+		job.Budget -= now.Sub(j.began)
+	}
+	e.send(best, message{Submit: &job})
+}
+
+// send sends a message to an owner, which may be this host.
+func (e *Entry) send(owner string, m message) {
+	if owner == e.cfg.Self.Incarnation {
+		e.out = append(e.out, EntryAction{Local: &m})
+		return
+	}
+	e.out = append(e.out, EntryAction{Send: &EntrySend{owner, m}})
+}
+
+// CallerLeft ends a caller's wait.
+func (e *Entry) CallerLeft(now time.Time, t TicketID) {
+	j := e.jobs[e.tickets[t]]
+	delete(e.tickets, t)
+	if j == nil {
+		return
+	}
+	j.tickets = slices.DeleteFunc(j.tickets, func(o TicketID) bool { return o == t })
+	if len(j.tickets) > 0 {
+		return
+	}
+	delete(e.jobs, j.job.ID)
+	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Int64("AgeMs", now.Sub(j.began).Milliseconds()).Msg("CallerLeft")
+	e.send(j.owner, message{Cancel: j.job.ID})
+}
+
+// CancelJob ends a job on every owner that this host has a session with,
+// whoever waits for it.
+func (e *Entry) CancelJob(now time.Time, id string) {
+	if j := e.jobs[id]; j != nil {
+		e.send(j.owner, message{Cancel: id})
+		e.answer(now, j, Result{ID: id, Outcome: Lost, Reason: "Cancelled"})
+	}
+}
+
+// Served reports whether some owner takes jobs.
+func (e *Entry) Served() bool {
+	if e.owning && e.local.Servers > 0 {
+		return true
+	}
+	for _, v := range e.views {
+		if v.usable() && v.stamp.Load.Servers > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Resulted handles the result that an owner sent.
+func (e *Entry) Resulted(now time.Time, owner string, r Result) {
+	j := e.jobs[r.ID]
+	if j == nil || j.owner != owner {
+		return
+	}
+	if r.Outcome == Refused || r.Outcome == Moved {
+		otherwise := r
+		otherwise.Outcome = Refused
+		if otherwise.RetryAfter == 0 {
+			otherwise.RetryAfter = noOwnerRetry
+		}
+		e.offer(now, j, otherwise)
+		return
+	}
+	e.answer(now, j, r)
+}
+
+func (e *Entry) answer(now time.Time, j *entryJob, r Result) {
+	delete(e.jobs, j.job.ID)
+	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Str("Owner", j.owner).Stringer("Outcome", r.Outcome).
+		Str("Reason", r.Reason).Int64("AgeMs", now.Sub(j.began).Milliseconds()).Int("Offers", len(j.tried)).Msg("JobAnswered")
+	for _, t := range j.tickets {
+		delete(e.tickets, t)
+		e.out = append(e.out, EntryAction{Answer: &EntryAnswer{t, r}})
+	}
+}
--- /dev/null
+++ b/internal/worker/pool.go
@@ -0,0 +1,482 @@
+package worker
+
+// The jobs of one owner and the servers that they run on.
+//
+//  1. A task has at most one run in the books of all servers together. It is
+//     started again only when its last run has ended or was settled (server.go,
+//     rules 3 and 4), with a higher run number.
+//  2. A job that is given up, or that nobody waits for any more, has its runs
+//     stopped. Its tasks stay in the books of their servers until they have
+//     ended, also when the job is submitted again meanwhile.
+//  3. A job is refused only while none of its tasks was ever sent. After that it
+//     ends completed, failed or lost.
+//  4. A session is a host that waits for jobs. It vouches for them by its
+//     heartbeats; when it is dropped, its jobs are given up.
+//  5. An owner that leaves starts no new job and gives a server away when it is
+//     empty and no begun job still needs room.
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// recentRuns is how long the run numbers of an ended job are remembered, so
+// that the job, submitted again, goes on with higher ones.
+const recentRuns = 10 * time.Second
+
+// SessionID names a host that waits for jobs.
+type SessionID uint64
+
+// Action is what the service has to carry out: exactly one field is set.
+type Action struct {
+	Start  *ServerStart
+	Stop   *ServerStop
+	Hold   *ServerHold
+	Answer *Answer
+	// Deposed tells that another owner has taken a server.
+	Deposed bool
+}
+
+// ServerStart is a start for one server.
+type ServerStart struct {
+	Server Server
+	Order  StartOrder
+}
+
+// ServerStop is a stop for one server.
+type ServerStop struct {
+	Server Server
+	Order  StopOrder
+}
+
+// ServerHold is a hold for one server. A renewal goes beside one that waits.
+type ServerHold struct {
+	Server  Server
+	Order   HoldOrder
+	Renewal bool
+}
+
+// Answer is the result of a job for one session.
+type Answer struct {
+	Session SessionID
+	Result  Result
+}
+
+// PoolConfig builds a Pool.
+type PoolConfig struct {
+	// Fence returns a fencing token above a given one that no other owner uses.
+	Fence func(now time.Time, above uint64) uint64
+	Rand  *rand.Rand
+	Log   *log.Logger
+}
+
+// task is one task of a job.
+type task struct {
+	job      *job
+	name     string
+	step     int
+	runs     int
+	failures int
+	done     bool
+	// on is the server that runs the task, nil while it waits.
+	on *server
+	at *run
+}
+
+// job is a job that an owner has accepted.
+type job struct {
+	Job
+	waiters []SessionID
+	arrived time.Time
+	begun   bool
+	tasks   [][]*task
+	// left counts the tasks of each step that are not done.
+	left []int
+	// waiting counts tasks that are ready and wait for room.
+	waiting int
+	// work is the learned time of the longest chain of steps.
+	work time.Duration
+}
+
+// Pool holds the jobs and servers of one owner. It is not safe for concurrent
+// use.
+type Pool struct {
+	cfg      PoolConfig
+	owner    bool
+	draining bool
+	// spared names servers that a leaving owner still uses.
+	spared  map[string]bool
+	servers map[string]*server
+	order   []*server
+	jobs    map[string]*job
+	queue   []*job
+	// busy counts the runs in the books for each task (rule 1).
+	busy    map[string]int
+	recent  map[string]recentJob
+	learned learned
+	out     []Action
+}
+
+type recentJob struct {
+	runs int
+	at   time.Time
+}
+
+// NewPool returns a pool that owns nothing.
+func NewPool(c PoolConfig) *Pool {
+	return &Pool{
+		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, busy: map[string]int{},
+		recent: map[string]recentJob{}, learned: learned{},
+	}
+}
+
+// Take returns the actions that are due and empties the list.
+func (p *Pool) Take() []Action {
+	out := p.out
+	p.out = nil
+	return out
+}
+
+// Jobs returns the number of jobs that have not ended.
+func (p *Pool) Jobs() int { return len(p.jobs) }
+
+// Owner reports whether the pool takes servers.
+func (p *Pool) Owner() bool { return p.owner }
+
+// Servers delivers the platform's list for the failure domain. A server that is
+// missing from it stays in use while it answers.
+func (p *Pool) Servers(now time.Time, list []Server) {
+	listed := map[string]bool{}
+	for _, info := range list {
+		listed[info.ID] = true
+		s := p.servers[info.ID]
+		if s == nil {
+			s = &server{Server: info, runs: map[RunKey]*run{}}
+			p.servers[info.ID] = s
+			p.order = append(p.order, s)
+			p.cfg.Log.Info().Str("Server", info.ID).Str("Address", info.Address).Int("CPUMilli", info.Capacity.CPUMilli).Msg("ServerListed")
+		}
+		if s.Leaving != info.Leaving {
+			p.cfg.Log.Info().Str("Server", info.ID).Bool("Leaving", info.Leaving).Msg("ServerLeaving")
+		}
+		s.Server, s.listed = info, true
+	}
+	for _, s := range slices.Clone(p.order) {
+		s.listed = listed[s.ID]
+		p.dropGone(now, s)
+	}
+	p.takeServers(now)
+	p.place(now)
+}
+
+// dropGone removes a server that is neither listed nor heard of.
+func (p *Pool) dropGone(now time.Time, s *server) {
+	if s.listed || s.state != stateFree && (!s.silent || !now.After(s.leaseUntil)) {
+		return
+	}
+	p.lapse(now, s)
+	p.cfg.Log.Info().Str("Server", s.ID).Msg("ServerGone")
+	delete(p.servers, s.ID)
+	p.order = slices.DeleteFunc(p.order, func(o *server) bool { return o == s })
+}
+
+// Own makes the pool take all servers but those that a leaving owner spares.
+func (p *Pool) Own(now time.Time, spared []string) {
+	if p.draining {
+		return
+	}
+	p.owner = true
+	p.spared = map[string]bool{}
+	for _, id := range spared {
+		p.spared[id] = true
+	}
+	p.takeServers(now)
+	p.place(now)
+}
+
+// Yield gives all servers up at once; all jobs are lost or refused.
+func (p *Pool) Yield(now time.Time, reason string) {
+	p.owner = false
+	for _, j := range p.sortedJobs() {
+		p.giveUp(now, j, reason)
+	}
+	for _, s := range p.order {
+		p.lapse(now, s)
+		s.forget()
+	}
+}
+
+// Drain begins rule 5.
+func (p *Pool) Drain(now time.Time) {
+	if p.draining {
+		return
+	}
+	p.draining = true
+	for _, j := range p.sortedJobs() {
+		if !j.begun {
+			p.finish(now, j, Result{Outcome: Moved, Reason: "OwnerLeaving"})
+		}
+	}
+	p.release()
+}
+
+// Known returns the servers in the books.
+func (p *Pool) Known() []Server {
+	list := make([]Server, 0, len(p.order))
+	for _, s := range p.order {
+		list = append(list, s.Server)
+	}
+	return list
+}
+
+// Keeping returns the servers that a leaving owner still uses.
+func (p *Pool) Keeping() []string {
+	var ids []string
+	for _, s := range p.order {
+		if s.state != stateFree {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// release gives empty servers away (rule 5).
+func (p *Pool) release() {
+	if !p.draining {
+		return
+	}
+	for _, j := range p.jobs {
+		if j.waiting > 0 {
+			return
+		}
+	}
+	for _, s := range p.order {
+		if s.state != stateFree && len(s.runs) == 0 {
+			s.forget()
+		}
+	}
+}
+
+// Submit accepts a job or refuses it at once.
+func (p *Pool) Submit(now time.Time, session SessionID, in Job) {
+	if j := p.jobs[in.ID]; j != nil {
+		// Submitted again while it is known: one more waits for the result.
+		if !slices.Contains(j.waiters, session) {
+			j.waiters = append(j.waiters, session)
+		}
+		return
+	}
+	j := p.newJob(now, session, in)
+	if r, ok := p.admit(now, j); !ok {
+		r.ID = in.ID
+		p.answer(j, r)
+		return
+	}
+	p.jobs[in.ID] = j
+	p.queue = append(p.queue, j)
+	p.place(now)
+}
+
+func (p *Pool) newJob(now time.Time, session SessionID, in Job) *job {
+	j := &job{Job: in, waiters: []SessionID{session}, arrived: now}
+	base := p.recent[in.ID].runs
+	for i, st := range in.Steps {
+		var tasks []*task
+		for n := range st.Count {
+			tasks = append(tasks, &task{job: j, name: taskName(in.ID, i, n), step: i, runs: base})
+		}
+		j.tasks = append(j.tasks, tasks)
+		j.left = append(j.left, st.Count)
+	}
+	j.work = p.learned.work(&j.Job)
+	for i := range in.Steps {
+		if j.ready(i) {
+			j.waiting += in.Steps[i].Count
+		}
+	}
+	return j
+}
+
+// ready reports whether all steps before step i are done.
+func (j *job) ready(i int) bool {
+	for _, a := range j.Steps[i].After {
+		if j.left[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel ends a session's wait for a job.
+func (p *Pool) Cancel(now time.Time, session SessionID, id string) {
+	j := p.jobs[id]
+	if j == nil {
+		return
+	}
+	j.waiters = slices.DeleteFunc(j.waiters, func(s SessionID) bool { return s == session })
+	if len(j.waiters) == 0 {
+		p.giveUp(now, j, "CallerLeft")
+		p.place(now)
+	}
+}
+
+// DropSession gives up all jobs that only this session waits for (rule 4).
+func (p *Pool) DropSession(now time.Time, session SessionID, reason string) {
+	for _, j := range p.sortedJobs() {
+		if !slices.Contains(j.waiters, session) {
+			continue
+		}
+		j.waiters = slices.DeleteFunc(j.waiters, func(s SessionID) bool { return s == session })
+		if len(j.waiters) == 0 {
+			p.giveUp(now, j, reason)
+		}
+	}
+	p.place(now)
+}
+
+// giveUp ends a job that can't be completed or that nobody waits for.
+func (p *Pool) giveUp(now time.Time, j *job, reason string) {
+	if j.begun {
+		p.finish(now, j, Result{Outcome: Lost, Reason: reason})
+		return
+	}
+	p.finish(now, j, Result{Outcome: Refused, Reason: reason, RetryAfter: p.drainTime()})
+}
+
+// finish ends a job, stops what still runs of it (rule 2) and answers.
+func (p *Pool) finish(now time.Time, j *job, r Result) {
+	delete(p.jobs, j.ID)
+	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
+	runs := 0
+	for _, tasks := range j.tasks {
+		for _, t := range tasks {
+			runs = max(runs, t.runs)
+			if t.on == nil {
+				continue
+			}
+			t.at.task = nil
+			p.askStop(now, t.on, t.at)
+			t.on, t.at = nil, nil
+		}
+	}
+	if runs > 0 {
+		p.recent[j.ID] = recentJob{runs, now}
+	}
+	r.ID = j.ID
+	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).
+		Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Int64("WorkMs", j.work.Milliseconds()).
+		Int("Tasks", j.size()).Int("Queued", len(p.queue)).Msg("JobEnded")
+	p.answer(j, r)
+}
+
+func (j *job) size() int {
+	n := 0
+	for _, st := range j.Steps {
+		n += st.Count
+	}
+	return n
+}
+
+func (p *Pool) answer(j *job, r Result) {
+	for _, w := range j.waiters {
+		p.out = append(p.out, Action{Answer: &Answer{w, r}})
+	}
+}
+
+// sortedJobs returns all jobs in order of arrival, so that runs repeat.
+func (p *Pool) sortedJobs() []*job {
+	list := make([]*job, 0, len(p.jobs))
+	for _, j := range p.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int {
+		if c := a.arrived.Compare(b.arrived); c != 0 {
+			return c
+		}
+		return compareStrings(a.ID, b.ID)
+	})
+	return list
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Tick does what is due with time.
+func (p *Pool) Tick(now time.Time) {
+	for _, s := range slices.Clone(p.order) {
+		p.tickServer(now, s)
+	}
+	for id, r := range p.recent {
+		if now.Sub(r.at) > recentRuns {
+			delete(p.recent, id)
+		}
+	}
+	p.refuseHopeless(now)
+	p.place(now)
+	p.release()
+}
+
+// ended takes a run out of the books and lets its task go on.
+func (p *Pool) ended(now time.Time, s *server, r *run, how HowEnded) {
+	s.remove(r)
+	s.lastEnd = now
+	p.notBusy(r.Task)
+	t := r.task
+	if t == nil {
+		return
+	}
+	t.on, t.at = nil, nil
+	j := t.job
+	switch how {
+	case EndDone:
+		s.health.done()
+		p.learned.done(&j.Job, t.step, now.Sub(r.sent))
+		t.done = true
+		p.stepDone(now, j, t.step)
+	case EndFailed:
+		s.health.failed(now, j.ID)
+		t.failures++
+		p.cfg.Log.Info().Str("Task", t.name).Int("Run", r.Run).Str("Server", s.ID).Int("Failures", t.failures).Msg("RunFailed")
+		if t.failures >= j.MaxFailures {
+			p.finish(now, j, Result{Outcome: Failed, Reason: "TaskFailed"})
+			return
+		}
+		j.waiting++
+	case EndStopped:
+		j.waiting++
+	}
+}
+
+func (p *Pool) notBusy(name string) {
+	if p.busy[name]--; p.busy[name] <= 0 {
+		delete(p.busy, name)
+	}
+}
+
+// stepDone counts a task that is done and opens the steps that waited for it.
+func (p *Pool) stepDone(now time.Time, j *job, step int) {
+	j.left[step]--
+	if j.left[step] > 0 {
+		return
+	}
+	all := true
+	for i := range j.Steps {
+		all = all && j.left[i] == 0
+		if slices.Contains(j.Steps[i].After, step) && j.ready(i) {
+			j.waiting += j.Steps[i].Count
+		}
+	}
+	if all {
+		p.finish(now, j, Result{Outcome: Completed})
+	}
+}
--- /dev/null
+++ b/internal/worker/server.go
@@ -0,0 +1,225 @@
+package worker
+
+// What an owner knows of one backend server.
+//
+//  1. The server is the lock: it refuses orders with a lower fencing token than
+//     the highest it has seen. An owner takes a server with a token of its own
+//     that was never used before; a token that was refused is not used again.
+//  2. The hold that takes a server extends nothing. What runs there is stopped,
+//     and nothing is started before the server lists nothing: until then the
+//     runs of an owner that died keep the lease that it gave them, no longer.
+//  3. A run takes up room from the moment its start is sent until its end is
+//     listed or rule 4 settles that there will be none.
+//  4. A run whose start had no answer is running when it is listed. It is gone
+//     when a hold, sent after a stop for it was acknowledged, does not list it;
+//     or when an answer shows that the server's clock is past the start's
+//     deadline and does not list it.
+//  5. The lease covers all that runs on the server, so it is not renewed while
+//     one run there should have been stopped for longer than stopPatience.
+//  6. Every order that extends the lease raises leaseUntil, the time by which
+//     everything there has lapsed, on this host's clock, if no more is sent.
+//     The server's clock may be slow by clockDrift.
+//  7. An answer with another start time comes from another incarnation: nothing
+//     of before runs there. It is taken again with a new token, which keeps out
+//     orders to its predecessor that are still under way.
+
+import (
+	"time"
+)
+
+const (
+	// leaseTime is the lease that an order gives. With entryLease, stopPatience
+	// and clockDrift it stays below the time after which a caller may submit a
+	// job again, see docs/decisions/0006-platform-layout.md.
+	leaseTime = 600 * time.Millisecond
+	// renewAfter is when a lease is renewed; two renewals may be lost.
+	renewAfter = 230 * time.Millisecond
+	// stopPatience is how long a stop may stay unconfirmed (rule 5).
+	stopPatience = 200 * time.Millisecond
+	// stopRetry is the time between two stops of one run.
+	stopRetry = 80 * time.Millisecond
+	// startPatience is how long a start without an answer waits to be listed
+	// before the run is stopped.
+	startPatience = 150 * time.Millisecond
+	// holdWaitBusy and holdWaitIdle bound the wait of a hold: an idle server is
+	// looked at less often.
+	holdWaitBusy = 200 * time.Millisecond
+	holdWaitIdle = 1500 * time.Millisecond
+	// holdWaitTaking is the wait while orphans are stopped.
+	holdWaitTaking = 20 * time.Millisecond
+	// holdRetryMin and holdRetryMax bound the delay after a failed hold.
+	holdRetryMin = 50 * time.Millisecond
+	holdRetryMax = 800 * time.Millisecond
+	// clockDriftPercent is how slow a server's clock may be, in percent; the
+	// platform states it.
+	clockDriftPercent = 2
+)
+
+// serverState is the state of a server towards this owner.
+type serverState uint8
+
+const (
+	// stateFree: not this host's.
+	stateFree serverState = iota
+	// stateTaking: a hold with a new token was sent, or orphans still run.
+	stateTaking
+	// stateReady: starts may be sent.
+	stateReady
+)
+
+// runState is the state of one run in the books.
+type runState uint8
+
+const (
+	runStarting runState = iota
+	runUnknown
+	runRunning
+)
+
+// run is one start of a task on a server.
+type run struct {
+	RunKey
+	need  Resources
+	state runState
+	// task is nil once the job no longer wants the run.
+	task *task
+	sent time.Time
+	// deadline is the start's deadline on the server's clock.
+	deadline time.Duration
+	// stopAsked is when the run was first to be stopped, stopSent the last stop
+	// and stopAcked when a stop was acknowledged; zero if not.
+	stopAsked, stopSent, stopAcked time.Time
+	// stopping is set while an unanswered stop is under way.
+	stopping bool
+}
+
+// server is one backend server in the books of an owner.
+type server struct {
+	Server
+	state serverState
+	fence uint64
+	born  int64
+	// lastSeen is the number of the last end that was taken note of.
+	lastSeen uint64
+	// clock was read from an answer that came at clockAt.
+	clock   time.Duration
+	clockAt time.Time
+	// leaseUntil: rule 6.
+	leaseUntil time.Time
+	extended   time.Time
+	runs       map[RunKey]*run
+	used       Resources
+	// holds counts holds under way: at most one that waits and one renewal.
+	holding, renewing bool
+	holdSent          time.Time
+	nextHold          time.Time
+	retry             time.Duration
+	// silent is set from an unanswered order to the next answered hold.
+	silent bool
+	// listed is whether the platform's list has the server.
+	listed bool
+	// lastEnd is when a run was last taken out of the books.
+	lastEnd time.Time
+	// health judges the runs that ended here, see health.go.
+	health health
+}
+
+// free returns the room for new tasks.
+func (s *server) free() Resources { return s.Capacity.Minus(s.used) }
+
+// usable reports whether tasks may be started on the server at all.
+func (s *server) usable() bool { return s.state == stateReady && !s.Leaving && !s.silent }
+
+// rack returns whether the server carries a label.
+func (s *server) hasLabel(label string) bool {
+	for _, l := range s.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// deadline returns the lease deadline for an order sent now, on the server's
+// clock, and records when it will have passed (rule 6).
+func (s *server) deadline(now time.Time) time.Duration {
+	since := now.Sub(s.clockAt)
+	until := s.clockAt.Add((since + leaseTime) * 100 / (100 - clockDriftPercent))
+	if until.After(s.leaseUntil) {
+		s.leaseUntil = until
+	}
+	s.extended = now
+	return s.clock + since + leaseTime
+}
+
+// sawClock notes the server's clock from an answer that came now. Answers may
+// overtake each other, so the clock never goes back.
+func (s *server) sawClock(now time.Time, clock time.Duration) {
+	if clock > s.clock+now.Sub(s.clockAt)*(100-clockDriftPercent)/100 || s.clockAt.IsZero() {
+		s.clock, s.clockAt = clock, now
+	}
+}
+
+// mayRenew applies rule 5.
+func (s *server) mayRenew(now time.Time) bool {
+	for _, r := range s.runs {
+		if !r.stopAsked.IsZero() && now.Sub(r.stopAsked) > stopPatience {
+			return false
+		}
+	}
+	return true
+}
+
+// hold returns the next hold and marks it as sent.
+func (s *server) hold(now time.Time) HoldOrder {
+	h := HoldOrder{Fence: s.fence, LastSeen: s.lastSeen}
+	switch {
+	case s.state == stateTaking:
+		h.Wait = holdWaitTaking
+		if len(s.runs) == 0 {
+			h.Wait = 0
+		}
+	case len(s.runs) == 0:
+		h.Wait = holdWaitIdle
+	default:
+		h.Wait = holdWaitBusy
+		if s.mayRenew(now) {
+			h.Deadline = s.deadline(now)
+		}
+		if s.settling() {
+			h.Wait = 0
+		}
+	}
+	return h
+}
+
+// settling reports whether a hold is needed at once to settle a run (rule 4).
+func (s *server) settling() bool {
+	for _, r := range s.runs {
+		if !r.stopAcked.IsZero() && !r.stopAcked.Before(s.holdSent) {
+			return true
+		}
+	}
+	return false
+}
+
+// add enters a run into the books (rule 3).
+func (s *server) add(r *run) {
+	s.runs[r.RunKey] = r
+	s.used = s.used.Plus(r.need)
+}
+
+// remove takes a run out of the books.
+func (s *server) remove(r *run) {
+	delete(s.runs, r.RunKey)
+	s.used = s.used.Minus(r.need)
+}
+
+// forget drops what was known of an earlier incarnation or an earlier
+// ownership; the runs have been settled before.
+func (s *server) forget() {
+	s.state = stateFree
+	s.fence, s.born, s.lastSeen = 0, 0, 0
+	s.clock, s.clockAt = 0, time.Time{}
+	s.retry = 0
+}
--- /dev/null
+++ b/internal/worker/wire.go
@@ -0,0 +1,27 @@
+package worker
+
+// message is one message between an entry host and an owner. Exactly one field
+// is set.
+type message struct {
+	Stamp  *stamp  `cbor:"1,keyasint,omitempty"`
+	Echo   uint64  `cbor:"2,keyasint,omitempty"`
+	Submit *Job    `cbor:"3,keyasint,omitempty"`
+	Cancel string  `cbor:"4,keyasint,omitempty"`
+	Result *Result `cbor:"5,keyasint,omitempty"`
+}
+
+// stamp is the heartbeat of a host to an entry host that has a session with it.
+// The entry host echoes the number at once.
+type stamp struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	// Owner and Leaving say whether the host owns its failure domain and whether
+	// it is about to stop.
+	Owner   bool
+	Leaving bool
+	// Hint is the incarnation that the host takes for the owner, if not itself.
+	Hint string
+	// Keeping names the servers that a leaving owner still uses.
+	Keeping []string
+	Load    Load
+}
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -14,6 +14,28 @@
 	Teams    []Team    `validate:"required,min=1,max=1000,unique=Name,dive" doc:"the teams that may submit work"`
 	Measures Measures  `doc:"how the two measures are weighed against each other"`
 	Claims   Claims    `doc:"claims of submissions without a home token, in the platform's store"`
+	Queues   []Queue   `validate:"max=10000,unique=Name,dive" doc:"the queues of restartable jobs"`
+	Requests Requests  `doc:"limits on what callers of queues send"`
+}
+
+// Queue takes restartable jobs whose tasks run under leases.
+type Queue struct {
+	Name       string  `validate:"required,max=64" doc:"name of the queue"`
+	Host       string  `validate:"max=255" doc:"host name under which callers reach the queue"`
+	PathPrefix string  `validate:"required,max=255" doc:"start of the path of its jobs"`
+	Service    string  `validate:"required,max=64" doc:"service whose backend servers run its tasks"`
+	Priority   int     `validate:"min=0,max=1000" doc:"0 comes first"`
+	Attempts   int     `validate:"min=0,max=1000" doc:"failures of one task after which its job has failed"`
+	Stretch    float64 `validate:"min=0,max=1000" doc:"latency objective, as a multiple of the job's work"`
+	TargetMs   int     `validate:"min=0,max=3600000" doc:"added to the latency objective, in milliseconds"`
+	TimeoutMs  int     `validate:"min=0,max=3600000" doc:"longest wait of a caller, in milliseconds; 0 means that the request says it"`
+	Advised    bool    `doc:"whether a policy service must be asked which backend servers may run a task; such jobs are refused"`
+}
+
+// Requests bounds what callers of queues send.
+type Requests struct {
+	MaxHeaderBytes int `validate:"min=0,max=1048576" doc:"largest header, in bytes; 0 means the default"`
+	MaxBodyBytes   int `validate:"min=0,max=67108864" doc:"largest body, in bytes; 0 means the default"`
 }
 
 // Service is one service with its policies.
