--- a/cmd/guavayoked/main.go
+++ b/cmd/guavayoked/main.go
@@ -30,7 +30,7 @@
 		fmt.Println("settings are good")
 		return
 	}
-	if err := daemon.Run(set); err != nil {
+	if err := daemon.Run(*file, set); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
@@ -44,6 +44,8 @@
 `)
 	flag.PrintDefaults()
 	fmt.Fprint(os.Stderr, `
+SIGTERM and SIGINT stop it gracefully, SIGHUP reads the settings file again.
+
 Exit codes: 0 stopped gracefully, 1 failed or cut off work, 2 wrong settings.
 `)
 }
--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -33,18 +33,10 @@
 }
 
 // buildAdapted makes the kernel of a daemon that runs on the users' platform.
-func buildAdapted(set settings.Daemon, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
+func buildAdapted(set settings.Daemon, peers *peer.Service, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
 	registry := metrics.NewRegistry()
 	count := func(op string) { metrics.GetOrRegisterCounter("Calls."+op, registry).Inc(1) }
-	seed := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	self := worker.Candidate{Incarnation: incarnation, Address: set.PeerAddress, FailureDomain: set.FailureDomain}
-	peers := peer.New(peer.Config{
-		Self: peer.Member{
-			Name: set.Name, Incarnation: incarnation, Address: set.PeerAddress, Operator: set.OperatorAddress,
-			FailureDomain: set.FailureDomain, Region: set.Region,
-		},
-		Key: key, Seeds: set.Seeds, Log: logger, Rand: seed(),
-	})
 	plat := platform.New(platform.Config{
 		Store: adapter.NewStore(adapter.StoreConfig{
 			Address: set.PlatformAddresses[0], Timeout: storeTimeout, Log: logger, Calls: count,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -37,8 +38,9 @@
 )
 
 // Run runs the daemon until SIGTERM or SIGINT and then stops it gracefully. A
-// second signal or the limit of the settings cuts off what is left.
-func Run(set settings.Daemon) error {
+// second signal or the limit of the settings cuts off what is left. SIGHUP
+// reads the settings file again.
+func Run(file string, set settings.Daemon) error {
 	debug.SetGCPercent(gcPercent)
 	key, err := hex.DecodeString(set.PeerKey)
 	if err != nil {
@@ -49,9 +51,11 @@
 		return fmt.Errorf("make incarnation: %w", err)
 	}
 	logger := event.New(os.Stdout, set.LogLevel)
-	k := build(set, key, id.String(), logger)
+	peers := newPeers(set, key, id.String(), logger)
+	reloads := newReloader(file, set, logger, peers.SetSettingsSeeds)
+	k := build(set, peers, key, id.String(), logger)
 	if set.Adapter != "" {
-		k = buildAdapted(set, key, id.String(), logger)
+		k = buildAdapted(set, peers, key, id.String(), logger)
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -60,8 +64,11 @@
 		<-signals
 		cancel()
 	}()
+	reloaded := reloads.run(stop)
 	logger.Info().Str("Name", set.Name).Str("Incarnation", id.String()).Str("Domain", set.FailureDomain).Msg("DaemonStarted")
 	err = k.Run(stop, func() (context.Context, context.CancelFunc) { return stopLimit(set, signals) })
+	cancel()
+	err = errors.Join(err, <-reloaded)
 	logger.Info().Str("Name", set.Name).Err(err).Msg("DaemonStopped")
 	return err
 }
@@ -83,19 +90,23 @@
 	return ctx, cancel
 }
 
-// build makes the kernel. The peers' service is started first and stopped last:
-// its goodbye says that nobody answers for this incarnation any more.
-func build(set settings.Daemon, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
-	registry := metrics.NewRegistry()
-	started := time.Now()
-	seed := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-	peers := peer.New(peer.Config{
+func seed() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func newPeers(set settings.Daemon, key []byte, incarnation string, logger *log.Logger) *peer.Service {
+	return peer.New(peer.Config{
 		Self: peer.Member{
 			Name: set.Name, Incarnation: incarnation, Address: set.PeerAddress, Operator: set.OperatorAddress,
 			FailureDomain: set.FailureDomain, Region: set.Region,
 		},
 		Key: key, Seeds: set.Seeds, Log: logger, Rand: seed(),
 	})
+}
+
+// build makes the kernel. The peers' service is started first and stopped last:
+// its goodbye says that nobody answers for this incarnation any more.
+func build(set settings.Daemon, peers *peer.Service, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
+	registry := metrics.NewRegistry()
+	started := time.Now()
 	plat := platform.New(platform.Config{
 		Store: platform.NewStore(platform.StoreConfig{
 			Addresses: set.PlatformAddresses, Timeout: platformTimeout,
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,6 +57,8 @@
 	links    map[string]*link
 	dialing  map[string]chan struct{}
 	accepted map[*websocket.Conn]bool
+	// listedSeeds are those of the platform's list.
+	listedSeeds []string
 
 	// handlers guards what other services register while this one runs.
 	handlers  sync.RWMutex
@@ -174,12 +177,20 @@
 	s.members.SetSuccessor(incarnation)
 }
 
-// SetSeeds replaces the addresses to start from: those of the settings and of
-// the platform's list.
+// SetSeeds replaces the addresses to start from that the platform's list has.
 func (s *Service) SetSeeds(addresses []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.members.SetSeeds(append(append([]string(nil), s.cfg.Seeds...), addresses...))
+	s.listedSeeds = addresses
+	s.members.SetSeeds(slices.Concat(s.cfg.Seeds, s.listedSeeds))
+}
+
+// SetSettingsSeeds replaces the addresses to start from that the settings have.
+func (s *Service) SetSettingsSeeds(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Seeds = addresses
+	s.members.SetSeeds(slices.Concat(s.cfg.Seeds, s.listedSeeds))
 }
 
 func (s *Service) start(ctx context.Context, _ *kernel.Kernel) (<-chan error, error) {
