End a connection's writer before its handler returns

The library hands the write buffer of an accepted connection to the next one when its handler returns; our writer could still be at work on it. TestWriterEndsWithItsConnection reproduces the panic.

Change: serve waits for its writer.

Ruled out: two writers on one connection (the handshake ends before).

--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -220,8 +220,8 @@
 	HeldBytes int64
 	Loads     []backend.Load
 	// Worker is set where jobs run under leases.
-	Worker *worker.Status `json:",omitempty"`
-	Members   []MemberStatus
+	Worker  *worker.Status `json:",omitempty"`
+	Members []MemberStatus
 }
 
 // MemberStatus is what a daemon thinks of another one.
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -38,7 +38,11 @@
 	s.mu.Unlock()
 	out := ring.New[frame](linkRing)
 	done := make(chan struct{})
+	written := make(chan struct{})
+	s.writing.Add(1)
 	go func() {
+		defer close(written)
+		defer s.writing.Add(-1)
 		for {
 			select {
 			case f := <-out.C():
@@ -54,6 +58,8 @@
 	defer func() {
 		close(done)
 		_ = c.Close()
+		// The library reuses the connection's write buffer once this returns.
+		<-written
 		streams.end()
 		s.mu.Lock()
 		delete(s.accepted, c)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -57,6 +57,8 @@
 	links    map[string]*link
 	dialing  map[string]chan struct{}
 	accepted map[*websocket.Conn]bool
+	// writing counts the writers of accepted connections.
+	writing atomic.Int64
 	// listedSeeds are those of the platform's list.
 	listedSeeds []string
 
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -129,3 +129,35 @@
 		t.Error("the link lives on after a frame that is too large")
 	}
 }
+
+// TestWriterEndsWithItsConnection covers a daemon that panicked while it wrote
+// to a peer: the WebSocket library gives the write buffer of a connection to the
+// next one when its handler returns, so no write may be under way then.
+func TestWriterEndsWithItsConnection(t *testing.T) {
+	a := startService(t, "a", "key")
+	b := startService(t, "b", "key")
+	body := make([]byte, 512<<10)
+	flooding, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	b.HandleStream("Flood", func(st *Stream) (func([]byte), func()) {
+		receive := func([]byte) {
+			for range 64 {
+				st.Send(body)
+			}
+			flooding <- struct{}{}
+		}
+		return receive, func() { ended <- struct{}{} }
+	})
+	for range 40 {
+		st, err := a.OpenStream(t.Context(), b.Self().Address, "b", "Flood", func([]byte) {}, func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		st.Send([]byte{1})
+		<-flooding
+		st.Close()
+		<-ended
+		if n := b.writing.Load(); n != 0 {
+			t.Fatalf("%d writers are at work on connections whose handlers have returned", n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/leased.go
@@ -0,0 +1,192 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"guavayoke/internal/worker"
+)
+
+// LeasedServer is a backend server that runs tasks under one lease. It takes
+// every start that it is told, whether or not it has the room, and notes what
+// must never happen. It has no clock: the present time is an argument. It is
+// not safe for concurrent use.
+type LeasedServer struct {
+	Info worker.Server
+	// MaxLease bounds the lease that an order may give, by the server's clock.
+	MaxLease time.Duration
+	// Drift slows the server's clock, as a share.
+	Drift float64
+	// RunTime returns how long a run works and whether it then fails.
+	RunTime func(k worker.RunKey, spec string) (time.Duration, bool)
+	// Need returns what a run takes up, to check the capacity.
+	Need func(k worker.RunKey) worker.Resources
+
+	born    time.Time
+	fence   uint64
+	lease   time.Duration
+	running map[worker.RunKey]*leasedRun
+	ended   []worker.End
+	number  uint64
+	// highest is the highest run of each task that was stopped or has ended.
+	highest map[string]int
+	// Violations lists what must never happen.
+	Violations []string
+	// Done counts the runs that ended done.
+	Done int
+}
+
+type leasedRun struct {
+	key    worker.RunKey
+	until  time.Time
+	failed bool
+}
+
+// Boot starts the server, or starts it again without any memory.
+func (s *LeasedServer) Boot(now time.Time) {
+	s.born = now
+	s.fence, s.lease, s.number = 0, 0, 0
+	s.running = map[worker.RunKey]*leasedRun{}
+	s.highest = map[string]int{}
+	s.ended = nil
+}
+
+// clock is the server's own steady clock.
+func (s *LeasedServer) clock(now time.Time) time.Duration {
+	return time.Duration(float64(now.Sub(s.born)) * (1 - s.Drift))
+}
+
+// Advance ends the runs that are over by now, or all if the lease has lapsed.
+func (s *LeasedServer) Advance(now time.Time) {
+	lapses := s.born.Add(time.Duration(float64(s.lease) / (1 - s.Drift)))
+	for _, r := range s.sorted() {
+		switch {
+		case !r.until.After(now) && !r.until.After(lapses):
+			how := worker.EndDone
+			if r.failed {
+				how = worker.EndFailed
+			} else {
+				s.Done++
+			}
+			s.end(r, how)
+		case !lapses.After(now):
+			s.end(r, worker.EndStopped)
+		}
+	}
+}
+
+func (s *LeasedServer) sorted() []*leasedRun {
+	list := make([]*leasedRun, 0, len(s.running))
+	for _, r := range s.running {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *leasedRun) int {
+		return cmp.Or(a.until.Compare(b.until), cmp.Compare(a.key.Task, b.key.Task), cmp.Compare(a.key.Run, b.key.Run))
+	})
+	return list
+}
+
+func (s *LeasedServer) end(r *leasedRun, how worker.HowEnded) {
+	delete(s.running, r.key)
+	s.number++
+	s.ended = append(s.ended, worker.End{Number: s.number, RunKey: r.key, How: how})
+	s.highest[r.key.Task] = max(s.highest[r.key.Task], r.key.Run)
+}
+
+// NextEnd returns when the next run ends by itself, zero if none does.
+func (s *LeasedServer) NextEnd() time.Time {
+	if list := s.sorted(); len(list) > 0 {
+		return list[0].until
+	}
+	return time.Time{}
+}
+
+// Running returns the runs under way.
+func (s *LeasedServer) Running() []worker.RunKey {
+	var keys []worker.RunKey
+	for _, r := range s.sorted() {
+		keys = append(keys, r.key)
+	}
+	return keys
+}
+
+// HasEnds reports whether ends above a number are listed.
+func (s *LeasedServer) HasEnds(after uint64) bool { return s.number > after }
+
+func (s *LeasedServer) extend(now time.Time, deadline time.Duration) {
+	s.lease = max(s.lease, min(deadline, s.clock(now)+s.MaxLease))
+}
+
+func (s *LeasedServer) reply(now time.Time, v worker.Verdict) worker.Reply {
+	return worker.Reply{Verdict: v, Clock: s.clock(now), Born: s.born.UnixMilli()}
+}
+
+// Start carries out a start.
+func (s *LeasedServer) Start(now time.Time, o worker.StartOrder) worker.Reply {
+	s.Advance(now)
+	switch {
+	case o.Fence < s.fence:
+		return s.reply(now, worker.RefusedFence)
+	case o.Deadline <= s.clock(now):
+		return s.reply(now, worker.RefusedLate)
+	}
+	s.fence = o.Fence
+	s.extend(now, o.Deadline)
+	if s.running[o.RunKey] != nil {
+		return s.reply(now, worker.Accepted)
+	}
+	if o.Run <= s.highest[o.Task] {
+		return s.reply(now, worker.RefusedOld)
+	}
+	work, fails := s.RunTime(o.RunKey, o.Spec)
+	s.running[o.RunKey] = &leasedRun{o.RunKey, now.Add(work), fails}
+	s.checkRoom()
+	return s.reply(now, worker.Accepted)
+}
+
+func (s *LeasedServer) checkRoom() {
+	var used worker.Resources
+	for k := range s.running {
+		used = used.Plus(s.Need(k))
+	}
+	if !used.Fits(s.Info.Capacity) {
+		s.Violations = append(s.Violations, fmt.Sprintf("%s holds %+v of %+v", s.Info.ID, used, s.Info.Capacity))
+	}
+}
+
+// Stop carries out a stop.
+func (s *LeasedServer) Stop(now time.Time, o worker.StopOrder) worker.Reply {
+	s.Advance(now)
+	if o.Fence < s.fence {
+		return s.reply(now, worker.RefusedFence)
+	}
+	s.fence = o.Fence
+	if r := s.running[o.RunKey]; r != nil {
+		s.end(r, worker.EndStopped)
+	}
+	s.highest[o.Task] = max(s.highest[o.Task], o.Run)
+	return s.reply(now, worker.Accepted)
+}
+
+// Hold carries out a hold. Waiting for an end is left to the caller.
+func (s *LeasedServer) Hold(now time.Time, o worker.HoldOrder) worker.Reply {
+	s.Advance(now)
+	if o.Fence < s.fence {
+		return s.reply(now, worker.RefusedFence)
+	}
+	s.fence = o.Fence
+	s.extend(now, o.Deadline)
+	s.ended = slices.DeleteFunc(s.ended, func(e worker.End) bool { return e.Number <= o.LastSeen })
+	return s.Lists(now)
+}
+
+// Lists returns the answer to a hold that was taken.
+func (s *LeasedServer) Lists(now time.Time) worker.Reply {
+	s.Advance(now)
+	r := s.reply(now, worker.Accepted)
+	r.Running = s.Running()
+	r.Ended = slices.Clone(s.ended)
+	return r
+}
--- /dev/null
+++ b/internal/worker/host.go
@@ -0,0 +1,245 @@
+package worker
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// localSession is the session of a host's own callers with its own pool.
+const localSession SessionID = 0
+
+// refuseAfter is when a leaving host refuses requests that still come on open
+// connections, so that what it has taken ends in time.
+const refuseAfter = 2800 * time.Millisecond
+
+// HostAction is what the service has to carry out: exactly one field is set.
+type HostAction struct {
+	Start *ServerStart
+	Stop  *ServerStop
+	Hold  *ServerHold
+	// Open asks for a stream to a candidate, CloseTo ends the one to an
+	// incarnation, SendTo sends on it.
+	Open    *Candidate
+	CloseTo string
+	SendTo  *EntrySend
+	// Reply sends a message on a session that a peer has opened, CloseSession
+	// ends it.
+	Reply        *SessionSend
+	CloseSession SessionID
+	// Answer delivers a result to a caller.
+	Answer *EntryAnswer
+}
+
+// SessionSend is a message for the peer that opened a session.
+type SessionSend struct {
+	Session SessionID
+	Message message
+}
+
+// Status is what operators see of a host.
+type Status struct {
+	// Owner is the incarnation that owns this host's failure domain.
+	Owner string
+	// Jobs counts the jobs that this host owns, Waiting those that its callers
+	// wait for.
+	Jobs    int
+	Waiting int
+	Load    Load
+	// Ready says whether callers should be sent here.
+	Ready bool
+}
+
+// HostConfig builds a Host.
+type HostConfig struct {
+	Self Candidate
+	// Fence returns a fencing token that no other owner uses, see PoolConfig.
+	Fence func(now time.Time, refused uint64) uint64
+	Rand  *rand.Rand
+	Log   *log.Logger
+	// Now is when the host started.
+	Now time.Time
+}
+
+// Host joins the deciding parts of one host: the entry, the sessions of other
+// entry hosts and the pool. It is not safe for concurrent use.
+type Host struct {
+	cfg      HostConfig
+	pool     *Pool
+	entry    *Entry
+	sessions Sessions
+	leaving  bool
+	leftAt   time.Time
+	out      []HostAction
+}
+
+// NewHost returns a host that knows no other.
+func NewHost(c HostConfig) *Host {
+	return &Host{
+		cfg:   c,
+		pool:  NewPool(PoolConfig{Fence: c.Fence, Rand: c.Rand, Log: c.Log}),
+		entry: NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now}),
+	}
+}
+
+// Do runs an event and returns the actions that follow from it. Sessions end
+// before anything else is decided: after a pause of this host they may all be
+// over.
+func (h *Host) Do(now time.Time, event func(*Host, time.Time)) []HostAction {
+	h.tickSessions(now)
+	if event != nil {
+		event(h, now)
+	}
+	h.settle(now)
+	out := h.out
+	h.out = nil
+	return out
+}
+
+// Tick is the event of passing time.
+func (h *Host) Tick(now time.Time) {
+	h.entry.Tick(now)
+	h.pool.Tick(now)
+	h.entry.SetLoad(h.pool.Load())
+}
+
+// Status returns what operators see.
+func (h *Host) Status() Status {
+	return Status{
+		Owner: h.entry.Hint(), Jobs: h.pool.Jobs(), Waiting: h.entry.Jobs(), Load: h.pool.Load(),
+		Ready: !h.leaving && h.entry.Served(),
+	}
+}
+
+// Leave makes the host no candidate for owner any more; an owner gives its
+// servers to a successor.
+func (h *Host) Leave(now time.Time) {
+	h.cfg.Log.Info().Int("Jobs", h.pool.Jobs()).Int("Waiting", h.entry.Jobs()).Msg("HostLeaves")
+	h.leaving, h.leftAt = true, now
+	h.entry.Leave(now)
+	h.pool.Drain(now)
+}
+
+// Submit takes a caller's job. ok is false if the host is about to stop.
+func (h *Host) Submit(now time.Time, j Job) (t TicketID, ok bool) {
+	if h.leaving && now.Sub(h.leftAt) > refuseAfter {
+		return 0, false
+	}
+	return h.entry.Submit(now, j), true
+}
+
+// tickSessions sends stamps and drops what is no longer vouched for.
+func (h *Host) tickSessions(now time.Time) {
+	due, ended := h.sessions.Tick(now)
+	for _, id := range ended {
+		h.cfg.Log.Warn().Uint64("Session", uint64(id)).Msg("SessionEnded")
+		h.out = append(h.out, HostAction{CloseSession: id})
+		h.pool.DropSession(now, id, "EntryHostSilent")
+	}
+	if len(due) == 0 {
+		return
+	}
+	load := h.pool.Load()
+	ids := make([]SessionID, 0, len(due))
+	for id := range due {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		st := stamp{Number: due[id], Owner: h.pool.Owner(), Leaving: h.leaving, Hint: h.entry.Hint(), Load: load}
+		if h.leaving {
+			st.Keeping = h.pool.Keeping()
+		}
+		h.out = append(h.out, HostAction{Reply: &SessionSend{id, message{Stamp: &st}}})
+	}
+}
+
+// settle passes actions between the parts until nothing is left to decide.
+func (h *Host) settle(now time.Time) {
+	for {
+		entry, pool := h.entry.Take(), h.pool.Take()
+		if len(entry) == 0 && len(pool) == 0 {
+			return
+		}
+		for _, a := range entry {
+			h.fromEntrySide(now, a)
+		}
+		for _, a := range pool {
+			h.fromPool(now, a)
+		}
+	}
+}
+
+func (h *Host) fromEntrySide(now time.Time, a EntryAction) {
+	switch {
+	case a.Open != nil:
+		h.out = append(h.out, HostAction{Open: a.Open})
+	case a.Close != "":
+		h.out = append(h.out, HostAction{CloseTo: a.Close})
+	case a.Send != nil:
+		h.out = append(h.out, HostAction{SendTo: a.Send})
+	case a.Local != nil && a.Local.Submit != nil:
+		h.pool.Submit(now, localSession, *a.Local.Submit)
+	case a.Local != nil:
+		h.pool.Cancel(now, localSession, a.Local.Cancel)
+	case a.Answer != nil:
+		h.out = append(h.out, HostAction{Answer: a.Answer})
+	case a.Own != nil:
+		h.cfg.Log.Info().Str("Domain", h.cfg.Self.FailureDomain).Int("Spared", len(a.Own.Spared)).Msg("OwnerTakes")
+		h.pool.Own(now, a.Own.Spared)
+	case a.Yield != "":
+		h.pool.Yield(now, a.Yield)
+	}
+}
+
+func (h *Host) fromPool(now time.Time, a Action) {
+	switch {
+	case a.Start != nil:
+		h.out = append(h.out, HostAction{Start: a.Start})
+	case a.Stop != nil:
+		h.out = append(h.out, HostAction{Stop: a.Stop})
+	case a.Hold != nil:
+		h.out = append(h.out, HostAction{Hold: a.Hold})
+	case a.Answer != nil && a.Answer.Session == localSession:
+		h.entry.Resulted(now, h.cfg.Self.Incarnation, a.Answer.Result)
+	case a.Answer != nil:
+		h.out = append(h.out, HostAction{Reply: &SessionSend{a.Answer.Session, message{Result: &a.Answer.Result}}})
+	case a.Deposed:
+		h.entry.Deposed(now)
+	}
+}
+
+// fromOwner handles a message of an owner on a stream that this host opened.
+func (h *Host) fromOwner(now time.Time, owner string, m message) {
+	switch {
+	case m.Stamp != nil:
+		h.entry.Stamped(now, owner, *m.Stamp)
+	case m.Result != nil:
+		h.entry.Resulted(now, owner, *m.Result)
+	}
+}
+
+// fromEntry handles a message of an entry host on a session that it opened.
+func (h *Host) fromEntry(now time.Time, id SessionID, m message) {
+	if !h.sessions.Has(id) {
+		return
+	}
+	switch {
+	case m.Echo != 0:
+		h.sessions.Echo(id, m.Echo)
+	case m.Submit != nil:
+		h.pool.Submit(now, id, *m.Submit)
+	case m.Cancel != "":
+		h.pool.Cancel(now, id, m.Cancel)
+	}
+}
+
+// sessionClosed handles the end of a session that a peer had opened.
+func (h *Host) sessionClosed(now time.Time, id SessionID) {
+	if h.sessions.Has(id) {
+		h.sessions.Close(id)
+		h.pool.DropSession(now, id, "EntryHostGone")
+	}
+}
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +25,6 @@
 	eventRing    = 8192
 	streamName   = "Jobs"
 	ownerItem    = "Owner"
-	// localSession is the session of this host's own callers.
-	localSession SessionID = 0
 	// stopPoll is how often a stopping service looks whether it is done.
 	stopPoll = 20 * time.Millisecond
 	// successorTime is how long a leaving owner stays after its last job, so
@@ -36,9 +33,6 @@
 	// balancerTime is how long a leaving host still takes new requests: the
 	// balancer turns away after two misses, a second apart.
 	balancerTime = 2300 * time.Millisecond
-	// refuseAfter is when a leaving host refuses requests that still come on
-	// open connections, so that what it has taken ends in time.
-	refuseAfter = 2800 * time.Millisecond
 )
 
 // Orders carries orders to backend servers. The fields are seams: an adapter
@@ -66,21 +60,17 @@
 // Service owns backend servers and carries the jobs of callers to owners.
 type Service struct {
 	cfg      Config
-	events   *ring.Ring[func(now time.Time)]
+	events   *ring.Ring[func(h *Host, now time.Time)]
 	peers    *peer.Service
 	platform *platform.Service
 	lanes    *lanes
 	ctx      context.Context
 
 	// What follows belongs to the loop.
-	pool     *Pool
-	entry    *Entry
-	sessions Sessions
+	host     *Host
 	streams  map[string]*peer.Stream
 	incoming map[SessionID]*peer.Stream
 	waiting  map[TicketID]func(Result)
-	leaving  bool
-	leftAt   time.Time
 
 	mu     sync.Mutex
 	status Status
@@ -89,22 +79,10 @@
 	latency             metrics.Histogram
 }
 
-// Status is what operators see of the service.
-type Status struct {
-	// Owner is the incarnation that owns this host's failure domain.
-	Owner string
-	// Jobs counts the jobs that this host owns, Waiting those that its callers
-	// wait for.
-	Jobs    int
-	Waiting int
-	Load    Load
-	Ready   bool
-}
-
 // New returns a service; it is started by the kernel.
 func New(c Config) *Service {
 	s := &Service{
-		cfg: c, events: ring.New[func(time.Time)](eventRing), streams: map[string]*peer.Stream{},
+		cfg: c, events: ring.New[func(*Host, time.Time)](eventRing), streams: map[string]*peer.Stream{},
 		incoming: map[SessionID]*peer.Stream{}, waiting: map[TicketID]func(Result){},
 		submitted: metrics.GetOrRegisterCounter("Worker.Submitted", c.Metrics),
 		answered:  metrics.GetOrRegisterCounter("Worker.Answered", c.Metrics),
@@ -112,11 +90,11 @@
 			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
 	fencer := NewFencer(c.Self.Address)
-	s.pool = NewPool(PoolConfig{
+	s.host = NewHost(HostConfig{
+		Self:  c.Self,
 		Fence: func(_ time.Time, refused uint64) uint64 { return fencer.Next(c.Wall(), refused) },
-		Rand:  c.Rand, Log: c.Log,
+		Rand:  c.Rand, Log: c.Log, Now: c.Now(),
 	})
-	s.entry = NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now()})
 	return s
 }
 
@@ -152,7 +130,7 @@
 	s.peers.HandleStream(streamName, s.accept)
 	s.peers.Publish(ownerItem, s.publishOwner)
 	s.peers.HandleNote(ownerItem, func(from string, _ []byte) {
-		s.post(func(now time.Time) { s.entry.OwnerClaimed(now, from) })
+		s.post(func(h *Host, now time.Time) { h.entry.OwnerClaimed(now, from) })
 	})
 	s.peers.OnChange(s.membersChanged)
 	s.platform.OnHosts(s.hostsChanged)
@@ -167,7 +145,7 @@
 
 // post hands an event to the loop. Events are never dropped: each may carry the
 // end of an order.
-func (s *Service) post(f func(now time.Time)) {
+func (s *Service) post(f func(h *Host, now time.Time)) {
 	if err := s.events.Put(s.ctx, f); err != nil {
 		// The service has ended; nobody waits for the event.
 		return
@@ -179,73 +157,29 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		var event func(*Host, time.Time)
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			now := s.cfg.Now()
-			s.tick(now)
-			s.carryOut(now)
-		case f := <-s.events.C():
-			now := s.cfg.Now()
-			// Sessions end before anything else is decided: after a pause of
-			// this host they may all be over.
-			s.endSessions(now)
-			f(now)
-			s.carryOut(now)
+			event = s.tick
+		case event = <-s.events.C():
+		}
+		now := s.cfg.Now()
+		for _, a := range s.host.Do(now, event) {
+			s.carryOut(now, a)
 		}
 	}
 }
 
-func (s *Service) tick(now time.Time) {
-	s.endSessions(now)
-	s.entry.Tick(now)
-	s.pool.Tick(now)
-	s.entry.SetLoad(s.pool.Load())
-	s.updateStatus()
-}
-
-func (s *Service) updateStatus() {
-	st := Status{
-		Owner: s.entry.Hint(), Jobs: s.pool.Jobs(), Waiting: s.entry.Jobs(), Load: s.pool.Load(),
-		Ready: !s.leaving && s.entry.Served(),
-	}
+func (s *Service) tick(h *Host, now time.Time) {
+	h.Tick(now)
+	st := h.Status()
 	s.mu.Lock()
 	s.status = st
 	s.mu.Unlock()
 }
 
-// endSessions sends stamps and drops what is no longer vouched for.
-func (s *Service) endSessions(now time.Time) {
-	due, ended := s.sessions.Tick(now)
-	for _, id := range ended {
-		s.cfg.Log.Warn().Uint64("Session", uint64(id)).Str("Peer", s.incoming[id].Peer).Msg("SessionEnded")
-		s.incoming[id].Close()
-		delete(s.incoming, id)
-		s.pool.DropSession(now, id, "EntryHostSilent")
-	}
-	if len(due) == 0 {
-		return
-	}
-	load := s.pool.Load()
-	for _, id := range sortedSessions(due) {
-		st := stamp{Number: due[id], Owner: s.pool.Owner(), Leaving: s.leaving, Hint: s.entry.Hint(), Load: load}
-		if s.leaving {
-			st.Keeping = s.pool.Keeping()
-		}
-		s.sendOn(s.incoming[id], message{Stamp: &st})
-	}
-}
-
-func sortedSessions(due map[SessionID]uint64) []SessionID {
-	ids := make([]SessionID, 0, len(due))
-	for id := range due {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 func (s *Service) sendOn(st *peer.Stream, m message) {
 	b, err := cbor.Marshal(m)
 	if err != nil {
@@ -259,85 +193,54 @@
 	}
 }
 
-// carryOut does what the deciding code asked for, until it asks for no more.
-func (s *Service) carryOut(now time.Time) {
-	for {
-		entry, pool := s.entry.Take(), s.pool.Take()
-		if len(entry) == 0 && len(pool) == 0 {
-			return
-		}
-		for _, a := range entry {
-			s.doEntry(now, a)
-		}
-		for _, a := range pool {
-			s.doPool(now, a)
-		}
-	}
-}
-
-func (s *Service) doEntry(now time.Time, a EntryAction) {
-	switch {
-	case a.Open != nil:
-		go s.open(*a.Open)
-	case a.Close != "":
-		if st := s.streams[a.Close]; st != nil {
-			delete(s.streams, a.Close)
-			st.Close()
-		}
-	case a.Send != nil:
-		if st := s.streams[a.Send.To]; st != nil {
-			s.sendOn(st, a.Send.Message)
-		}
-	case a.Local != nil && a.Local.Submit != nil:
-		s.pool.Submit(now, localSession, *a.Local.Submit)
-	case a.Local != nil:
-		s.pool.Cancel(now, localSession, a.Local.Cancel)
-	case a.Answer != nil:
-		if f := s.waiting[a.Answer.Ticket]; f != nil {
-			delete(s.waiting, a.Answer.Ticket)
-			f(a.Answer.Result)
-		}
-	case a.Own != nil:
-		s.cfg.Log.Info().Str("Domain", s.cfg.Self.FailureDomain).Int("Spared", len(a.Own.Spared)).Msg("OwnerTakes")
-		s.pool.Own(now, a.Own.Spared)
-	case a.Yield != "":
-		s.pool.Yield(now, a.Yield)
-	}
-}
-
-func (s *Service) doPool(now time.Time, a Action) {
+func (s *Service) carryOut(now time.Time, a HostAction) {
 	switch {
 	case a.Start != nil:
 		o := a.Start
 		s.lanes.order(o.Server, func(ctx context.Context) {
 			r := s.cfg.Orders.Start(ctx, o.Server, o.Order)
-			s.post(func(now time.Time) { s.pool.Started(now, o.Server.ID, o.Order.Fence, o.Order.RunKey, r) })
+			s.post(func(h *Host, now time.Time) { h.pool.Started(now, o.Server.ID, o.Order.Fence, o.Order.RunKey, r) })
 		})
 	case a.Stop != nil:
 		o := a.Stop
 		s.lanes.order(o.Server, func(ctx context.Context) {
 			r := s.cfg.Orders.Stop(ctx, o.Server, o.Order)
-			s.post(func(now time.Time) { s.pool.Stopped(now, o.Server.ID, o.Order.Fence, o.Order.RunKey, r) })
+			s.post(func(h *Host, now time.Time) { h.pool.Stopped(now, o.Server.ID, o.Order.Fence, o.Order.RunKey, r) })
 		})
 	case a.Hold != nil:
 		s.sendHold(now, a.Hold)
-	case a.Answer != nil:
-		if a.Answer.Session == localSession {
-			s.entry.Resulted(now, s.cfg.Self.Incarnation, a.Answer.Result)
-			return
+	case a.Open != nil:
+		go s.open(*a.Open)
+	case a.CloseTo != "":
+		if st := s.streams[a.CloseTo]; st != nil {
+			delete(s.streams, a.CloseTo)
+			st.Close()
+		}
+	case a.SendTo != nil:
+		if st := s.streams[a.SendTo.To]; st != nil {
+			s.sendOn(st, a.SendTo.Message)
 		}
-		if st := s.incoming[a.Answer.Session]; st != nil {
-			s.sendOn(st, message{Result: &a.Answer.Result})
+	case a.CloseSession != 0:
+		if st := s.incoming[a.CloseSession]; st != nil {
+			delete(s.incoming, a.CloseSession)
+			st.Close()
+		}
+	case a.Reply != nil:
+		if st := s.incoming[a.Reply.Session]; st != nil {
+			s.sendOn(st, a.Reply.Message)
+		}
+	case a.Answer != nil:
+		if f := s.waiting[a.Answer.Ticket]; f != nil {
+			delete(s.waiting, a.Answer.Ticket)
+			f(a.Answer.Result)
 		}
-	case a.Deposed:
-		s.entry.Deposed(now)
 	}
 }
 
 func (s *Service) sendHold(sent time.Time, o *ServerHold) {
 	run := func(ctx context.Context) {
 		r := s.cfg.Orders.Hold(ctx, o.Server, o.Order)
-		s.post(func(now time.Time) { s.pool.Held(now, o.Server.ID, o.Order.Fence, o.Renewal, sent, r) })
+		s.post(func(h *Host, now time.Time) { h.pool.Held(now, o.Server.ID, o.Order.Fence, o.Renewal, sent, r) })
 	}
 	if o.Renewal {
 		s.lanes.order(o.Server, run)
@@ -356,10 +259,10 @@
 			s.cfg.Log.Warn().Str("Peer", c.Incarnation).Err(err).Msg("MessageMalformed")
 			return
 		}
-		s.post(func(now time.Time) { s.fromOwner(now, c.Incarnation, m) })
+		s.post(func(h *Host, now time.Time) { h.fromOwner(now, c.Incarnation, m) })
 	}
 	closed := func() {
-		go s.post(func(now time.Time) { s.streamClosed(now, c.Incarnation) })
+		go s.post(func(h *Host, now time.Time) { s.streamClosed(h, now, c.Incarnation) })
 	}
 	st, err := s.peers.OpenStream(ctx, c.Address, c.Incarnation, streamName, receive, closed)
 	if err != nil {
@@ -368,36 +271,27 @@
 		if errors.As(err, &ended) {
 			reason = "IncarnationEnded"
 		}
-		s.post(func(now time.Time) { s.entry.Closed(now, c.Incarnation, reason) })
+		s.post(func(h *Host, now time.Time) { h.entry.Closed(now, c.Incarnation, reason) })
 		return
 	}
-	s.post(func(now time.Time) {
+	s.post(func(h *Host, now time.Time) {
 		s.streams[c.Incarnation] = st
-		s.entry.Opened(now, c.Incarnation)
+		h.entry.Opened(now, c.Incarnation)
 	})
 }
 
-func (s *Service) streamClosed(now time.Time, incarnation string) {
+func (s *Service) streamClosed(h *Host, now time.Time, incarnation string) {
 	if s.streams[incarnation] != nil {
 		delete(s.streams, incarnation)
-		s.entry.Closed(now, incarnation, "SessionBroke")
-	}
-}
-
-func (s *Service) fromOwner(now time.Time, owner string, m message) {
-	switch {
-	case m.Stamp != nil:
-		s.entry.Stamped(now, owner, *m.Stamp)
-	case m.Result != nil:
-		s.entry.Resulted(now, owner, *m.Result)
+		h.entry.Closed(now, incarnation, "SessionBroke")
 	}
 }
 
 // accept serves a session that an entry host has opened.
 func (s *Service) accept(st *peer.Stream) (receive func([]byte), closed func()) {
 	var id SessionID
-	s.post(func(now time.Time) {
-		id = s.sessions.Open(now, st.Peer)
+	s.post(func(h *Host, now time.Time) {
+		id = h.sessions.Open(now, st.Peer)
 		s.incoming[id] = st
 	})
 	receive = func(b []byte) {
@@ -406,34 +300,17 @@
 			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 			return
 		}
-		s.post(func(now time.Time) { s.fromEntry(now, id, m) })
+		s.post(func(h *Host, now time.Time) { h.fromEntry(now, id, m) })
 	}
 	closed = func() {
-		go s.post(func(now time.Time) {
-			if s.incoming[id] != nil {
-				delete(s.incoming, id)
-				s.sessions.Close(id)
-				s.pool.DropSession(now, id, "EntryHostGone")
-			}
+		go s.post(func(h *Host, now time.Time) {
+			delete(s.incoming, id)
+			h.sessionClosed(now, id)
 		})
 	}
 	return receive, closed
 }
 
-func (s *Service) fromEntry(now time.Time, id SessionID, m message) {
-	if s.incoming[id] == nil {
-		return
-	}
-	switch {
-	case m.Echo != 0:
-		s.sessions.Echo(id, m.Echo)
-	case m.Submit != nil:
-		s.pool.Submit(now, id, *m.Submit)
-	case m.Cancel != "":
-		s.pool.Cancel(now, id, m.Cancel)
-	}
-}
-
 func (s *Service) publishOwner() []byte {
 	if s.Status().Owner != s.cfg.Self.Incarnation {
 		return nil
@@ -448,7 +325,7 @@
 			up = append(up, Candidate{m.Incarnation, m.Address, m.FailureDomain})
 		}
 	}
-	s.post(func(now time.Time) { s.entry.Members(now, up) })
+	s.post(func(h *Host, now time.Time) { h.entry.Members(now, up) })
 }
 
 func (s *Service) hostsChanged(hosts []platform.Host) {
@@ -461,9 +338,9 @@
 			})
 		}
 	}
-	s.post(func(now time.Time) {
-		s.pool.Servers(now, list)
-		s.lanes.retain(s.pool.Known())
+	s.post(func(h *Host, now time.Time) {
+		h.pool.Servers(now, list)
+		s.lanes.retain(h.pool.Known())
 	})
 }
 
@@ -472,27 +349,26 @@
 func (s *Service) Submit(job Job, answer func(Result)) (left func()) {
 	ticket := make(chan TicketID, 1)
 	s.submitted.Inc(1)
-	s.post(func(now time.Time) {
-		if s.leaving && now.Sub(s.leftAt) > refuseAfter {
-			ticket <- 0
+	s.post(func(h *Host, now time.Time) {
+		t, ok := h.Submit(now, job)
+		ticket <- t
+		if !ok {
 			answer(Result{ID: job.ID, Outcome: Refused, Reason: "HostLeaves", RetryAfter: time.Second})
 			return
 		}
-		t := s.entry.Submit(now, job)
 		s.waiting[t] = func(r Result) {
 			s.answered.Inc(1)
 			s.latency.Update(s.cfg.Now().Sub(now).Milliseconds())
 			metrics.GetOrRegisterCounter("Worker.Outcome."+r.Outcome.String(), s.cfg.Metrics).Inc(1)
 			answer(r)
 		}
-		ticket <- t
 	})
 	return func() {
-		s.post(func(now time.Time) {
+		s.post(func(h *Host, now time.Time) {
 			t := <-ticket
 			if s.waiting[t] != nil {
 				delete(s.waiting, t)
-				s.entry.CallerLeft(now, t)
+				h.entry.CallerLeft(now, t)
 			}
 		})
 	}
@@ -501,7 +377,7 @@
 // CancelJob ends a job whoever waits for it, on this host and on the owners
 // that it has a session with.
 func (s *Service) CancelJob(id string) {
-	s.post(func(now time.Time) { s.entry.CancelJob(now, id) })
+	s.post(func(h *Host, now time.Time) { h.entry.CancelJob(now, id) })
 }
 
 // Ready reports whether callers should be sent here: the host isn't leaving and
@@ -515,12 +391,9 @@
 // prepare makes the host no candidate for owner any more; an owner gives its
 // servers to a successor.
 func (s *Service) prepare() {
-	s.post(func(now time.Time) {
-		s.cfg.Log.Info().Int("Jobs", s.pool.Jobs()).Int("Waiting", s.entry.Jobs()).Msg("HostLeaves")
-		s.leaving, s.leftAt = true, now
-		s.entry.Leave(now)
-		s.pool.Drain(now)
-		s.updateStatus()
+	s.post(func(h *Host, now time.Time) {
+		h.Leave(now)
+		s.tick(h, now)
 	})
 }
 
--- a/internal/worker/session.go
+++ b/internal/worker/session.go
@@ -84,3 +84,8 @@
 	}
 	return due, ended
 }
+
+// Has reports whether a session is open.
+func (s *Sessions) Has(id SessionID) bool {
+	return slices.ContainsFunc(s.list, func(o *session) bool { return o.id == id })
+}
