--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -122,8 +122,11 @@
 	candidates []Candidate
 	views      map[string]*view
 	// behind holds sessions with leaving owners that still finish jobs.
-	behind     map[string]*view
-	avoid      map[string]time.Time
+	behind map[string]*view
+	avoid  map[string]time.Time
+	// leavers holds the hosts that have said that they leave, which none takes
+	// back.
+	leavers    map[string]bool
 	jobs       map[string]*entryJob
 	tickets    map[TicketID]string
 	lastTicket TicketID
@@ -136,7 +139,7 @@
 // NewEntry returns an Entry that knows no other host.
 func NewEntry(c EntryConfig) *Entry {
 	return &Entry{
-		cfg: c, views: map[string]*view{}, behind: map[string]*view{}, avoid: map[string]time.Time{}, jobs: map[string]*entryJob{},
+		cfg: c, views: map[string]*view{}, behind: map[string]*view{}, avoid: map[string]time.Time{}, leavers: map[string]bool{}, jobs: map[string]*entryJob{},
 		tickets: map[TicketID]string{}, candidates: []Candidate{c.Self},
 	}
 }
@@ -154,6 +157,11 @@
 // Members delivers the members that are up, this host not among them.
 func (e *Entry) Members(now time.Time, list []Candidate) {
 	e.candidates = append(slices.Clone(list), e.cfg.Self)
+	for id := range e.leavers {
+		if !slices.ContainsFunc(list, func(c Candidate) bool { return c.Incarnation == id }) {
+			delete(e.leavers, id)
+		}
+	}
 	slices.SortFunc(e.candidates, func(a, b Candidate) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
 	e.Tick(now)
 }
@@ -297,10 +305,6 @@
 
 // choose returns the host to take for the owner of a domain (rule 1).
 func (e *Entry) choose(now time.Time, v *view) (Candidate, bool) {
-	leaving := ""
-	if v.open && v.stamp.Leaving {
-		leaving = v.target.Incarnation
-	}
 	hint := ""
 	if v.open && !v.stamp.Owner {
 		hint = v.stamp.Hint
@@ -309,7 +313,7 @@
 	for i := range e.candidates {
 		c := &e.candidates[i]
 		self := c.Incarnation == e.cfg.Self.Incarnation
-		if c.FailureDomain != v.domain || !e.avoid[c.Incarnation].IsZero() || c.Incarnation == leaving || self && e.leaving {
+		if c.FailureDomain != v.domain || !e.avoid[c.Incarnation].IsZero() || e.leavers[c.Incarnation] || self && e.leaving {
 			continue
 		}
 		if c.Incarnation == hint && !self {
@@ -405,6 +409,9 @@
 
 // Stamped handles a stamp: it is echoed, and what it says is noted.
 func (e *Entry) Stamped(now time.Time, from string, st stamp) {
+	if st.Leaving {
+		e.leavers[from] = true
+	}
 	for _, d := range e.domains() {
 		v := e.views[d]
 		if v == nil || v.target.Incarnation != from || !v.open {
--- /dev/null
+++ b/internal/worker/entry_test.go
@@ -0,0 +1,99 @@
+package worker
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"guavayoke/internal/event"
+)
+
+var entryStart = time.Unix(1_800_000_000, 0)
+
+func newTestEntry(self string, others ...string) *Entry {
+	e := NewEntry(EntryConfig{
+		Self: Candidate{self, self, "domain1"}, Log: event.New(io.Discard, "error"), Now: entryStart,
+	})
+	var list []Candidate
+	for _, o := range others {
+		list = append(list, Candidate{o, o, "domain1"})
+	}
+	e.Members(entryStart, list)
+	return e
+}
+
+// answerOpens lets every session that is asked for open and say st. It returns
+// how many were asked for.
+func answerOpens(e *Entry, now time.Time, st stamp) int {
+	opens := 0
+	for range 100 {
+		actions := e.Take()
+		if len(actions) == 0 {
+			return opens
+		}
+		for _, a := range actions {
+			if a.Open != nil {
+				opens++
+				e.Opened(now, a.Open.Incarnation)
+				e.Stamped(now, a.Open.Incarnation, st)
+			}
+		}
+	}
+	return opens
+}
+
+// TestLeavingHostsAreTriedOnce covers two leaving hosts of a domain, between
+// which a third one went back and forth as fast as the network allowed.
+func TestLeavingHostsAreTriedOnce(t *testing.T) {
+	e := newTestEntry("c", "a", "b")
+	e.Leave(entryStart)
+	if opens := answerOpens(e, entryStart, stamp{Number: 1, Leaving: true}); opens > 2 {
+		t.Errorf("%d sessions were opened to two leaving hosts", opens)
+	}
+}
+
+// TestOwnerIsKept shows that an owner that answers stays the owner when an older
+// member appears, and that its hint leads a new host to it.
+func TestOwnerIsKept(t *testing.T) {
+	e := newTestEntry("c", "b")
+	answerOpens(e, entryStart, stamp{Number: 1, Owner: true, Load: Load{Servers: 1}})
+	e.Members(entryStart, []Candidate{{"a", "a", "domain1"}, {"b", "b", "domain1"}})
+	if opens := answerOpens(e, entryStart, stamp{}); opens != 0 || e.Hint() != "b" {
+		t.Errorf("%d sessions opened, owner is %q; want none and b", opens, e.Hint())
+	}
+	e = newTestEntry("d", "a", "b")
+	actions := e.Take()
+	if len(actions) != 1 || actions[0].Open == nil || actions[0].Open.Incarnation != "a" {
+		t.Fatalf("actions are %+v, want a session with a", actions)
+	}
+	e.Opened(entryStart, "a")
+	e.Stamped(entryStart, "a", stamp{Number: 1, Hint: "b"})
+	if answerOpens(e, entryStart, stamp{Number: 1, Owner: true, Load: Load{Servers: 1}}); e.Hint() != "b" {
+		t.Errorf("owner is %q, want b as a says", e.Hint())
+	}
+}
+
+// TestSilentOwnerLosesJobs covers rule 4: callers hear at once that a job may
+// come again, and nothing of it is vouched for any more.
+func TestSilentOwnerLosesJobs(t *testing.T) {
+	e := newTestEntry("b", "a")
+	answerOpens(e, entryStart, stamp{Number: 1, Owner: true, Load: Load{Servers: 1}})
+	ticket := e.Submit(entryStart, Job{ID: "1"})
+	e.Take()
+	now := entryStart.Add(entryLease + time.Millisecond)
+	e.Tick(now)
+	var lost, closed bool
+	for _, a := range e.Take() {
+		lost = lost || a.Answer != nil && a.Answer.Ticket == ticket && a.Answer.Result.Outcome == Lost
+		closed = closed || a.Close == "a"
+	}
+	if !lost || !closed {
+		t.Errorf("lost %v, closed %v, want both", lost, closed)
+	}
+	e.Stamped(now, "a", stamp{Number: 2, Owner: true})
+	for _, a := range e.Take() {
+		if a.Send != nil && a.Send.Message.Echo != 0 {
+			t.Error("a stamp was echoed after the jobs were given up")
+		}
+	}
+}
