--- a/internal/standin/leased.go
+++ b/internal/standin/leased.go
@@ -17,6 +17,8 @@
 	Info worker.Server
 	// MaxLease bounds the lease that an order may give, by the server's clock.
 	MaxLease time.Duration
+	// StopTime is how long a stop takes; the run keeps its room meanwhile.
+	StopTime time.Duration
 	// Drift slows the server's clock, as a share.
 	Drift float64
 	// RunTime returns how long a run works and whether it then fails.
@@ -42,6 +44,18 @@
 	key    worker.RunKey
 	until  time.Time
 	failed bool
+	// stopping marks a run that was told to stop and ends at until.
+	stopping bool
+}
+
+func (r *leasedRun) how() worker.HowEnded {
+	switch {
+	case r.stopping:
+		return worker.EndStopped
+	case r.failed:
+		return worker.EndFailed
+	}
+	return worker.EndDone
 }
 
 // Boot starts the server, or starts it again without any memory.
@@ -64,13 +78,10 @@
 	for _, r := range s.sorted() {
 		switch {
 		case !r.until.After(now) && !r.until.After(lapses):
-			how := worker.EndDone
-			if r.failed {
-				how = worker.EndFailed
-			} else {
+			s.end(r, r.how())
+			if r.how() == worker.EndDone {
 				s.Done++
 			}
-			s.end(r, how)
 		case !lapses.After(now):
 			s.end(r, worker.EndStopped)
 		}
@@ -141,7 +152,7 @@
 		return s.reply(now, worker.RefusedOld)
 	}
 	work, fails := s.RunTime(o.RunKey, o.Spec)
-	s.running[o.RunKey] = &leasedRun{o.RunKey, now.Add(work), fails}
+	s.running[o.RunKey] = &leasedRun{key: o.RunKey, until: now.Add(work), failed: fails}
 	s.checkRoom()
 	return s.reply(now, worker.Accepted)
 }
@@ -164,7 +175,9 @@
 	}
 	s.fence = o.Fence
 	if r := s.running[o.RunKey]; r != nil {
-		s.end(r, worker.EndStopped)
+		if until := now.Add(s.StopTime); !r.stopping {
+			r.stopping, r.until = true, until
+		}
 	}
 	s.highest[o.Task] = max(s.highest[o.Task], o.Run)
 	return s.reply(now, worker.Accepted)
--- a/internal/worker/property_test.go
+++ b/internal/worker/property_test.go
@@ -10,23 +10,30 @@
 type worldCase struct {
 	faults worldFaults
 	rate   float64
+	// work is the mean work of a task; 0 means shortWork.
+	work time.Duration
 	// minServed is the share of answers that must be completed jobs.
 	minServed float64
 }
 
 var worldCases = map[string]worldCase{
-	"Calm":          {rate: 18, minServed: 1},
-	"LostAnswers":   {faults: worldFaults{Lost: 0.03}, rate: 18, minServed: 0.9},
-	"LateOrders":    {faults: worldFaults{Late: 0.05}, rate: 18, minServed: 0.85},
-	"Kills":         {faults: worldFaults{Kills: 0.3}, rate: 18, minServed: 0.7},
-	"Freezes":       {faults: worldFaults{Freezes: 0.3}, rate: 18, minServed: 0.6},
-	"HostCuts":      {faults: worldFaults{HostCuts: 0.5}, rate: 18, minServed: 0.7},
-	"ServerCuts":    {faults: worldFaults{ServerCuts: 0.5}, rate: 18, minServed: 0.8},
-	"Crashes":       {faults: worldFaults{Crashes: 0.4}, rate: 18, minServed: 0.8},
-	"Leaving":       {faults: worldFaults{Leaves: 0.3}, rate: 18, minServed: 0.9},
-	"CallersLeave":  {faults: worldFaults{CallerLeaves: 0.3}, rate: 18, minServed: 0.9},
-	"RunsFail":      {faults: worldFaults{RunFails: 0.1}, rate: 18, minServed: 0.8},
-	"Overload":      {rate: 150},
+	"Calm":         {rate: 18, minServed: 1},
+	"LostAnswers":  {faults: worldFaults{Lost: 0.03}, rate: 18, minServed: 0.9},
+	"LateOrders":   {faults: worldFaults{Late: 0.05}, rate: 18, minServed: 0.85},
+	"Kills":        {faults: worldFaults{Kills: 0.3}, rate: 18, minServed: 0.7},
+	"Freezes":      {faults: worldFaults{Freezes: 0.3}, rate: 18, minServed: 0.6},
+	"HostCuts":     {faults: worldFaults{HostCuts: 0.5}, rate: 18, minServed: 0.7},
+	"ServerCuts":   {faults: worldFaults{ServerCuts: 0.5}, rate: 18, minServed: 0.8},
+	"Crashes":      {faults: worldFaults{Crashes: 0.4}, rate: 18, minServed: 0.8},
+	"Leaving":      {faults: worldFaults{Leaves: 0.3}, rate: 18, minServed: 0.9},
+	"CallersLeave": {faults: worldFaults{CallerLeaves: 0.3}, rate: 18, minServed: 0.9},
+	"RunsFail":     {faults: worldFaults{RunFails: 0.1}, rate: 18, minServed: 0.8},
+	"Overload":     {rate: 150},
+	// Runs outlive the time after which a caller comes again.
+	"LongKills":     {faults: worldFaults{Kills: 1}, rate: 3, work: 2 * time.Second},
+	"LongFreezes":   {faults: worldFaults{Freezes: 0.5}, rate: 3, work: 2 * time.Second},
+	"LongCuts":      {faults: worldFaults{HostCuts: 1, ServerCuts: 0.5}, rate: 3, work: 2 * time.Second},
+	"LongAll":       {faults: allFaults, rate: 3, work: 2 * time.Second},
 	"AllAtOnce":     {faults: allFaults, rate: 40},
 	"AllOverloaded": {faults: allFaults, rate: 120},
 }
@@ -36,6 +43,9 @@
 	Leaves: 0.1, CallerLeaves: 0.1,
 }
 
+// shortWork is the mean work of most tasks.
+const shortWork = 200 * time.Millisecond
+
 // worldSeeds is how many seeds each kind of day is played with.
 const worldSeeds = 6
 
@@ -62,9 +72,13 @@
 	})
 	w.run(5 * time.Second)
 	end := w.now.Add(12 * time.Second)
-	w.load(c.rate, end, 4, 14000, 200*time.Millisecond)
+	work := c.work
+	if work == 0 {
+		work = shortWork
+	}
+	w.load(c.rate, end, 4, 14000, work)
 	w.inject(end)
-	w.run(24 * time.Second)
+	w.run(24*time.Second + 8*work)
 	for _, id := range sortedJobs(w) {
 		if j := w.jobs[id]; !j.over {
 			w.fail("Ends: job %s of %v has no answer %v after its arrival, %d attempts", id, j.at, w.now.Sub(j.at), j.attempts)
--- a/internal/worker/world_test.go
+++ b/internal/worker/world_test.go
@@ -217,7 +217,7 @@
 			ID: id, Address: id, Service: "booking", FailureDomain: domain,
 			Capacity: worker.Resources{CPUMilli: c.cpu, MemoryMB: 1000},
 		},
-		MaxLease: time.Second, Drift: c.drift,
+		MaxLease: time.Second, Drift: c.drift, StopTime: 50 * time.Millisecond,
 		RunTime: func(k worker.RunKey, _ string) (time.Duration, bool) {
 			j := w.jobs[k.Task[:strings.Index(k.Task, ".")]]
 			j.started = true
@@ -323,7 +323,7 @@
 		h.order(o.Server.ID, false, func(s *worldServer) worker.Reply {
 			r := s.Stop(w.now, o.Order)
 			w.note("%s stop %v by host%d: %v", o.Server.ID, o.Order.RunKey, h.n, r.Verdict)
-			w.wake(s)
+			w.watch(s)
 			return r
 		}, func(x *worker.Host, now time.Time, r worker.Reply) {
 			x.Pool().Stopped(now, o.Server.ID, o.Order.Fence, o.Order.RunKey, r)
@@ -754,7 +754,7 @@
 		j := &worldJob{at: w.now, done: map[string]bool{}, allNo: true, work: work/2 + time.Duration(w.rand.Int64N(int64(work)))}
 		j.job = worker.Job{
 			ID: fmt.Sprintf("%016x", w.nextJob), Queue: "queue", Service: "booking", MaxFailures: 4, Stretch: 1.6,
-			Target: 60 * time.Millisecond, Budget: 5 * time.Second,
+			Target: 60 * time.Millisecond, Budget: 5*time.Second + 5*work,
 			Steps: []worker.Step{{
 				Count: 1 + w.rand.IntN(width), Estimate: j.work,
 				Need: worker.Resources{CPUMilli: need/2 + w.rand.IntN(need), MemoryMB: 10},
