Add a stand-in of the users' platform, a fault soak and tests of the whole path

Change: platform/standin (store, backend servers), platform/soak and guavayoke-soak (daemons as processes; kills, pauses, relays that cut, silence, reset and delay, store and server faults, planned work), tests of the path in internal/daemon. Relays know one-way cuts, silence, resets and delays; a daemon may advertise another peer address than it listens at.

Ruled out: a first soak blamed a daemon for a request on a connection that had been closed before; such a request is judged by the 200 ms that the platform gives.

--- /dev/null
+++ b/cmd/guavayoke-soak/main.go
@@ -0,0 +1,75 @@
+// Command guavayoke-soak plays daemons as processes with faults from a seed and
+// checks the promises from outside.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"guavayoke/platform/soak"
+)
+
+// Exit codes.
+const (
+	exitViolated = 1
+	exitUsage    = 2
+)
+
+func main() {
+	c := soak.Config{Out: os.Stdout}
+	flag.StringVar(&c.Binary, "daemon", "bin/guavayoked", "the daemon's `program`")
+	flag.StringVar(&c.Dir, "dir", "", "`folder` for settings and logs; empty: a temporary one")
+	flag.Uint64Var(&c.Seed, "seed", 1, "first seed")
+	seeds := flag.Int("seeds", 1, "number of seeds")
+	flag.DurationVar(&c.Duration, "duration", 20*time.Second, "how long faults are injected, for each seed")
+	flag.IntVar(&c.Domains, "domains", 2, "failure domains")
+	flag.IntVar(&c.Daemons, "daemons", 3, "daemons in each domain")
+	flag.IntVar(&c.Servers, "servers", 4, "backend servers in each domain")
+	flag.IntVar(&c.Clients, "clients", 12, "callers at once")
+	flag.Usage = usage
+	flag.Parse()
+	if c.Dir == "" {
+		dir, err := os.MkdirTemp("", "guavayoke-soak")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitUsage)
+		}
+		c.Dir = dir
+	}
+	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	failed := 0
+	for range *seeds {
+		violations, err := soak.Run(c)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitUsage)
+		}
+		if len(violations) > 0 {
+			failed++
+		}
+		c.Seed++
+	}
+	fmt.Printf("%d seeds, %d with violations; logs are in %s\n", *seeds, failed, c.Dir)
+	if failed > 0 {
+		os.Exit(exitViolated)
+	}
+}
+
+func usage() {
+	fmt.Fprint(os.Stderr, `guavayoke-soak runs daemons as processes on loopback addresses against the
+stand-in of the users' platform, injects faults from a seed and checks the
+promises from what callers and backend servers see.
+
+Usage: guavayoke-soak [flags]
+
+`)
+	flag.PrintDefaults()
+	fmt.Fprint(os.Stderr, `
+Exit codes: 0 nothing violated, 1 violated, 2 wrong use or nothing could be run.
+`)
+}
--- /dev/null
+++ b/internal/daemon/adapted_test.go
@@ -0,0 +1,242 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/event"
+	"guavayoke/internal/settings"
+	"guavayoke/internal/worker"
+	"guavayoke/platform/standin"
+)
+
+const adaptedHost = "bookings.example"
+
+// adapted is one daemon in this process, on the stand-in of the users' platform.
+type adapted struct {
+	set     settings.Daemon
+	store   *standin.Store
+	servers *standin.Servers
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func listenLoopback(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func freeLoopback(t *testing.T) string {
+	t.Helper()
+	l := listenLoopback(t)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func startAdapted(t *testing.T) *adapted {
+	t.Helper()
+	a := &adapted{store: standin.NewStore(1), done: make(chan error, 1)}
+	draw := rand.New(rand.NewPCG(1, 1))
+	a.servers = standin.NewServers(func(n int) int { return draw.IntN(n) })
+	l := listenLoopback(t)
+	go func() { _ = (&fasthttp.Server{Handler: a.store.Handler}).Serve(l) }()
+	for n := range 3 {
+		if err := a.servers.Add(a.store, worker.Server{
+			ID: fmt.Sprintf("server%d", n), Address: "127.0.0.1:0", Service: "booking", FailureDomain: "domain1",
+			Labels: []string{"a"}, Capacity: worker.Resources{CPUMilli: 32000, MemoryMB: 1000},
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a.set = validSettings()
+	a.set.PeerKey = strings.Repeat("0f", 32)
+	a.set.Adapter, a.set.Seeds, a.set.StopLimitMs = "Users", nil, 5500
+	a.set.CallerAddress, a.set.PeerAddress, a.set.OperatorAddress = freeLoopback(t), freeLoopback(t), freeLoopback(t)
+	a.set.PlatformAddresses = []string{l.Addr().String()}
+	logger := event.New(io.Discard, "error")
+	k := buildAdapted(a.set, newPeers(a.set, []byte(a.set.PeerKey), "incarnation1", logger), []byte(a.set.PeerKey), "incarnation1", logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	go func() {
+		a.done <- k.Run(ctx, func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(context.Background(), 10*time.Second)
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-a.done; err != nil {
+			t.Errorf("stop: %v", err)
+		}
+		a.servers.Close()
+		_ = l.Close()
+	})
+	return a
+}
+
+func (a *adapted) configure(t *testing.T, version int) {
+	t.Helper()
+	b, err := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			{"name": "jobs", "host": adaptedHost, "prefix": "/jobs/", "service": "booking", "attempts": 2, "stretch": 20, "target-duration-ms": 5000},
+			{"name": "advised", "host": adaptedHost, "prefix": "/advised/", "service": "booking", "advice": map[string]int{"valid-ms": 1}},
+		},
+		"services": []map[string]any{{"name": "booking"}},
+		"limits":   map[string]int{"max-body-bytes": 20000},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.store.Put("op/config", b)
+}
+
+type adaptedAnswer struct {
+	status     int
+	body       string
+	retryAfter string
+}
+
+func (a *adapted) ask(method, path, body string) (adaptedAnswer, error) {
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("http://" + a.set.CallerAddress + path)
+	req.UseHostHeader = true
+	req.Header.SetHost(adaptedHost)
+	req.Header.SetMethod(method)
+	req.SetBodyString(body)
+	err := fasthttp.DoTimeout(req, res, 15*time.Second)
+	return adaptedAnswer{res.StatusCode(), string(res.Body()), string(res.Header.Peek("Retry-After"))}, err
+}
+
+// eventually asks until the status comes.
+func (a *adapted) eventually(t *testing.T, method, path, body string, status int) adaptedAnswer {
+	t.Helper()
+	var last adaptedAnswer
+	var err error
+	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); {
+		if last, err = a.ask(method, path, body); err == nil && last.status == status {
+			return last
+		}
+	}
+	t.Fatalf("%s %s: %+v, %v; want status %d", method, path, last, err, status)
+	return last
+}
+
+const (
+	quickJob = `{"spec":"20 14000","best-effort":true,"steps":[{"count":4,"cpu":14000,"mem-mb":64,"estimate-ms":20},{"count":2,"cpu":14000,"after":[0],"estimate-ms":20}]}`
+	slowJob  = `{"spec":"1500 14000","best-effort":true,"steps":[{"count":2,"cpu":14000,"mem-mb":64,"estimate-ms":1500}]}`
+)
+
+// TestAdaptedPath serves jobs end to end and gives each kind of bad request its
+// answer at once, without starting anything.
+func TestAdaptedPath(t *testing.T) {
+	a := startAdapted(t)
+	if got := a.eventually(t, "POST", "/jobs/0000000000000001", quickJob, 503); got.retryAfter == "" {
+		t.Errorf("without a configuration: %+v, want a time to come back", got)
+	}
+	a.configure(t, 3)
+	if got := a.eventually(t, "POST", "/jobs/0000000000000002", quickJob, 200); got.body != `{"state":"completed"}` {
+		t.Errorf("job: %+v", got)
+	}
+	tests := map[string]struct {
+		method, path, body string
+		status             int
+	}{
+		"UnknownQueue": {"POST", "/other/0000000000000003", quickJob, 404},
+		"NoID":         {"POST", "/jobs/xyz", quickJob, 404},
+		"NotJSON":      {"POST", "/jobs/0000000000000003", `{"spec":`, 400},
+		"WrongType":    {"POST", "/jobs/0000000000000003", `{"best-effort":true,"steps":[{"count":"4"}]}`, 400},
+		"NoSteps":      {"POST", "/jobs/0000000000000003", `{"best-effort":true}`, 400},
+		"NoTasks":      {"POST", "/jobs/0000000000000003", `{"best-effort":true,"steps":[{"cpu":1}]}`, 400},
+		"AfterItself":  {"POST", "/jobs/0000000000000003", `{"best-effort":true,"steps":[{"count":1,"cpu":1,"after":[0]}]}`, 400},
+		"Negative":     {"POST", "/jobs/0000000000000003", `{"best-effort":true,"steps":[{"count":1,"cpu":-1}]}`, 400},
+		"LongSpec":     {"POST", "/jobs/0000000000000003", `{"spec":"` + strings.Repeat("x", 4001) + `","best-effort":true,"steps":[{"count":1,"cpu":1}]}`, 400},
+		"TooLarge":     {"POST", "/jobs/0000000000000003", strings.Repeat(" ", 30000), 413},
+		"Stored":       {"POST", "/jobs/0000000000000003", `{"steps":[{"count":1,"cpu":1}]}`, 503},
+		"Gang":         {"POST", "/jobs/0000000000000003", `{"best-effort":true,"steps":[{"count":1,"cpu":1},{"count":1,"cpu":1,"gang":true}]}`, 503},
+		"Lasting":      {"POST", "/jobs/0000000000000003", `{"best-effort":true,"long-running":true,"steps":[{"count":1,"cpu":1}]}`, 503},
+		"Scheduled":    {"POST", "/jobs/0000000000000003", `{"best-effort":true,"repeats":2,"steps":[{"count":1,"cpu":1}]}`, 503},
+		"Advised":      {"POST", "/advised/0000000000000003", quickJob, 503},
+		"FitsNowhere":  {"POST", "/jobs/0000000000000003", `{"best-effort":true,"steps":[{"count":1,"cpu":99000}]}`, 503},
+		"State":        {"GET", "/jobs/0000000000000002", "", 410},
+		"Cancel":       {"DELETE", "/jobs/0000000000000003", "", 410},
+		"Pending":      {"GET", "/jobs/", "", 200},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := a.ask(c.method, c.path, c.body)
+			if err != nil || got.status != c.status {
+				t.Errorf("%+v, %v; want status %d", got, err, c.status)
+			}
+		})
+	}
+	if a.servers.Started("0000000000000003") {
+		t.Error("a task of a refused job was started")
+	}
+}
+
+// TestAdaptedCallerLeaves shows that nothing runs for a caller that has left.
+func TestAdaptedCallerLeaves(t *testing.T) {
+	a := startAdapted(t)
+	a.configure(t, 1)
+	a.eventually(t, "POST", "/jobs/0000000000000001", quickJob, 200)
+	conn, err := net.Dial("tcp", a.set.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(conn, "POST /jobs/0000000000000002 HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", adaptedHost, len(slowJob), slowJob)
+	waitFor(t, "a start", func() bool { return a.servers.Running() == 2 })
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	// The runs would go on for 1.5 s; a caller may come again after 1.3 s.
+	waitFor(t, "the stops", func() bool { return a.servers.Running() == 0 })
+	if n := a.servers.Stopped(); n != 2 {
+		t.Errorf("%d runs were stopped, want 2", n)
+	}
+}
+
+// TestAdaptedStopIsGraceful covers I7: a planned stop answers what was taken,
+// and a request that comes on an open connection meanwhile.
+func TestAdaptedStopIsGraceful(t *testing.T) {
+	a := startAdapted(t)
+	a.configure(t, 1)
+	a.eventually(t, "POST", "/jobs/0000000000000001", quickJob, 200)
+	answers := make(chan adaptedAnswer, 1)
+	go func() {
+		got, err := a.ask("POST", "/jobs/0000000000000002", slowJob)
+		if err != nil {
+			got.body = err.Error()
+		}
+		answers <- got
+	}()
+	waitFor(t, "a start", func() bool { return a.servers.Running() == 2 })
+	a.stop()
+	if got := <-answers; got.status != 200 {
+		t.Errorf("a job that was running got %+v", got)
+	}
+}
+
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for until := time.Now().Add(15 * time.Second); !ok(); {
+		if time.Now().After(until) {
+			t.Fatalf("%s did not come", what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -32,7 +32,9 @@
 // Config builds a Service.
 type Config struct {
 	Self Member
-	Key  []byte
+	// Listen is where this host listens; empty means the address of Self.
+	Listen string
+	Key    []byte
 	// Seeds are peer addresses from the settings.
 	Seeds []string
 	Log   *log.Logger
@@ -196,7 +198,11 @@
 }
 
 func (s *Service) start(ctx context.Context, _ *kernel.Kernel) (<-chan error, error) {
-	listener, err := net.Listen("tcp", s.cfg.Self.Address)
+	address := s.cfg.Listen
+	if address == "" {
+		address = s.cfg.Self.Address
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	Region            string   `validate:"required,max=64,name" doc:"region of the failure domain"`
 	CallerAddress     string   `validate:"required,ip_port" doc:"where callers connect"`
 	PeerAddress       string   `validate:"required,ip_port" doc:"where other entry hosts connect"`
+	PeerAdvertised    string   `validate:"omitempty,ip_port" doc:"where other entry hosts reach PeerAddress, if that is another address"`
 	OperatorAddress   string   `validate:"required,ip_port" doc:"where operators connect"`
 	PlatformAddresses []string `validate:"required,min=1,max=16,dive,ip_port" doc:"addresses of the platform's service"`
 	Seeds             []string `validate:"max=64,dive,ip_port" doc:"peer addresses to start from when the platform can't be reached"`
--- a/internal/standin/leased.go
+++ b/internal/standin/leased.go
@@ -38,6 +38,8 @@
 	Violations []string
 	// Done counts the runs that ended done.
 	Done int
+	// Stopped counts the runs that were stopped or lapsed.
+	Stopped int
 }
 
 type leasedRun struct {
@@ -101,6 +103,9 @@
 
 func (s *LeasedServer) end(r *leasedRun, how worker.HowEnded) {
 	delete(s.running, r.key)
+	if how == worker.EndStopped {
+		s.Stopped++
+	}
 	s.number++
 	s.ended = append(s.ended, worker.End{Number: s.number, RunKey: r.key, How: how})
 	s.highest[r.key.Task] = max(s.highest[r.key.Task], r.key.Run)
--- a/internal/worker/property_test.go
+++ b/internal/worker/property_test.go
@@ -33,6 +33,7 @@
 	"LongKills":     {faults: worldFaults{Kills: 1}, rate: 3, work: 2 * time.Second},
 	"LongFreezes":   {faults: worldFaults{Freezes: 0.5}, rate: 3, work: 2 * time.Second},
 	"LongCuts":      {faults: worldFaults{HostCuts: 1, ServerCuts: 0.5}, rate: 3, work: 2 * time.Second},
+	"LongCutsKills": {faults: worldFaults{HostCuts: 4, Kills: 1.5}, rate: 3, work: 2 * time.Second},
 	"LongAll":       {faults: allFaults, rate: 3, work: 2 * time.Second},
 	"AllAtOnce":     {faults: allFaults, rate: 40},
 	"AllOverloaded": {faults: allFaults, rate: 120},
