Settle runs by what is known now, and by token after a restart of a server

Change: a run is dated when it is known; after a restart of a server, runs are settled by the first answer under a new token.

Ruled out: a lapse (the server had answered all the while), a late order.

--- a/internal/worker/orders.go
+++ b/internal/worker/orders.go
@@ -19,14 +19,16 @@
 	}
 	for _, s := range p.order {
 		if s.state == stateFree && s.listed && !p.spared[s.ID] && !now.Before(s.nextHold) {
-			p.take(now, s)
+			p.take(now, s, 0)
 		}
 	}
 }
 
-func (p *Pool) take(now time.Time, s *server) {
+// take begins to take a server; refused is the token that it has refused, 0 if
+// it has refused none.
+func (p *Pool) take(now time.Time, s *server, refused uint64) {
 	s.state = stateTaking
-	s.fence = p.cfg.Fence(now, s.fence)
+	s.fence = p.cfg.Fence(now, refused)
 	s.lastSeen, s.born, s.clockAt = 0, 0, time.Time{}
 	s.holding, s.renewing = false, false
 	p.sendHold(now, s)
@@ -112,7 +114,7 @@
 func (p *Pool) start(now time.Time, s *server, t *task) {
 	t.runs++
 	r := &run{
-		RunKey: RunKey{t.name, t.runs}, need: t.job.Steps[t.step].Need, task: t, sent: now, deadline: s.deadline(now),
+		RunKey: RunKey{t.name, t.runs}, need: t.job.Steps[t.step].Need, task: t, sent: now, fence: s.fence, deadline: s.deadline(now),
 	}
 	t.on, t.at = s, r
 	s.add(r)
@@ -242,8 +244,7 @@
 func (p *Pool) listed(now time.Time, s *server, sent time.Time, reply Reply) {
 	if s.born != 0 && reply.Born != 0 && reply.Born != s.born {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("Born", reply.Born).Msg("ServerRestarted")
-		p.lapse(now, s)
-		p.take(now, s)
+		p.take(now, s, 0)
 		return
 	}
 	if reply.Born != 0 {
@@ -269,10 +270,15 @@
 		p.sawRunning(now, s, k, sent)
 	}
 	for _, r := range s.sortedRuns() {
-		if s.runs[r.RunKey] == r && !running[r.RunKey] && r.absent(sent, reply.Clock) {
+		if s.runs[r.RunKey] == r && !running[r.RunKey] && (r.fence < s.fence || r.absent(sent, reply.Clock)) {
 			p.ended(now, s, r, EndStopped)
 		}
 	}
+	if s.state == stateTaking {
+		for _, r := range s.sortedRuns() {
+			p.askStop(now, s, r)
+		}
+	}
 	if s.state == stateTaking && len(s.runs) == 0 && len(reply.Running) == 0 {
 		s.state = stateReady
 		p.cfg.Log.Info().Str("Server", s.ID).Uint64("Fence", s.fence).Msg("ServerTaken")
@@ -285,13 +291,15 @@
 	switch {
 	case r == nil && (s.state == stateTaking || sent.After(s.lastEnd)):
 		// Sent before the last end, the list may be older than that end.
-		r = &run{RunKey: k, state: runRunning, sent: sent}
+		r = &run{RunKey: k, state: runRunning, sent: sent, fence: s.fence}
 		s.add(r)
 		p.busy[k.Task]++
 		p.cfg.Log.Warn().Str("Server", s.ID).Str("Task", k.Task).Int("Run", k.Run).Msg("OrphanFound")
 		p.askStop(now, s, r)
 	case r != nil && r.state != runRunning:
-		r.state, r.sent = runRunning, sent
+		// Known from now on: a hold that was sent later but answered before this
+		// one may not list the run yet.
+		r.state, r.sent = runRunning, now
 		if r.stopAsked.IsZero() || r.task == nil {
 			return
 		}
@@ -315,7 +323,7 @@
 func (p *Pool) deposed(now time.Time, s *server) {
 	p.cfg.Log.Warn().Str("Server", s.ID).Uint64("Fence", s.fence).Bool("Taking", s.state == stateTaking).Msg("FenceRefused")
 	if s.state == stateTaking {
-		p.take(now, s)
+		p.take(now, s, s.fence)
 		return
 	}
 	for _, r := range s.sortedRuns() {
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -19,9 +19,10 @@
 //  6. Every order that extends the lease raises leaseUntil, the time by which
 //     everything there has lapsed, on this host's clock, if no more is sent.
 //     The server's clock may be slow by clockDrift.
-//  7. An answer with another start time comes from another incarnation: nothing
-//     of before runs there. It is taken again with a new token, which keeps out
-//     orders to its predecessor that are still under way.
+//  7. An answer with another start time comes from another incarnation, which may
+//     have carried out orders that were meant for its predecessor. It is taken
+//     again with a new token. What the first answer under that token does not
+//     list is gone: orders under the old one are refused from then on.
 
 import (
 	"time"
@@ -84,6 +85,8 @@
 	// task is nil once the job no longer wants the run.
 	task *task
 	sent time.Time
+	// fence is the token of the start.
+	fence uint64
 	// deadline is the start's deadline on the server's clock.
 	deadline time.Duration
 	// stopAsked is when the run was first to be stopped, stopSent the last stop
--- a/internal/worker/world_test.go
+++ b/internal/worker/world_test.go
@@ -459,7 +459,7 @@
 	w.after(orderPatience, func() { answer(worker.Reply{}) })
 	late := w.rand.Float64() < w.faults.Late
 	lost := w.rand.Float64() < w.faults.Lost
-	delay := linkDelay
+	delay := w.delay()
 	if late && !holds {
 		delay = 2*time.Second + time.Duration(w.rand.IntN(10000))*time.Millisecond
 	}
@@ -470,7 +470,7 @@
 		r := act(s)
 		w.check()
 		if !late && !lost {
-			w.after(linkDelay, func() {
+			w.after(w.delay(), func() {
 				if reach() {
 					answer(r)
 				}
@@ -479,6 +479,15 @@
 	})
 }
 
+// delay is how long an order or its answer takes: now and then so long that
+// others overtake it.
+func (w *world) delay() time.Duration {
+	if w.rand.IntN(10) > 0 {
+		return linkDelay
+	}
+	return linkDelay + time.Duration(w.rand.IntN(60))*time.Millisecond
+}
+
 func (h *worldHost) hold(o *worker.ServerHold) {
 	w := h.w
 	sent := w.now
@@ -498,7 +507,7 @@
 	}
 	w.after(o.Order.Wait+orderPatience, func() { answer(worker.Reply{}) })
 	lost := w.rand.Float64() < w.faults.Lost
-	w.after(linkDelay, func() {
+	w.after(w.delay(), func() {
 		if !reach() {
 			return
 		}
@@ -508,7 +517,7 @@
 			if lost {
 				return
 			}
-			w.after(linkDelay, func() {
+			w.after(w.delay(), func() {
 				if reach() {
 					answer(r)
 				}
