Prefer hosts with more processor time as owners

Cause: grown deployments have hosts of 0.192 and of 0.8 cores; the oldest host owned its domain, whatever its size.

Change: hosts tell their processor time; candidates are ordered by it in classes of a tenth of a core, then by age. TestLargeHostsOwn.

--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -36,7 +36,7 @@
 func buildAdapted(set settings.Daemon, peers *peer.Service, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
 	registry := metrics.NewRegistry()
 	count := func(op string) { metrics.GetOrRegisterCounter("Calls."+op, registry).Inc(1) }
-	self := worker.Candidate{Incarnation: incarnation, Address: advertised(set), FailureDomain: set.FailureDomain}
+	self := worker.Candidate{Incarnation: incarnation, Address: advertised(set), FailureDomain: set.FailureDomain, CPUMilli: cpuMilli(set)}
 	plat := platform.New(platform.Config{
 		Store: adapter.NewStore(adapter.StoreConfig{
 			Address: set.PlatformAddresses[0], Timeout: storeTimeout, Log: logger, Calls: count,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -100,11 +100,14 @@
 	return set.PeerAddress
 }
 
+// cpuMilli is the processor time of the daemon in thousandths of a core.
+func cpuMilli(set settings.Daemon) int { return int(set.CPUShare * 1000) }
+
 func newPeers(set settings.Daemon, key []byte, incarnation string, logger *log.Logger) *peer.Service {
 	return peer.New(peer.Config{
 		Self: peer.Member{
 			Name: set.Name, Incarnation: incarnation, Address: advertised(set), Operator: set.OperatorAddress,
-			FailureDomain: set.FailureDomain, Region: set.Region,
+			FailureDomain: set.FailureDomain, Region: set.Region, CPUMilli: cpuMilli(set),
 		},
 		Listen: set.PeerAddress, Key: key, Seeds: set.Seeds, Log: logger, Rand: seed(),
 	})
--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -78,6 +78,9 @@
 	Seq           uint64
 	// Successor is the incarnation that answers for this one after its goodbye.
 	Successor string
+	// CPUMilli is the processor time that the host may use, in thousandths of a
+	// core; 0 if it doesn't say.
+	CPUMilli int
 	// RTT is the round trip to the member as measured by this host.
 	RTT time.Duration `cbor:"-" json:"-"`
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -22,6 +22,7 @@
 	PlatformAddresses []string `validate:"required,min=1,max=16,dive,ip_port" doc:"addresses of the platform's service"`
 	Seeds             []string `validate:"max=64,dive,ip_port" doc:"peer addresses to start from when the platform can't be reached"`
 	PeerKey           string   `validate:"required,min=32,max=128,hexadecimal" doc:"shared key of all entry hosts, hexadecimal"`
+	CPUShare          float64  `validate:"min=0,max=1024" doc:"processor time that the daemon may use, in cores; hosts with more are preferred where one serves others; 0 means not known"`
 	StopLimitMs       int      `validate:"min=100,max=600000" doc:"longest graceful stop, in milliseconds"`
 	StopKillSeconds   float64  `validate:"min=0,max=600" doc:"seconds after which whoever stops the process kills it; if set, the graceful stop ends before, whatever StopLimitMs says"`
 	MetricsAddress    string   `validate:"omitempty,ip_port" doc:"where metrics are served besides OperatorAddress"`
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -4,12 +4,13 @@
 //
 //  1. For each failure domain a host has a session with the one host that it
 //     takes for the owner: the one that it had, as long as that one answers and
-//     says that it is the owner; else the oldest member of the domain, or the
-//     one that this member names.
-//  2. A host is the owner of its own domain if no other candidate is older and
-//     answers. Two hosts that both think so are settled by the fencing tokens:
+//     says that it is the owner; else the first candidate of the domain, or the
+//     one that this member names. Hosts with more processor time come before
+//     others, and of these the oldest: owners change rarely.
+//  2. A host is the owner of its own domain if no other candidate comes before
+//     it and answers. Two hosts that both think so are settled by the fencing tokens:
 //     the one whose token is refused yields, and stands back for avoidTime. An
-//     owner that hears of an older one yields too.
+//     owner that hears of one before it yields too.
 //  3. A job goes to the owner of the host's own domain unless another one's
 //     queue is shorter by spillMargin. A refused job, of which nothing has
 //     run, is offered to the other owners before the caller hears of it.
@@ -49,8 +50,22 @@
 	Incarnation   string
 	Address       string
 	FailureDomain string
+	// CPUMilli is the processor time that it may use; 0 if not known.
+	CPUMilli int
 }
 
+// before orders the candidates for owner: those with clearly more processor
+// time first, then the oldest, which has been there longest.
+func (c Candidate) before(o Candidate) int {
+	return cmp.Or(
+		cmp.Compare(o.CPUMilli/cpuClassMilli, c.CPUMilli/cpuClassMilli),
+		cmp.Compare(c.Incarnation, o.Incarnation),
+	)
+}
+
+// cpuClassMilli is the difference in processor time that matters for owners.
+const cpuClassMilli = 100
+
 // TicketID names one caller's wait for a job.
 type TicketID uint64
 
@@ -169,7 +184,7 @@
 			delete(e.leavers, id)
 		}
 	}
-	slices.SortFunc(e.candidates, func(a, b Candidate) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	slices.SortFunc(e.candidates, Candidate.before)
 	e.Tick(now)
 }
 
@@ -208,11 +223,11 @@
 
 // OwnerClaimed handles the heartbeat of a member that owns a domain.
 func (e *Entry) OwnerClaimed(now time.Time, incarnation string) {
-	if !e.owning || incarnation >= e.cfg.Self.Incarnation {
+	if !e.owning {
 		return
 	}
 	for _, c := range e.candidates {
-		if c.Incarnation == incarnation && c.FailureDomain == e.cfg.Self.FailureDomain && now.After(e.avoid[incarnation]) {
+		if c.Incarnation == incarnation && c.before(e.cfg.Self) < 0 && c.FailureDomain == e.cfg.Self.FailureDomain && now.After(e.avoid[incarnation]) {
 			e.Deposed(now)
 			return
 		}
--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -12,11 +12,11 @@
 
 func newTestEntry(self string, others ...string) *Entry {
 	e := NewEntry(EntryConfig{
-		Self: Candidate{self, self, "domain1"}, Log: event.New(io.Discard, "error"), Now: entryStart,
+		Self: Candidate{self, self, "domain1", 0}, Log: event.New(io.Discard, "error"), Now: entryStart,
 	})
 	var list []Candidate
 	for _, o := range others {
-		list = append(list, Candidate{o, o, "domain1"})
+		list = append(list, Candidate{o, o, "domain1", 0})
 	}
 	e.Members(entryStart, list)
 	return e
@@ -57,7 +57,7 @@
 func TestOwnerIsKept(t *testing.T) {
 	e := newTestEntry("c", "b")
 	answerOpens(e, entryStart, stamp{Number: 1, Owner: true, Load: Load{Servers: 1}})
-	e.Members(entryStart, []Candidate{{"a", "a", "domain1"}, {"b", "b", "domain1"}})
+	e.Members(entryStart, []Candidate{{"a", "a", "domain1", 0}, {"b", "b", "domain1", 0}})
 	if opens := answerOpens(e, entryStart, stamp{}); opens != 0 || e.Hint() != "b" {
 		t.Errorf("%d sessions opened, owner is %q; want none and b", opens, e.Hint())
 	}
@@ -97,3 +97,23 @@
 		}
 	}
 }
+
+// TestLargeHostsOwn shows that a host with more processor time is chosen before
+// an older one, and that a little more makes no difference.
+func TestLargeHostsOwn(t *testing.T) {
+	tests := map[string]struct {
+		cpu  int
+		want string
+	}{"Larger": {800, "b"}, "Alike": {190, "a"}}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEntry("c")
+			e.Members(entryStart, []Candidate{{"a", "a", "domain1", 150}, {"b", "b", "domain1", c.cpu}})
+			for _, a := range e.Take() {
+				if a.Open != nil && a.Open.Incarnation != c.want {
+					t.Errorf("%s is asked, want %s", a.Open.Incarnation, c.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -322,7 +322,7 @@
 	var up []Candidate
 	for _, m := range list {
 		if m.Up() {
-			up = append(up, Candidate{m.Incarnation, m.Address, m.FailureDomain})
+			up = append(up, Candidate{m.Incarnation, m.Address, m.FailureDomain, m.CPUMilli})
 		}
 	}
 	s.post(func(h *Host, now time.Time) { h.entry.Members(now, up) })
