Write the log on a goroutine of its own, bounded

Cause: a reader of the log that is stuck held up whoever logged, the deciding loop among them, and nothing bounded the volume under load.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,7 +55,9 @@
 	if err != nil {
 		return fmt.Errorf("make incarnation: %w", err)
 	}
-	logger := event.New(os.Stdout, set.LogLevel)
+	lines := event.NewQueue(os.Stdout, time.Now)
+	defer lines.Close()
+	logger := event.New(lines, set.LogLevel)
 	peers := newPeers(set, key, id.String(), logger)
 	reloads := newReloader(file, set, logger, peers.SetSettingsSeeds)
 	k := build(set, peers, key, id.String(), logger)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -10,12 +10,14 @@
 	"github.com/phuslu/log"
 )
 
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes lines of key=value pairs to w. Each line
 // has the time, the level and the stable name of the event.
 func New(w io.Writer, level string) *log.Logger {
 	return &log.Logger{
 		Level:      log.ParseLevel(level),
-		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		TimeFormat: timeFormat,
 		Writer:     &log.ConsoleWriter{Writer: w, Formatter: format},
 	}
 }
