--- a/internal/worker/world_test.go
+++ b/internal/worker/world_test.go
@@ -182,12 +182,12 @@
 }
 
 type worldConfig struct {
-	seed             uint64
-	domains, hosts   int
-	servers          int
-	faults           worldFaults
-	cpu, need, width int
-	drift            float64
+	seed           uint64
+	domains, hosts int
+	servers        int
+	faults         worldFaults
+	cpu            int
+	drift          float64
 }
 
 func newWorld(t *testing.T, c worldConfig) *world {
