Tell an owner how long ago a job came

Change: a job carries its age; its objective and its caller's patience run from when it came. TestOffersKeepTheAge fails without it.

--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -531,9 +531,7 @@
 	j.owner = best
 	j.tried = append(j.tried, best)
 	job := j.job
-	if job.Budget > 0 {
-		job.Budget -= now.Sub(j.began)
-	}
+	job.Age = now.Sub(j.began)
 	e.send(best, message{Submit: &job})
 }
 
--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -159,3 +159,27 @@
 		})
 	}
 }
+
+// TestOffersKeepTheAge covers a job that waited at three owners in turn for
+// 2.4 s, since each took it for one that had just come.
+func TestOffersKeepTheAge(t *testing.T) {
+	e := newTestEntry("c", "b")
+	e.Members(entryStart, []Candidate{{"a", "a", "domain0", 0}, {"b", "b", "domain1", 0}})
+	answerOpens(e, entryStart, stamp{Number: 1, Owner: true, Load: Load{Servers: 1}})
+	e.Submit(entryStart, Job{ID: "1", Budget: time.Second, Target: 60 * time.Millisecond})
+	e.Take()
+	later := entryStart.Add(400 * time.Millisecond)
+	e.Resulted(later, "b", Result{ID: "1", Outcome: Refused})
+	actions := e.Take()
+	if len(actions) != 1 || actions[0].Send == nil || actions[0].Send.Message.Submit == nil {
+		t.Fatalf("actions are %+v, want the job to be offered to a", actions)
+	}
+	job := actions[0].Send.Message.Submit
+	if job.Age != 400*time.Millisecond {
+		t.Errorf("the job is offered as %v old, want 400 ms", job.Age)
+	}
+	p := NewPool(PoolConfig{Log: event.New(io.Discard, "error")})
+	if j := p.newJob(later, 1, *job); !j.arrived.Equal(entryStart) || !j.useful(100).Equal(entryStart.Add(time.Second)) {
+		t.Errorf("the owner takes it for one of %v that is of use until %v", j.arrived, j.useful(100))
+	}
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -283,7 +283,7 @@
 }
 
 func (p *Pool) newJob(now time.Time, session SessionID, in Job) *job {
-	j := &job{Job: in, waiters: []SessionID{session}, arrived: now}
+	j := &job{Job: in, waiters: []SessionID{session}, arrived: now.Add(-in.Age)}
 	base := p.recent[in.ID].runs
 	for i, st := range in.Steps {
 		var tasks []*task
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -70,8 +70,11 @@
 	// work and Target more.
 	Stretch float64
 	Target  time.Duration
-	// Budget is how long the caller waits for the answer; 0 means not known.
+	// Budget is how long the caller waits for the answer, from when the job
+	// came; 0 means not known.
 	Budget time.Duration
+	// Age is how long ago the job came, when it is handed to an owner.
+	Age time.Duration
 }
 
 // Outcome is how a job has ended for its caller.
