--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 # make demo: builds, runs a small cluster and real work with a kill in the
 #            middle, prints answers and the burn report, stops it gracefully.
+# make soak: daemons as processes on the stand-in of the users' platform, 20 s of
+#            faults from seed 1; SEED and SEEDS name others.
 # make test: the tests. make check: formatter, linters, generated code, models.
 
-.PHONY: build test check demo race generate
+.PHONY: build test check demo soak race generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,3 +23,8 @@
 
 demo: build
 	scripts/demo.sh
+
+SEED ?= 1
+SEEDS ?= 1
+soak: build
+	bin/guavayoke-soak -seed $(SEED) -seeds $(SEEDS) -duration 20s
--- a/internal/worker/orders.go
+++ b/internal/worker/orders.go
@@ -119,7 +119,11 @@
 	t.on, t.at = s, r
 	s.add(r)
 	p.busy[t.name]++
-	t.job.begun = true
+	if !t.job.begun {
+		t.job.begun, t.job.firstStart = true, now
+	}
+	t.job.lastStart = now
+	t.job.starts++
 	t.job.waiting--
 	p.out = append(p.out, Action{Start: &ServerStart{
 		s.Server,
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -92,7 +92,11 @@
 	waiters []SessionID
 	arrived time.Time
 	begun   bool
-	tasks   [][]*task
+	// firstStart and lastStart are when the first and the latest start were
+	// sent, starts how many there were.
+	firstStart, lastStart time.Time
+	starts                int
+	tasks                 [][]*task
 	// left counts the tasks of each step that are not done.
 	left []int
 	// waiting counts tasks that are ready and wait for room.
@@ -369,11 +373,20 @@
 	}
 	r.ID = j.ID
 	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).
-		Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Int64("WorkMs", j.work.Milliseconds()).
-		Int("Tasks", j.size()).Int("Queued", len(p.queue)).Msg("JobEnded")
+		Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Int64("ObjectiveMs", j.objective().Milliseconds()).
+		Int64("WorkMs", j.work.Milliseconds()).Int64("FirstStartMs", j.since(j.firstStart)).Int64("LastStartMs", j.since(j.lastStart)).
+		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.queue)).Msg("JobEnded")
 	p.answer(j, r)
 }
 
+// since is a time after the job's arrival in milliseconds, -1 if it didn't come.
+func (j *job) since(at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return at.Sub(j.arrived).Milliseconds()
+}
+
 func (j *job) size() int {
 	n := 0
 	for _, st := range j.Steps {
