Model the owner of a server and the chain up to a caller's return

Change: spec/owner.pml: entry host, owner, a new owner, server, caller; loss, pauses, late orders, lost stops. Refuted: entry or server lease too long, renewal beside an unconfirmed stop, orders without a deadline, a lease extended before orphans are stopped, no fencing, a stop taken for the end, word counted from a late echo.

Ruled out: a first variant of a stop taken for the end was not refuted, since only the room, not the caller's return, depends on it; the model now reuses the room.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -41,3 +41,7 @@
 for v in ANY_INCARNATION TAKEOVER FORGET_EARLY SILENCE_IS_PROOF; do
 	verify "home $v" home.pml refuted '-a -N final' "-D$v"
 done
+verify 'owner' owner.pml holds '-E'
+for v in LONG_ENTRY LONG_LEASE NO_PATIENCE NO_DEADLINE EXTEND_ORPHANS NO_FENCE STOP_IS_END LATE_ECHO; do
+	verify "owner $v" owner.pml refuted '-E' "-D$v"
+done
