Use a server that comes back at another address

Cause: found by reading: an id whose entry names another address kept the orders that were under way to the old one; the goroutines for the old address were ended, their answers never came, and the server was not used again. Its runs were settled by the first answer from the new address, though the old incarnation could still run them.

Change: the old one is set aside until its lease has lapsed, the new one is another server. TestServerAtAnotherAddress fails without; TestLeavingServerGetsNoStart added.

--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -159,6 +159,10 @@
 	for _, info := range list {
 		listed[info.ID] = true
 		s := p.servers[info.ID]
+		if s != nil && s.Address != info.Address {
+			p.moved(s)
+			s = nil
+		}
 		if s == nil {
 			s = &server{Server: info, runs: map[RunKey]*run{}}
 			p.servers[info.ID] = s
@@ -171,13 +175,22 @@
 		s.Server, s.listed = info, true
 	}
 	for _, s := range slices.Clone(p.order) {
-		s.listed = listed[s.ID]
+		s.listed = listed[s.ID] && p.servers[s.ID] == s
 		p.dropGone(now, s)
 	}
 	p.takeServers(now)
 	p.place(now)
 }
 
+// moved sets a server aside whose id is now at another address: another
+// incarnation has it. What runs at the old address may go on until its lease
+// has lapsed.
+func (p *Pool) moved(s *server) {
+	p.cfg.Log.Info().Str("Server", s.ID).Str("Address", s.Address).Msg("ServerMoved")
+	s.listed, s.silent, s.holding, s.renewing = false, true, true, true
+	delete(p.servers, s.ID)
+}
+
 // dropGone removes a server that is neither listed nor heard of.
 func (p *Pool) dropGone(now time.Time, s *server) {
 	if s.listed || s.state != stateFree && (!s.silent || !now.After(s.leaseUntil)) {
@@ -185,7 +198,9 @@
 	}
 	p.lapse(now, s)
 	p.cfg.Log.Info().Str("Server", s.ID).Msg("ServerGone")
-	delete(p.servers, s.ID)
+	if p.servers[s.ID] == s {
+		delete(p.servers, s.ID)
+	}
 	p.order = slices.DeleteFunc(p.order, func(o *server) bool { return o == s })
 }
 
--- /dev/null
+++ b/internal/worker/pool_test.go
@@ -0,0 +1,122 @@
+package worker
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"guavayoke/internal/event"
+)
+
+// poolTester drives a pool whose servers carry out every order at once.
+type poolTester struct {
+	t      *testing.T
+	pool   *Pool
+	now    time.Time
+	starts []ServerStart
+	// running holds what the servers at each address list.
+	running map[string][]RunKey
+}
+
+func newPoolTester(t *testing.T) *poolTester {
+	fencer := NewFencer("10.1.0.1:1")
+	return &poolTester{
+		t: t, now: entryStart, running: map[string][]RunKey{},
+		pool: NewPool(PoolConfig{
+			Fence: func(now time.Time, refused uint64) uint64 { return fencer.Next(now, refused) },
+			Log:   event.New(io.Discard, "error"),
+		}),
+	}
+}
+
+// step answers the orders to addresses that answer, and lets time pass.
+func (p *poolTester) step(d time.Duration, answers ...string) {
+	p.pool.Tick(p.now)
+	for range 20 {
+		for _, a := range p.pool.Take() {
+			p.carryOut(a, answers)
+		}
+	}
+	p.now = p.now.Add(d)
+}
+
+func (p *poolTester) carryOut(a Action, answers []string) {
+	reply := func(address string) Reply {
+		for _, o := range answers {
+			if o == address {
+				return Reply{Verdict: Accepted, Clock: p.now.Sub(entryStart) + time.Second, Born: 1, Running: p.running[address]}
+			}
+		}
+		return Reply{}
+	}
+	switch {
+	case a.Start != nil:
+		p.starts = append(p.starts, *a.Start)
+		if r := reply(a.Start.Server.Address); r.Verdict == Accepted {
+			p.running[a.Start.Server.Address] = append(p.running[a.Start.Server.Address], a.Start.Order.RunKey)
+			p.pool.Started(p.now, a.Start.Server.ID, a.Start.Order.Fence, a.Start.Order.RunKey, r)
+		}
+	case a.Hold != nil:
+		p.pool.Held(p.now, a.Hold.Server.ID, a.Hold.Order.Fence, a.Hold.Renewal, p.now, reply(a.Hold.Server.Address))
+	}
+}
+
+func testServer(address string, leaving bool) Server {
+	return Server{ID: "server", Address: address, Service: "booking", Leaving: leaving, Capacity: Resources{CPUMilli: 32000}}
+}
+
+func testJob(id string) Job {
+	return Job{
+		ID: id, Queue: "queue", Service: "booking", MaxFailures: 3, Target: 20 * time.Second,
+		Steps: []Step{{Count: 1, Need: Resources{CPUMilli: 20000}, Estimate: 10 * time.Second}},
+	}
+}
+
+// TestLeavingServerGetsNoStart shows that nothing is started on a server from
+// the moment on that the platform lists it as leaving.
+func TestLeavingServerGetsNoStart(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.Own(p.now, nil)
+	p.pool.Servers(p.now, []Server{testServer("a", false)})
+	p.step(time.Millisecond, "a")
+	p.pool.Servers(p.now, []Server{testServer("a", true)})
+	p.pool.Submit(p.now, 1, testJob("1"))
+	for range 20 {
+		p.step(50*time.Millisecond, "a")
+	}
+	if len(p.starts) != 0 {
+		t.Errorf("%d starts on a leaving server", len(p.starts))
+	}
+}
+
+// TestServerAtAnotherAddress covers an id that comes back at another address:
+// what ran at the old one may go on until its lease has lapsed, and the new one
+// is used at once.
+func TestServerAtAnotherAddress(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.Own(p.now, nil)
+	p.pool.Servers(p.now, []Server{testServer("a", false)})
+	p.step(time.Millisecond, "a")
+	p.pool.Submit(p.now, 1, testJob("1"))
+	p.step(time.Millisecond, "a")
+	moved := p.now
+	p.pool.Servers(p.now, []Server{testServer("b", false)})
+	p.pool.Submit(p.now, 1, testJob("2"))
+	for range 40 {
+		p.step(25*time.Millisecond, "b")
+	}
+	var tasks []string
+	for _, s := range p.starts {
+		tasks = append(tasks, s.Server.Address+" "+s.Order.Task)
+	}
+	if len(p.starts) != 2 || p.starts[1].Order.Task != "2.0.0.0" || p.starts[1].Server.Address != "b" {
+		t.Fatalf("starts are %v, want 1 at a and 2 at b", tasks)
+	}
+	// The first job waits for room at b, but its run at a is settled.
+	if lapsed := moved.Add(leaseTime * 100 / (100 - clockDriftPercent)); p.now.Before(lapsed) {
+		t.Fatalf("the test ends before the lease has lapsed")
+	}
+	if n := p.pool.busy["1.0.0.0"]; n != 0 {
+		t.Errorf("%d runs of the first job are still in the books", n)
+	}
+}
