--- /dev/null
+++ b/internal/worker/ownership.go
@@ -0,0 +1,138 @@
+package worker
+
+// What a pool owns: taking servers, giving them up, handing them over (pool.go,
+// rule 5).
+
+import (
+	"slices"
+	"time"
+)
+
+// Servers delivers the platform's list for the failure domain. A server that is
+// missing from it stays in use while it answers.
+func (p *Pool) Servers(now time.Time, list []Server) {
+	listed := map[string]bool{}
+	for _, info := range list {
+		listed[info.ID] = true
+		s := p.servers[info.ID]
+		if s != nil && s.Address != info.Address {
+			p.moved(s)
+			s = nil
+		}
+		if s == nil {
+			s = &server{Server: info, runs: map[RunKey]*run{}}
+			p.servers[info.ID] = s
+			p.order = append(p.order, s)
+			p.cfg.Log.Info().Str("Server", info.ID).Str("Address", info.Address).Int("CPUMilli", info.Capacity.CPUMilli).Msg("ServerListed")
+		}
+		if s.Leaving != info.Leaving {
+			p.cfg.Log.Info().Str("Server", info.ID).Bool("Leaving", info.Leaving).Msg("ServerLeaving")
+		}
+		s.Server, s.listed = info, true
+	}
+	for _, s := range slices.Clone(p.order) {
+		s.listed = listed[s.ID] && p.servers[s.ID] == s
+		p.dropGone(now, s)
+	}
+	p.takeServers(now)
+	p.place(now)
+}
+
+// moved sets a server aside whose id is now at another address: another
+// incarnation has it. What runs at the old address may go on until its lease
+// has lapsed.
+func (p *Pool) moved(s *server) {
+	p.cfg.Log.Info().Str("Server", s.ID).Str("Address", s.Address).Msg("ServerMoved")
+	s.listed, s.silent, s.holding, s.renewing = false, true, true, true
+	delete(p.servers, s.ID)
+}
+
+// dropGone removes a server that is neither listed nor heard of.
+func (p *Pool) dropGone(now time.Time, s *server) {
+	if s.listed || s.state != stateFree && (!s.silent || !now.After(s.leaseUntil)) {
+		return
+	}
+	p.lapse(now, s)
+	p.cfg.Log.Info().Str("Server", s.ID).Msg("ServerGone")
+	if p.servers[s.ID] == s {
+		delete(p.servers, s.ID)
+	}
+	p.order = slices.DeleteFunc(p.order, func(o *server) bool { return o == s })
+}
+
+// Own makes the pool take all servers but those that a leaving owner spares.
+func (p *Pool) Own(now time.Time, spared []string) {
+	if p.draining {
+		return
+	}
+	p.owner = true
+	p.spared = map[string]bool{}
+	for _, id := range spared {
+		p.spared[id] = true
+	}
+	p.takeServers(now)
+	p.place(now)
+}
+
+// Yield gives all servers up at once; all jobs are lost or refused.
+func (p *Pool) Yield(now time.Time, reason string) {
+	p.owner = false
+	for _, j := range p.sortedJobs() {
+		p.giveUp(now, j, reason)
+	}
+	for _, s := range p.order {
+		p.lapse(now, s)
+		s.forget()
+	}
+}
+
+// Drain begins rule 5.
+func (p *Pool) Drain(now time.Time) {
+	if p.draining {
+		return
+	}
+	p.draining = true
+	for _, j := range p.sortedJobs() {
+		if !j.begun {
+			p.finish(now, j, Result{Outcome: Moved, Reason: "OwnerLeaving"})
+		}
+	}
+	p.release()
+}
+
+// Known returns the servers in the books.
+func (p *Pool) Known() []Server {
+	list := make([]Server, 0, len(p.order))
+	for _, s := range p.order {
+		list = append(list, s.Server)
+	}
+	return list
+}
+
+// Keeping returns the servers that a leaving owner still uses.
+func (p *Pool) Keeping() []string {
+	var ids []string
+	for _, s := range p.order {
+		if s.state != stateFree {
+			ids = append(ids, s.ID)
+		}
+	}
+	return ids
+}
+
+// release gives empty servers away (rule 5).
+func (p *Pool) release() {
+	if !p.draining {
+		return
+	}
+	for _, j := range p.jobs {
+		if j.waiting > 0 {
+			return
+		}
+	}
+	for _, s := range p.order {
+		if s.state != stateFree && len(s.runs) == 0 {
+			s.forget()
+		}
+	}
+}
