Settle unanswered starts in a few round trips; repeat lost stops and holds

Change: a start without an answer for 70 ms has the server's list asked for; a run that it lacks is stopped and started elsewhere. TestLostStartIsMovedOn.

--- a/internal/worker/lanes.go
+++ b/internal/worker/lanes.go
@@ -10,7 +10,7 @@
 const (
 	// orderWorkers is how many orders to one server may be under way besides
 	// the hold that waits.
-	orderWorkers = 2
+	orderWorkers = 4
 	orderRing    = 256
 	holdRing     = 8
 )
--- a/internal/worker/orders.go
+++ b/internal/worker/orders.go
@@ -54,6 +54,10 @@
 		p.lapse(now, s)
 	}
 	for _, r := range s.sortedRuns() {
+		if r.state == runStarting && r.doubted.IsZero() && now.Sub(r.sent) >= startDoubt {
+			r.doubted = now
+			p.sendRenewal(now, s)
+		}
 		if r.state == runUnknown && r.stopAsked.IsZero() && now.Sub(r.sent) > startPatience {
 			p.askStop(now, s, r)
 		}
@@ -95,18 +99,18 @@
 	return list
 }
 
-// askStop sends a stop unless one is under way.
+// askStop sends a stop, again and again until the run is gone: stops get lost.
 func (p *Pool) askStop(now time.Time, s *server, r *run) {
 	if r.stopAsked.IsZero() {
 		r.stopAsked = now
 	}
-	if s.runs[r.RunKey] != r || r.stopping || !r.stopSent.IsZero() && now.Sub(r.stopSent) < stopRetry {
+	if s.runs[r.RunKey] != r || !r.stopSent.IsZero() && now.Sub(r.stopSent) < stopRetry {
 		return
 	}
 	if !r.stopAcked.IsZero() && now.Sub(r.stopAcked) < stopPatience {
 		return // It is about to be listed as ended.
 	}
-	r.stopping, r.stopSent = true, now
+	r.stopSent = now
 	p.out = append(p.out, Action{Stop: &ServerStop{s.Server, StopOrder{r.RunKey, s.fence}}})
 }
 
@@ -186,7 +190,6 @@
 	if r == nil {
 		return
 	}
-	r.stopping = false
 	switch reply.Verdict {
 	case Accepted:
 		r.stopAcked = now
@@ -235,9 +238,10 @@
 		if !s.silent {
 			p.cfg.Log.Warn().Str("Server", id).Stringer("Verdict", reply.Verdict).Int("Runs", len(s.runs)).Msg("ServerSilent")
 		}
+		// A single lost hold is repeated at once.
+		s.nextHold = now.Add(s.retry)
 		s.silent = true
 		s.retry = min(max(2*s.retry, holdRetryMin), holdRetryMax)
-		s.nextHold = now.Add(s.retry)
 	}
 	p.sendHold(now, s)
 	p.place(now)
@@ -274,6 +278,9 @@
 		p.sawRunning(now, s, k, sent)
 	}
 	for _, r := range s.sortedRuns() {
+		if r.state == runStarting && !running[r.RunKey] && !r.doubted.IsZero() && !sent.Before(r.doubted) {
+			p.askStop(now, s, r)
+		}
 		if s.runs[r.RunKey] == r && !running[r.RunKey] && (r.fence < s.fence || r.absent(sent, reply.Clock)) {
 			p.ended(now, s, r, EndStopped)
 		}
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -16,6 +16,8 @@
 	starts []ServerStart
 	// running holds what the servers at each address list.
 	running map[string][]RunKey
+	// loseStarts is how many starts are lost.
+	loseStarts int
 }
 
 func newPoolTester(t *testing.T) *poolTester {
@@ -52,10 +54,16 @@
 	switch {
 	case a.Start != nil:
 		p.starts = append(p.starts, *a.Start)
+		if p.loseStarts > 0 {
+			p.loseStarts--
+			return
+		}
 		if r := reply(a.Start.Server.Address); r.Verdict == Accepted {
 			p.running[a.Start.Server.Address] = append(p.running[a.Start.Server.Address], a.Start.Order.RunKey)
 			p.pool.Started(p.now, a.Start.Server.ID, a.Start.Order.Fence, a.Start.Order.RunKey, r)
 		}
+	case a.Stop != nil:
+		p.pool.Stopped(p.now, a.Stop.Server.ID, a.Stop.Order.Fence, a.Stop.Order.RunKey, reply(a.Stop.Server.Address))
 	case a.Hold != nil:
 		p.pool.Held(p.now, a.Hold.Server.ID, a.Hold.Order.Fence, a.Hold.Renewal, p.now, reply(a.Hold.Server.Address))
 	}
@@ -120,3 +128,25 @@
 		t.Errorf("%d runs of the first job are still in the books", n)
 	}
 }
+
+// TestLostStartIsMovedOn covers a server that gets a start and doesn't answer,
+// while it answers holds and stops: the task is started elsewhere within a few
+// round trips, not after the timeout of the call.
+func TestLostStartIsMovedOn(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.Own(p.now, nil)
+	p.pool.Servers(p.now, []Server{testServer("a", false)})
+	p.step(time.Millisecond, "a")
+	p.loseStarts = 1
+	p.pool.Submit(p.now, 1, testJob("1"))
+	begun := p.now
+	for len(p.starts) < 2 && p.now.Sub(begun) < time.Second {
+		p.step(tickInterval, "a")
+	}
+	if took := p.now.Sub(begun); took > startDoubt+5*tickInterval {
+		t.Errorf("the task was started again after %v", took)
+	}
+	if last := p.starts[len(p.starts)-1].Order.Run; last != 2 {
+		t.Errorf("the last run is %d, want 2", last)
+	}
+}
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -39,6 +39,10 @@
 	stopPatience = 200 * time.Millisecond
 	// stopRetry is the time between two stops of one run.
 	stopRetry = 80 * time.Millisecond
+	// startDoubt is how long a start may go unanswered before the server's list is
+	// asked for; a run that it lacks is stopped and started elsewhere. It is many
+	// times a round trip.
+	startDoubt = 70 * time.Millisecond
 	// startPatience is how long a start without an answer waits to be listed
 	// before the run is stopped.
 	startPatience = 150 * time.Millisecond
@@ -92,8 +96,8 @@
 	// stopAsked is when the run was first to be stopped, stopSent the last stop
 	// and stopAcked when a stop was acknowledged; zero if not.
 	stopAsked, stopSent, stopAcked time.Time
-	// stopping is set while an unanswered stop is under way.
-	stopping bool
+	// doubted is when the list was asked for because the start had no answer.
+	doubted time.Time
 }
 
 // server is one backend server in the books of an owner.
