Meet all members before electing; wait for the host that was named

Then hosts went back and forth between the first candidate and the owner that it named, each few milliseconds: while the second session was opening, the first was chosen again.

Change: a host asks three seeds every 250 ms for 1.5 s after its start, whoever it knows; a session that is opening, or has not had its first stamp, is waited for. TestHostsThatStartTogetherMeet and TestHintIsFollowed fail without.

--- a/internal/peer/members.go
+++ b/internal/peer/members.go
@@ -35,9 +35,11 @@
 	suspectTimeout = 3 * time.Second
 	rejoinInterval = 5 * time.Second
 	// joinInterval and joinSeeds are how often and how many seeds a host asks
-	// that knows no other member.
-	joinInterval   = 250 * time.Millisecond
-	joinSeeds      = 3
+	// that joins.
+	joinInterval = 250 * time.Millisecond
+	joinSeeds    = 3
+	// joinTime is how long a host that has started goes on asking seeds.
+	joinTime       = 1500 * time.Millisecond
 	forgetAfter    = 30 * time.Minute
 	helpers        = 2
 	newsPerMessage = 3
@@ -151,8 +153,10 @@
 	seq    uint64
 	next   time.Time
 	rejoin time.Time
-	pings  map[uint64]*ping
-	news   []newsItem
+	// started is the time of the first tick.
+	started time.Time
+	pings   map[uint64]*ping
+	news    []newsItem
 }
 
 type entry struct {
@@ -213,8 +217,11 @@
 func (m *Members) Tick(now time.Time) []Action {
 	actions := m.checkPings(now)
 	actions = append(actions, m.checkSuspects(now)...)
+	if m.started.IsZero() {
+		m.started = now
+	}
 	if now.Before(m.next) {
-		if len(m.members) == 0 {
+		if m.joining(now) {
 			actions = append(actions, m.pingLost(now)...)
 		}
 		return actions
@@ -332,13 +339,14 @@
 	var actions []Action
 	var open []string
 	for _, s := range m.seeds {
-		if !up[s] {
+		if s != m.self.Address && (!up[s] || m.joining(now)) {
 			open = append(open, s)
 		}
 	}
 	asked := 1
-	if len(up) == 1 {
-		// A host that knows nobody joins fast: seeds may be stale or down.
+	if m.joining(now) {
+		// Seeds may be stale or down, and those that answer may have met others
+		// since: hosts that start together would not know of each other.
 		m.rejoin = now.Add(joinInterval)
 		asked = joinSeeds
 	}
@@ -353,6 +361,11 @@
 	return actions
 }
 
+// joining reports whether the host has just started or knows nobody.
+func (m *Members) joining(now time.Time) bool {
+	return len(m.members) == 0 || now.Sub(m.started) < joinTime
+}
+
 func (m *Members) ping(now time.Time, address, target string) Action {
 	m.seq++
 	m.pings[m.seq] = &ping{target: target, at: now}
--- a/internal/peer/members_test.go
+++ b/internal/peer/members_test.go
@@ -257,3 +257,41 @@
 		})
 	}
 }
+
+// TestHostsThatStartTogetherMeet covers two hosts that each knew one other host
+// 400 ms after the start of all, and both took themselves for the owner: all
+// know all by then if their seeds answer.
+func TestHostsThatStartTogetherMeet(t *testing.T) {
+	seeds := []string{"h0:1", "h1:1", "h2:1"}
+	now := start
+	hosts := map[string]*Members{}
+	var names []string
+	for n := range 9 {
+		name := fmt.Sprintf("h%d", n)
+		names = append(names, name)
+		hosts[name+":1"] = NewMembers(MembersConfig{
+			Self:  Member{Name: name, Incarnation: name, Address: name + ":1"},
+			Seeds: seeds, Rand: rand.New(rand.NewPCG(uint64(n), 1)),
+		})
+	}
+	for range 9 {
+		now = now.Add(100 * time.Millisecond)
+		for _, name := range names {
+			for _, a := range hosts[name+":1"].Tick(now) {
+				if a.Ping == nil {
+					continue
+				}
+				for _, r := range hosts[a.Ping.Address].Pinged(now, a.Ping.Message) {
+					if r.Ack != nil {
+						hosts[name+":1"].Acked(now, r.Ack.Message)
+					}
+				}
+			}
+		}
+	}
+	for _, name := range names {
+		if got := len(hosts[name+":1"].List()); got != 8 {
+			t.Errorf("%s knows %d others, want 8", name, got)
+		}
+	}
+}
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -321,7 +321,8 @@
 			e.lost(now, v, "SessionSilent")
 		}
 	}
-	if v.usable() {
+	waiting := v.target.Incarnation != "" && (!v.open || v.stamp.Number == 0)
+	if v.usable() || waiting {
 		return
 	}
 	next, ok := e.choose(now, v)
--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -183,3 +183,28 @@
 		t.Errorf("the owner takes it for one of %v that is of use until %v", j.arrived, j.useful(100))
 	}
 }
+
+// TestHintIsFollowed covers hosts that went back and forth between the first
+// candidate and the owner that it named, as fast as messages travelled: the
+// session with a host that was named is waited for.
+func TestHintIsFollowed(t *testing.T) {
+	e := newTestEntry("c", "a", "b")
+	e.Take()
+	e.Opened(entryStart, "a")
+	e.Stamped(entryStart, "a", stamp{Number: 1, Hint: "b"})
+	opens := 0
+	for i := range 10 {
+		e.Tick(entryStart.Add(time.Duration(i) * tickInterval))
+		for _, a := range e.Take() {
+			if a.Open != nil {
+				opens++
+			}
+		}
+	}
+	e.Opened(entryStart.Add(10*tickInterval), "b")
+	e.Tick(entryStart.Add(11 * tickInterval))
+	e.Stamped(entryStart.Add(11*tickInterval), "b", stamp{Number: 1, Owner: true, Load: Load{Servers: 1}})
+	if opens != 1 || e.Hint() != "b" {
+		t.Errorf("%d sessions were opened, the owner is %q; want 1 and b", opens, e.Hint())
+	}
+}
