Bound headers as the configuration says; remove doubled code

Change: a request whose header is above max-header-bytes gets 431 (TestAdaptedPath, LargeHeader); sendRenewal and cmp.Compare serve both places.

--- a/internal/daemon/adapted_test.go
+++ b/internal/daemon/adapted_test.go
@@ -95,7 +95,7 @@
 			{"name": "advised", "host": adaptedHost, "prefix": "/advised/", "service": "booking", "advice": map[string]int{"valid-ms": 1}},
 		},
 		"services": []map[string]any{{"name": "booking"}},
-		"limits":   map[string]int{"max-body-bytes": 20000},
+		"limits":   map[string]int{"max-body-bytes": 20000, "max-header-bytes": 2000},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -109,7 +109,8 @@
 	retryAfter string
 }
 
-func (a *adapted) ask(method, path, body string) (adaptedAnswer, error) {
+// ask makes one request; header holds names and values in turn.
+func (a *adapted) ask(method, path, body string, header ...string) (adaptedAnswer, error) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
@@ -118,6 +119,9 @@
 	req.Header.SetHost(adaptedHost)
 	req.Header.SetMethod(method)
 	req.SetBodyString(body)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
 	err := fasthttp.DoTimeout(req, res, 15*time.Second)
 	return adaptedAnswer{res.StatusCode(), string(res.Body()), string(res.Header.Peek("Retry-After"))}, err
 }
@@ -184,6 +188,14 @@
 			}
 		})
 	}
+	t.Run("LargeHeader", func(t *testing.T) {
+		for status, bytes := range map[int]int{200: 1000, 431: 3000} {
+			got, err := a.ask("GET", "/jobs/", "", "X-Padding", strings.Repeat("x", bytes))
+			if err != nil || got.status != status {
+				t.Errorf("a header of %d bytes: %+v, %v; want %d", bytes, got, err, status)
+			}
+		}
+	})
 	if a.servers.Started("0000000000000003") {
 		t.Error("a task of a refused job was started")
 	}
--- a/internal/worker/orders.go
+++ b/internal/worker/orders.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -66,10 +67,8 @@
 		}
 	}
 	p.sendHold(now, s)
-	if s.state == stateReady && len(s.runs) > 0 && !s.renewing && now.Sub(s.extended) >= renewAfter && s.mayRenew(now) {
-		s.renewing = true
-		order := HoldOrder{Fence: s.fence, LastSeen: s.lastSeen, Deadline: s.deadline(now)}
-		p.out = append(p.out, Action{Hold: &ServerHold{Server: s.Server, Order: order, Renewal: true}})
+	if s.state == stateReady && len(s.runs) > 0 && now.Sub(s.extended) >= renewAfter && s.mayRenew(now) {
+		p.sendRenewal(now, s)
 	}
 }
 
@@ -91,10 +90,7 @@
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b *run) int {
-		if c := compareStrings(a.Task, b.Task); c != 0 {
-			return c
-		}
-		return a.Run - b.Run
+		return cmp.Or(cmp.Compare(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
 	})
 	return list
 }
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -16,6 +16,7 @@
 //     empty and no begun job still needs room.
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -294,24 +295,11 @@
 		list = append(list, j)
 	}
 	slices.SortFunc(list, func(a, b *job) int {
-		if c := a.arrived.Compare(b.arrived); c != 0 {
-			return c
-		}
-		return compareStrings(a.ID, b.ID)
+		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.ID, b.ID))
 	})
 	return list
 }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Tick does what is due with time.
 func (p *Pool) Tick(now time.Time) {
 	for _, s := range slices.Clone(p.order) {
--- a/internal/worker/route.go
+++ b/internal/worker/route.go
@@ -14,14 +14,18 @@
 // Router finds the queue of a request in one configuration.
 type Router struct {
 	Version uint64
-	// MaxBodyBytes bounds bodies; 0 means no bound of the configuration's.
-	MaxBodyBytes int
-	byHost       map[string][]document.Queue
+	// MaxBodyBytes and MaxHeaderBytes bound requests; 0 means no bound of the
+	// configuration's.
+	MaxBodyBytes, MaxHeaderBytes int
+	byHost                       map[string][]document.Queue
 }
 
 // NewRouter returns the router of a configuration.
 func NewRouter(version uint64, d *document.Document) *Router {
-	r := &Router{Version: version, MaxBodyBytes: d.Requests.MaxBodyBytes, byHost: map[string][]document.Queue{}}
+	r := &Router{
+		Version: version, MaxBodyBytes: d.Requests.MaxBodyBytes, MaxHeaderBytes: d.Requests.MaxHeaderBytes,
+		byHost: map[string][]document.Queue{},
+	}
 	for _, q := range d.Queues {
 		h := strings.ToLower(q.Host)
 		r.byHost[h] = append(r.byHost[h], q)
