Leave queues out of a document that has none

The tests of that package had not been run since queues were added.

Change: an empty list is left out. FuzzDecode passes; it failed before.

--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -14,7 +14,7 @@
 	Teams    []Team    `validate:"required,min=1,max=1000,unique=Name,dive" doc:"the teams that may submit work"`
 	Measures Measures  `doc:"how the two measures are weighed against each other"`
 	Claims   Claims    `doc:"claims of submissions without a home token, in the platform's store"`
-	Queues   []Queue   `validate:"max=10000,unique=Name,dive" doc:"the queues of restartable jobs"`
+	Queues   []Queue   `json:",omitempty" validate:"max=10000,unique=Name,dive" doc:"the queues of restartable jobs"`
 	Requests Requests  `doc:"limits on what callers of queues send"`
 }
 
