--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 #            faults from seed 1; SEED and SEEDS name others.
 # make test: the tests. make check: formatter, linters, generated code, models.
 
-.PHONY: build test check demo soak race generate
+.PHONY: build test check demo soak soak-regressions race generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -28,3 +28,7 @@
 SEEDS ?= 1
 soak: build
 	bin/guavayoke-soak -seed $(SEED) -seeds $(SEEDS) -duration 20s
+
+# soak-regressions plays the seeds that failed once.
+soak-regressions: build
+	bin/guavayoke-soak -regressions -duration 20s
--- a/cmd/guavayoke-soak/main.go
+++ b/cmd/guavayoke-soak/main.go
@@ -22,7 +22,8 @@
 	flag.StringVar(&c.Binary, "daemon", "bin/guavayoked", "the daemon's `program`")
 	flag.StringVar(&c.Dir, "dir", "", "`folder` for settings and logs; empty: a temporary one")
 	flag.Uint64Var(&c.Seed, "seed", 1, "first seed")
-	seeds := flag.Int("seeds", 1, "number of seeds")
+	count := flag.Int("seeds", 1, "number of seeds")
+	regressions := flag.Bool("regressions", false, "play the seeds that failed once instead")
 	flag.DurationVar(&c.Duration, "duration", 20*time.Second, "how long faults are injected, for each seed")
 	flag.IntVar(&c.Domains, "domains", 2, "failure domains")
 	flag.IntVar(&c.Daemons, "daemons", 3, "daemons in each domain")
@@ -42,8 +43,18 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUsage)
 	}
+	var seeds []uint64
+	for n := range *count {
+		seeds = append(seeds, c.Seed+uint64(n))
+	}
+	if *regressions {
+		seeds = nil
+		for _, r := range soak.Regressions {
+			seeds = append(seeds, r.Seed)
+		}
+	}
 	failed := 0
-	for range *seeds {
+	for _, c.Seed = range seeds {
 		violations, err := soak.Run(c)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -52,9 +63,8 @@
 		if len(violations) > 0 {
 			failed++
 		}
-		c.Seed++
 	}
-	fmt.Printf("%d seeds, %d with violations; logs are in %s\n", *seeds, failed, c.Dir)
+	fmt.Printf("%d seeds, %d with violations; logs are in %s\n", len(seeds), failed, c.Dir)
 	if failed > 0 {
 		os.Exit(exitViolated)
 	}
--- a/cmd/guavayoked/main.go
+++ b/cmd/guavayoked/main.go
@@ -17,6 +17,7 @@
 )
 
 func main() {
+	signals := daemon.Notify()
 	file := flag.String("settings", "", "JSON settings `file`")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Usage = usage
@@ -30,7 +31,7 @@
 		fmt.Println("settings are good")
 		return
 	}
-	if err := daemon.Run(*file, set); err != nil {
+	if err := daemon.Run(*file, set, signals); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,10 +39,25 @@
 	killMargin = 400 * time.Millisecond
 )
 
+// Signals delivers the signals that the daemon handles.
+type Signals struct {
+	// Stop delivers SIGTERM and SIGINT, Hangup SIGHUP.
+	Stop, Hangup chan os.Signal
+}
+
+// Notify registers for the signals. Until then each of them ends the process, so
+// it is the first thing that a program does.
+func Notify() Signals {
+	s := Signals{Stop: make(chan os.Signal, 2), Hangup: make(chan os.Signal, 1)}
+	signal.Notify(s.Stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.Hangup, syscall.SIGHUP)
+	return s
+}
+
 // Run runs the daemon until SIGTERM or SIGINT and then stops it gracefully. A
 // second signal or the limit of the settings cuts off what is left. SIGHUP
 // reads the settings file again.
-func Run(file string, set settings.Daemon) error {
+func Run(file string, set settings.Daemon, signals Signals) error {
 	debug.SetGCPercent(gcPercent)
 	if set.Adapter != "" {
 		debug.SetGCPercent(adaptedGCPercent)
@@ -59,21 +74,19 @@
 	defer lines.Close()
 	logger := event.New(lines, set.LogLevel)
 	peers := newPeers(set, key, id.String(), logger)
-	reloads := newReloader(file, set, logger, peers.SetSettingsSeeds)
+	reloads := newReloader(file, set, logger, peers.SetSettingsSeeds, signals.Hangup)
 	k := build(set, peers, key, id.String(), logger)
 	if set.Adapter != "" {
 		k = buildAdapted(set, peers, key, id.String(), logger)
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	stop, cancel := context.WithCancel(context.Background())
 	go func() {
-		<-signals
+		<-signals.Stop
 		cancel()
 	}()
 	reloaded := reloads.run(stop)
 	logger.Info().Str("Name", set.Name).Str("Incarnation", id.String()).Str("Domain", set.FailureDomain).Msg("DaemonStarted")
-	err = k.Run(stop, func() (context.Context, context.CancelFunc) { return stopLimit(set, signals) })
+	err = k.Run(stop, func() (context.Context, context.CancelFunc) { return stopLimit(set, signals.Stop) })
 	cancel()
 	err = errors.Join(err, <-reloaded)
 	logger.Info().Str("Name", set.Name).Err(err).Msg("DaemonStopped")
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 
 	"github.com/phuslu/log"
 
@@ -23,12 +21,8 @@
 	hangups chan os.Signal
 }
 
-// newReloader registers for SIGHUP at once: until then the signal would end the
-// process.
-func newReloader(file string, set settings.Daemon, logger *log.Logger, setSeeds func([]string)) *reloader {
-	r := &reloader{file: file, set: set, log: logger, setSeed: setSeeds, hangups: make(chan os.Signal, 1)}
-	signal.Notify(r.hangups, syscall.SIGHUP)
-	return r
+func newReloader(file string, set settings.Daemon, logger *log.Logger, setSeeds func([]string), hangups chan os.Signal) *reloader {
+	return &reloader{file: file, set: set, log: logger, setSeed: setSeeds, hangups: hangups}
 }
 
 // run reloads at each SIGHUP until ctx ends.
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -41,7 +41,7 @@
 	set := validSettings()
 	writeSettings(t, file, set)
 	seeds := make(chan []string, 1)
-	r := newReloader(file, set, event.New(io.Discard, "info"), func(s []string) { seeds <- s })
+	r := newReloader(file, set, event.New(io.Discard, "info"), func(s []string) { seeds <- s }, Notify().Hangup)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := r.run(ctx)
 	set.Seeds = []string{"127.0.0.1:6"}
