Play whole daemons in virtual time; give the store's stand-in no clock

Cause: the stand-in of the platform's store ran in real time only, and nothing tested a whole daemon (adapter, peers, store, front) with faults but the soak, whose moments aren't seeded. Change: the store is a state machine whose calls take the time; its HTTP side is a file of its own. internal/network is a seam for listeners and connections, its zero value is TCP; internal/standin has a network in memory with cuts and kills. Ruled out: a second, simplified daemon for tests; the services are the ones of the program, built by the same function.

--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 
@@ -12,7 +11,6 @@
 	"guavayoke/internal/operator"
 	"guavayoke/internal/peer"
 	"guavayoke/internal/platform"
-	"guavayoke/internal/settings"
 	"guavayoke/internal/worker"
 	adapter "guavayoke/platform"
 )
@@ -35,31 +33,32 @@
 }
 
 // buildAdapted makes the kernel of a daemon that runs on the users' platform.
-func buildAdapted(set settings.Daemon, peers *peer.Service, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
+func buildAdapted(p parts, peers *peer.Service) *kernel.Kernel {
+	set, incarnation, logger := p.set, p.incarnation, p.log
 	registry := metrics.NewRegistry()
 	count := func(op string) { metrics.GetOrRegisterCounter("Calls."+op, registry).Inc(1) }
 	self := worker.Candidate{Incarnation: incarnation, Address: advertised(set), FailureDomain: set.FailureDomain, CPUMilli: cpuMilli(set)}
 	plat := platform.New(platform.Config{
 		Store: adapter.NewStore(adapter.StoreConfig{
-			Address: set.PlatformAddresses[0], Timeout: storeTimeout, Log: logger, Calls: count,
+			Address: set.PlatformAddresses[0], Network: p.network, Timeout: storeTimeout, Log: logger, Calls: count,
 		}),
 		Self: platform.Host{
 			Name: set.Name, Kind: platform.EntryHost, Address: advertised(set),
 			FailureDomain: set.FailureDomain, Region: set.Region,
 		},
 		Incarnation: incarnation, PeerAddress: advertised(set), Environment: set.Environment,
-		Key: key, Nonce: rand.Uint64, Log: logger,
+		Key: p.key, Nonce: rand.Uint64, Log: logger,
 		Believe: adapter.DecodeConfiguration, Follow: adaptedFollow, HostsInterval: serversInterval, IdleHostsInterval: idleServersInterval,
 	})
 	jobs := worker.New(worker.Config{
-		Self: self, Orders: adapter.NewOrders(adapter.OrdersConfig{Log: logger, Calls: count}),
-		Log: logger, Metrics: registry, Rand: seed(), Now: bootTime, Wall: time.Now,
+		Self: self, Orders: adapter.NewOrders(adapter.OrdersConfig{Network: p.network, Log: logger, Calls: count}),
+		Log: logger, Metrics: registry, Rand: seed(), Now: p.now, Wall: time.Now,
 	})
 	ops := operator.New(operator.Config{
-		Address: set.OperatorAddress, MetricsAddress: set.MetricsAddress, Environment: set.Environment,
+		Address: set.OperatorAddress, Network: p.network, MetricsAddress: set.MetricsAddress, Environment: set.Environment,
 		Log: logger, Metrics: registry, Started: time.Now(),
 	})
-	front := adapter.NewFront(adapter.FrontConfig{Address: set.CallerAddress, Log: logger})
+	front := adapter.NewFront(adapter.FrontConfig{Address: set.CallerAddress, Network: p.network, Log: logger})
 	return kernel.New(peers.Service(), plat.Service(), jobs.Service(), ops.Service(), front.Service())
 }
 
--- a/internal/daemon/adapted_test.go
+++ b/internal/daemon/adapted_test.go
@@ -66,8 +66,8 @@
 	a.set.Adapter, a.set.Seeds, a.set.StopLimitMs = "Users", nil, 5500
 	a.set.CallerAddress, a.set.PeerAddress, a.set.OperatorAddress = freeLoopback(t), freeLoopback(t), freeLoopback(t)
 	a.set.PlatformAddresses = []string{l.Addr().String()}
-	logger := event.New(io.Discard, "error")
-	k := buildAdapted(a.set, newPeers(a.set, []byte(a.set.PeerKey), "incarnation1", logger), []byte(a.set.PeerKey), "incarnation1", logger)
+	p := parts{set: a.set, key: []byte(a.set.PeerKey), incarnation: "incarnation1", log: event.New(io.Discard, "error"), now: bootTime}
+	k := buildAdapted(p, newPeers(p))
 	ctx, cancel := context.WithCancel(context.Background())
 	a.stop = cancel
 	go func() {
@@ -86,7 +86,8 @@
 	return a
 }
 
-func (a *adapted) configure(t *testing.T, version int) {
+// configure puts a configuration into the store.
+func configure(t *testing.T, store *standin.Store, version int) {
 	t.Helper()
 	b, err := json.Marshal(map[string]any{
 		"version": version,
@@ -100,7 +101,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.store.Put("op/config", b)
+	store.Put("op/config", b)
 }
 
 type adaptedAnswer struct {
@@ -152,7 +153,7 @@
 	if got := a.eventually(t, "POST", "/jobs/0000000000000001", quickJob, 503); got.retryAfter == "" {
 		t.Errorf("without a configuration: %+v, want a time to come back", got)
 	}
-	a.configure(t, 3)
+	configure(t, a.store, 3)
 	if got := a.eventually(t, "POST", "/jobs/0000000000000002", quickJob, 200); got.body != `{"state":"completed"}` {
 		t.Errorf("job: %+v", got)
 	}
@@ -204,7 +205,7 @@
 // TestAdaptedCallerLeaves shows that nothing runs for a caller that has left.
 func TestAdaptedCallerLeaves(t *testing.T) {
 	a := startAdapted(t)
-	a.configure(t, 1)
+	configure(t, a.store, 1)
 	a.eventually(t, "POST", "/jobs/0000000000000001", quickJob, 200)
 	conn, err := net.Dial("tcp", a.set.CallerAddress)
 	if err != nil {
@@ -226,7 +227,7 @@
 // and a request that comes on an open connection meanwhile.
 func TestAdaptedStopIsGraceful(t *testing.T) {
 	a := startAdapted(t)
-	a.configure(t, 1)
+	configure(t, a.store, 1)
 	a.eventually(t, "POST", "/jobs/0000000000000001", quickJob, 200)
 	answers := make(chan adaptedAnswer, 1)
 	go func() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"guavayoke/internal/caller"
 	"guavayoke/internal/event"
 	"guavayoke/internal/kernel"
+	"guavayoke/internal/network"
 	"guavayoke/internal/operator"
 	"guavayoke/internal/peer"
 	"guavayoke/internal/platform"
@@ -73,11 +74,12 @@
 	lines := event.NewQueue(os.Stdout, time.Now)
 	defer lines.Close()
 	logger := event.New(lines, set.LogLevel)
-	peers := newPeers(set, key, id.String(), logger)
+	p := parts{set: set, key: key, incarnation: id.String(), log: logger, now: bootTime}
+	peers := newPeers(p)
 	reloads := newReloader(file, set, logger, peers.SetSettingsSeeds, signals.Hangup)
-	k := build(set, peers, key, id.String(), logger)
+	k := build(p, peers)
 	if set.Adapter != "" {
-		k = buildAdapted(set, peers, key, id.String(), logger)
+		k = buildAdapted(p, peers)
 	}
 	stop, cancel := context.WithCancel(context.Background())
 	go func() {
@@ -110,6 +112,18 @@
 	return ctx, cancel
 }
 
+// parts is what the services of a daemon are built from.
+type parts struct {
+	set         settings.Daemon
+	key         []byte
+	incarnation string
+	log         *log.Logger
+	// network is a seam; the zero value means TCP.
+	network network.Network
+	// now reads a clock that also runs while the host is suspended.
+	now func() time.Time
+}
+
 func seed() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // advertised is the address under which other entry hosts reach this one.
@@ -123,19 +137,21 @@
 // cpuMilli is the processor time of the daemon in thousandths of a core.
 func cpuMilli(set settings.Daemon) int { return int(set.CPUShare * 1000) }
 
-func newPeers(set settings.Daemon, key []byte, incarnation string, logger *log.Logger) *peer.Service {
+func newPeers(p parts) *peer.Service {
+	set := p.set
 	return peer.New(peer.Config{
 		Self: peer.Member{
-			Name: set.Name, Incarnation: incarnation, Address: advertised(set), Operator: set.OperatorAddress,
+			Name: set.Name, Incarnation: p.incarnation, Address: advertised(set), Operator: set.OperatorAddress,
 			FailureDomain: set.FailureDomain, Region: set.Region, CPUMilli: cpuMilli(set),
 		},
-		Listen: set.PeerAddress, Key: key, Seeds: set.Seeds, Log: logger, Rand: seed(),
+		Listen: set.PeerAddress, Network: p.network, Key: p.key, Seeds: set.Seeds, Log: p.log, Rand: seed(),
 	})
 }
 
 // build makes the kernel. The peers' service is started first and stopped last:
 // its goodbye says that nobody answers for this incarnation any more.
-func build(set settings.Daemon, peers *peer.Service, key []byte, incarnation string, logger *log.Logger) *kernel.Kernel {
+func build(p parts, peers *peer.Service) *kernel.Kernel {
+	set, key, incarnation, logger := p.set, p.key, p.incarnation, p.log
 	registry := metrics.NewRegistry()
 	started := time.Now()
 	plat := platform.New(platform.Config{
--- /dev/null
+++ b/internal/daemon/virtual_test.go
@@ -0,0 +1,197 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/event"
+	"guavayoke/internal/settings"
+	product "guavayoke/internal/standin"
+	"guavayoke/internal/worker"
+	"guavayoke/platform/standin"
+)
+
+// virtual plays whole daemons in one process and in virtual time, on a network in
+// memory and the stand-in of the users' platform.
+type virtual struct {
+	t       *testing.T
+	net     *product.Network
+	store   *standin.Store
+	servers *standin.Servers
+	hosts   []*virtualHost
+	listens []net.Listener
+	log     io.Writer
+}
+
+// virtualHost is one entry host. Each start is a new name on the network, as a
+// process that was killed may not be heard of again.
+type virtualHost struct {
+	set         settings.Daemon
+	incarnation string
+	stop, kill  context.CancelFunc
+	done        chan error
+}
+
+const (
+	virtualDelay = 200 * time.Microsecond
+	virtualGrace = 5500 * time.Millisecond
+	virtualIdle  = 3 * time.Minute
+	virtualJob   = `{"spec":"%d 4000","best-effort":true,"steps":[{"count":%d,"cpu":4000,"mem-mb":64,"estimate-ms":%d}]}`
+)
+
+// warmUp starts the goroutines of libraries that live as long as the process:
+// within virtual time they would be waited for.
+var warmUp = sync.OnceFunc(func() {
+	near, far := net.Pipe()
+	go func() { _ = (&fasthttp.Server{Handler: func(*fasthttp.RequestCtx) {}}).ServeConn(far) }()
+	fmt.Fprint(near, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	_, _ = io.Copy(io.Discard, near)
+})
+
+// playVirtual plays domains with hosts and servers each.
+func playVirtual(t *testing.T, domains, hosts, servers int, play func(v *virtual)) {
+	t.Helper()
+	warmUp()
+	synctest.Test(t, func(t *testing.T) {
+		v := &virtual{t: t, net: product.NewNetwork(virtualDelay), store: standin.NewStore(1), log: io.Discard}
+		if file := os.Getenv("GUAVAYOKE_VIRTUAL_LOG"); file != "" {
+			f, err := os.Create(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer f.Close()
+			v.log = f
+		}
+		draw := rand.New(rand.NewPCG(1, 1))
+		v.servers = standin.NewServers(func(n int) int { return draw.IntN(n) })
+		v.serve("store:1", v.store.Handler)
+		for d := range domains {
+			for n := range servers {
+				name := fmt.Sprintf("server%d-%d", d, n)
+				v.servers.Network = v.net.Host(name)
+				if err := v.servers.Add(v.store, worker.Server{
+					ID: name, Address: name + ":1", Service: "booking", FailureDomain: fmt.Sprint("domain", d),
+					Capacity: worker.Resources{CPUMilli: 32000, MemoryMB: 1 << 16},
+				}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for n := range hosts {
+				v.hosts = append(v.hosts, &virtualHost{set: v.settings(d, n)})
+			}
+		}
+		for _, h := range v.hosts {
+			v.start(h)
+		}
+		play(v)
+		for _, h := range v.hosts {
+			h.kill()
+			<-h.done
+		}
+		v.servers.Close()
+		for _, l := range v.listens {
+			_ = l.Close()
+		}
+		for _, text := range v.servers.Violations() {
+			t.Error(text)
+		}
+		// Goroutines of the HTTP library end when their connections have been idle.
+		time.Sleep(virtualIdle)
+	})
+}
+
+func (v *virtual) serve(address string, handler fasthttp.RequestHandler) {
+	l, err := v.net.Host(hostName(address)).Listen(address)
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	v.listens = append(v.listens, l)
+	go func() { _ = (&fasthttp.Server{Handler: handler}).Serve(l) }()
+}
+
+func hostName(address string) string {
+	name, _, _ := strings.Cut(address, ":")
+	return name
+}
+
+func (v *virtual) settings(domain, n int) settings.Daemon {
+	name := fmt.Sprintf("entry%d-%d", domain, n)
+	set := validSettings()
+	set.Name, set.FailureDomain, set.Adapter = name, fmt.Sprint("domain", domain), "Users"
+	set.CallerAddress, set.PeerAddress, set.OperatorAddress = name+":1", name+":2", name+":3"
+	set.PlatformAddresses, set.Seeds = []string{"store:1"}, []string{"entry0-0:2", "entry1-0:2"}
+	return set
+}
+
+// start starts the process of a host.
+func (v *virtual) start(h *virtualHost) {
+	v.net.SetDown(h.set.Name, false)
+	h.incarnation = fmt.Sprint(h.set.Name, "-", time.Now().UnixMilli())
+	p := parts{
+		set: h.set, key: []byte(strings.Repeat("k", 32)), incarnation: h.incarnation, network: v.net.Host(h.set.Name),
+		log: event.New(v.log, "info"), now: time.Now,
+	}
+	k := buildAdapted(p, newPeers(p))
+	stop, cancelStop := context.WithCancel(context.Background())
+	grace, cancelGrace := context.WithCancel(context.Background())
+	h.stop, h.done = cancelStop, make(chan error, 1)
+	h.kill = func() {
+		cancelGrace()
+		cancelStop()
+	}
+	done := h.done
+	go func() {
+		done <- k.Run(stop, func() (context.Context, context.CancelFunc) {
+			return context.WithTimeout(grace, virtualGrace)
+		})
+	}()
+}
+
+// ask makes one request from a caller of its own.
+func (v *virtual) ask(h *virtualHost, method, path, body string, timeout time.Duration) (int, error) {
+	client := &fasthttp.HostClient{
+		Addr: h.set.CallerAddress, MaxIdemponentCallAttempts: 1,
+		Dial: func(address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return v.net.Host("caller").Connect(ctx, address)
+		},
+	}
+	defer client.CloseIdleConnections()
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("http://" + h.set.CallerAddress + path)
+	req.UseHostHeader = true
+	req.Header.SetHost(adaptedHost)
+	req.Header.SetMethod(method)
+	req.SetBodyString(body)
+	err := client.DoTimeout(req, res, timeout)
+	return res.StatusCode(), err
+}
+
+// TestVirtualCalmDay serves jobs at every host of two domains.
+func TestVirtualCalmDay(t *testing.T) {
+	playVirtual(t, 2, 2, 3, func(v *virtual) {
+		configure(t, v.store, 1)
+		time.Sleep(4 * time.Second)
+		for n := range 40 {
+			h := v.hosts[n%len(v.hosts)]
+			status, err := v.ask(h, "POST", fmt.Sprintf("/jobs/%016x", n), fmt.Sprintf(virtualJob, 100, 3, 100), 5*time.Second)
+			if err != nil || status != 200 {
+				t.Errorf("job %d at %s: status %d, %v", n, h.set.Name, status, err)
+			}
+		}
+	})
+}
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -21,6 +21,7 @@
 	"guavayoke/internal/burn"
 	"guavayoke/internal/caller"
 	"guavayoke/internal/kernel"
+	"guavayoke/internal/network"
 	"guavayoke/internal/peer"
 	"guavayoke/internal/platform"
 	"guavayoke/internal/worker"
@@ -32,6 +33,7 @@
 // Config builds a Service.
 type Config struct {
 	Address     string
+	Network     network.Network
 	Environment string
 	Log         *log.Logger
 	Metrics     metrics.Registry
@@ -109,14 +111,14 @@
 
 // listen listens for operators and for collectors of metrics.
 func (s *Service) listen() (net.Listener, error) {
-	listener, err := net.Listen("tcp", s.cfg.Address)
+	listener, err := s.cfg.Network.Open(s.cfg.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
 	if s.cfg.MetricsAddress == "" {
 		return listener, nil
 	}
-	collectors, err := net.Listen("tcp", s.cfg.MetricsAddress)
+	collectors, err := s.cfg.Network.Open(s.cfg.MetricsAddress)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for metrics: %w", err), listener.Close())
 	}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -84,7 +84,7 @@
 func (s *Service) dial(ctx context.Context, address string, wait chan struct{}) (*link, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	l, err := dialLink(dialCtx, address, s.cfg.Key, s.cfg.Self.Incarnation)
+	l, err := dialLink(dialCtx, s.cfg.Network, address, s.cfg.Key, s.cfg.Self.Incarnation)
 	s.mu.Lock()
 	delete(s.dialing, address)
 	if err == nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/fasthttp/websocket"
 
+	"guavayoke/internal/network"
 	"guavayoke/internal/ring"
 )
 
@@ -38,8 +40,11 @@
 }
 
 // dialLink connects and proves both sides.
-func dialLink(ctx context.Context, address string, key []byte, self string) (*link, error) {
-	d := websocket.Dialer{HandshakeTimeout: handshakeTimeout}
+func dialLink(ctx context.Context, n network.Network, address string, key []byte, self string) (*link, error) {
+	d := websocket.Dialer{
+		HandshakeTimeout: handshakeTimeout,
+		NetDialContext:   func(ctx context.Context, _, address string) (net.Conn, error) { return n.Connect(ctx, address) },
+	}
 	conn, res, err := d.DialContext(ctx, "ws://"+address+"/peer", nil)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", address, err)
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavayoke/internal/kernel"
+	"guavayoke/internal/network"
 	"guavayoke/internal/ring"
 )
 
@@ -33,8 +33,9 @@
 type Config struct {
 	Self Member
 	// Listen is where this host listens; empty means the address of Self.
-	Listen string
-	Key    []byte
+	Listen  string
+	Network network.Network
+	Key     []byte
 	// Seeds are peer addresses from the settings.
 	Seeds []string
 	Log   *log.Logger
@@ -202,7 +203,7 @@
 	if address == "" {
 		address = s.cfg.Self.Address
 	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := s.cfg.Network.Open(address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
--- a/internal/peer/service_test.go
+++ b/internal/peer/service_test.go
@@ -13,6 +13,7 @@
 
 	"guavayoke/internal/event"
 	"guavayoke/internal/kernel"
+	"guavayoke/internal/network"
 	"guavayoke/pkg/verdict"
 )
 
@@ -101,7 +102,7 @@
 func TestMalformedFramesAreDropped(t *testing.T) {
 	a := startService(t, "a", "key")
 	a.HandleCall("Echo", func(_ context.Context, body []byte) ([]byte, error) { return body, nil })
-	l, err := dialLink(t.Context(), a.cfg.Self.Address, []byte("key"), "b")
+	l, err := dialLink(t.Context(), network.Network{}, a.cfg.Self.Address, []byte("key"), "b")
 	if err != nil {
 		t.Fatal(err)
 	}
