--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -64,6 +64,8 @@
 	t.Helper()
 	warmUp()
 	synctest.Test(t, func(t *testing.T) {
+		// Virtual time begins in 2000, before any fencing token.
+		time.Sleep(time.Until(time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)))
 		v := &virtual{t: t, net: product.NewNetwork(virtualDelay), store: standin.NewStore(1), log: io.Discard}
 		if file := os.Getenv("GUAVAYOKE_VIRTUAL_LOG"); file != "" {
 			f, err := os.Create(file)
@@ -103,8 +105,8 @@
 		for _, l := range v.listens {
 			_ = l.Close()
 		}
-		for _, text := range v.servers.Violations() {
-			t.Error(text)
+		if all := v.servers.Violations(); len(all) > 0 {
+			t.Errorf("%d violations, first: %s", len(all), all[0])
 		}
 		// Goroutines of the HTTP library end when their connections have been idle.
 		time.Sleep(virtualIdle)
@@ -159,7 +161,7 @@
 }
 
 // ask makes one request from a caller of its own.
-func (v *virtual) ask(h *virtualHost, method, path, body string, timeout time.Duration) (int, error) {
+func (v *virtual) ask(h *virtualHost, method, path, body string, timeout time.Duration) (adaptedAnswer, error) {
 	client := &fasthttp.HostClient{
 		Addr: h.set.CallerAddress, MaxIdemponentCallAttempts: 1,
 		Dial: func(address string) (net.Conn, error) {
@@ -178,7 +180,7 @@
 	req.Header.SetMethod(method)
 	req.SetBodyString(body)
 	err := client.DoTimeout(req, res, timeout)
-	return res.StatusCode(), err
+	return adaptedAnswer{res.StatusCode(), string(res.Body()), string(res.Header.Peek("Retry-After"))}, err
 }
 
 // TestVirtualCalmDay serves jobs at every host of two domains.
@@ -188,9 +190,9 @@
 		time.Sleep(4 * time.Second)
 		for n := range 40 {
 			h := v.hosts[n%len(v.hosts)]
-			status, err := v.ask(h, "POST", fmt.Sprintf("/jobs/%016x", n), fmt.Sprintf(virtualJob, 100, 3, 100), 5*time.Second)
-			if err != nil || status != 200 {
-				t.Errorf("job %d at %s: status %d, %v", n, h.set.Name, status, err)
+			got, err := v.ask(h, "POST", fmt.Sprintf("/jobs/%016x", n), fmt.Sprintf(virtualJob, 100, 3, 100), 5*time.Second)
+			if err != nil || got.status != 200 {
+				t.Errorf("job %d at %s: %+v, %v", n, h.set.Name, got, err)
 			}
 		}
 	})
--- a/internal/standin/leased.go
+++ b/internal/standin/leased.go
@@ -25,6 +25,8 @@
 	RunTime func(k worker.RunKey, spec string) (time.Duration, bool)
 	// Need returns what a run takes up, to check the capacity.
 	Need func(k worker.RunKey) worker.Resources
+	// OnEnd, if set, is told of each end.
+	OnEnd func(k worker.RunKey, how worker.HowEnded)
 
 	born    time.Time
 	fence   uint64
@@ -103,6 +105,9 @@
 
 func (s *LeasedServer) end(r *leasedRun, how worker.HowEnded) {
 	delete(s.running, r.key)
+	if s.OnEnd != nil {
+		s.OnEnd(r.key, how)
+	}
 	if how == worker.EndStopped {
 		s.Stopped++
 	}
@@ -128,6 +133,9 @@
 	return keys
 }
 
+// Unseen counts the ends that are listed and not yet taken note of.
+func (s *LeasedServer) Unseen() int { return len(s.ended) }
+
 // HasEnds reports whether ends above a number are listed.
 func (s *LeasedServer) HasEnds(after uint64) bool { return s.number > after }
 
--- /dev/null
+++ b/internal/worker/fence_test.go
@@ -0,0 +1,30 @@
+package worker
+
+import (
+	"testing"
+	"time"
+)
+
+// TestFencerHostsDiffer covers two owners whose tokens were the same: their
+// addresses were names, or differed in the port alone.
+func TestFencerHostsDiffer(t *testing.T) {
+	now := fenceEpoch.Add(time.Hour)
+	tests := map[string][]string{
+		"Addresses": {"10.1.0.13:8166", "10.2.0.13:8166", "10.1.0.14:8166"},
+		"Ports":     {"127.0.0.1:8166", "127.0.0.1:8167", "127.0.0.1:9166", "127.0.0.1:65535", "127.0.0.1:1"},
+		"Names":     {"entry1.example:8166", "entry2.example:8166", "entry1.example:8167"},
+		"IPv6":      {"[fd00::1]:8166", "[fd00::2]:8166", "[fd00::1]:8167"},
+	}
+	for name, addresses := range tests {
+		t.Run(name, func(t *testing.T) {
+			by := map[uint64]string{}
+			for _, a := range addresses {
+				token := NewFencer(a).Next(now, 0)
+				if other, ok := by[token]; ok {
+					t.Errorf("%s and %s make the same token", a, other)
+				}
+				by[token] = a
+			}
+		})
+	}
+}
