--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -212,24 +212,24 @@
 
 // read takes what has arrived by now. Otherwise it returns how long the reader
 // may sleep unless it is woken; 0 means for any time.
-func (q *memoryQueue) read(now time.Time, cut bool, b []byte) (n int, err error, sleep time.Duration, wake <-chan struct{}) {
+func (q *memoryQueue) read(now time.Time, cut bool, b []byte) (n int, sleep time.Duration, wake <-chan struct{}, err error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var next time.Time
 	switch {
 	case !q.deadline.IsZero() && !now.Before(q.deadline):
-		return 0, os.ErrDeadlineExceeded, 0, nil
+		return 0, 0, nil, os.ErrDeadlineExceeded
 	case cut && (q.end == nil || errors.Is(q.end, io.EOF)):
 	case len(q.parts) > 0 && !now.Before(q.parts[0].at):
 		n = copy(b, q.parts[0].data)
 		if q.parts[0].data = q.parts[0].data[n:]; len(q.parts[0].data) == 0 {
 			q.parts = q.parts[1:]
 		}
-		return n, nil, 0, nil
+		return n, 0, nil, nil
 	case len(q.parts) > 0:
 		next = q.parts[0].at
 	case q.end != nil && !now.Before(q.endAt):
-		return 0, q.end, 0, nil
+		return 0, 0, nil, q.end
 	case q.end != nil:
 		next = q.endAt
 	}
@@ -239,7 +239,7 @@
 	if !next.IsZero() {
 		sleep = next.Sub(now)
 	}
-	return 0, nil, sleep, q.wake
+	return 0, sleep, q.wake, nil
 }
 
 // memoryConn is one side of a connection.
@@ -255,7 +255,7 @@
 func (c *memoryConn) Read(b []byte) (int, error) {
 	for {
 		cut, changed := c.network.cut(c.to, c.from)
-		n, err, sleep, wake := c.in.read(time.Now(), cut, b)
+		n, sleep, wake, err := c.in.read(time.Now(), cut, b)
 		if n > 0 || err != nil {
 			return n, err
 		}
