Keep the jobs that a leaving owner gives back until its successor follows

Cause: the new test of I7 behind a cut (TestVirtualStopBehindCut): the owner of a domain that is cut off was stopped as planned, and all 18 jobs of its queue were refused with 503 at 14.300; the next owner was chosen at 14.320 and had its first server at 14.720. Without the cut such jobs went to the other domain's owner. Change: a job that a leaving owner gives back waits for ownerPatience (700 ms) for an owner that can take it, as a new job does that finds none. One that is refused for any other reason is still answered at once. TestMovedJobWaitsForSuccessor failed first (Refused after 0 s). Ruled out: leaving the queue at the leaving owner until it is empty; it has to give its servers away, and the stop has an end.

--- a/cmd/guavayoke-load/main.go
+++ b/cmd/guavayoke-load/main.go
@@ -5,6 +5,12 @@
 	"os"
 
 	"guavayoke/internal/load"
+	"guavayoke/platform/soak"
 )
 
-func main() { os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	jobs := load.Command{
+		Name: "jobs", Does: "jobs under leases, with daemons and stand-ins of their own", Main: soak.MainJobs,
+	}
+	os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr, jobs))
+}
--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -197,3 +197,54 @@
 		}
 	})
 }
+
+// TestVirtualStopBehindCut covers I7: a planned stop cuts off no request, also
+// while its failure domain is cut off from the other one and from the platform.
+func TestVirtualStopBehindCut(t *testing.T) {
+	for name, own := range map[string]bool{"OwnDomain": true, "WholeDay": false} {
+		t.Run(name, func(t *testing.T) {
+			playVirtual(t, 2, 3, 3, func(v *virtual) {
+				configure(t, v.store, 1)
+				time.Sleep(4 * time.Second)
+				d := &virtualDay{virtual: v}
+				heal := d.cutDomains()
+				if own {
+					// The stop begins before the other domain is known to be away.
+					time.Sleep(100 * time.Millisecond)
+				} else {
+					time.Sleep(10 * time.Second)
+				}
+				type result struct {
+					at  string
+					got adaptedAnswer
+					err error
+				}
+				results := make(chan result, 60)
+				hosts := v.hosts[:3]
+				for n := range 30 {
+					h := hosts[n%len(hosts)]
+					go func() {
+						got, err := v.ask(h, "POST", fmt.Sprintf("/jobs/%016x", n), fmt.Sprintf(virtualJob, 700, 2, 700), 6*time.Second)
+						results <- result{h.set.Name, got, err}
+					}()
+				}
+				time.Sleep(300 * time.Millisecond)
+				stopped := time.Now()
+				hosts[0].stop()
+				if err := <-hosts[0].done; err != nil {
+					t.Errorf("stop: %v", err)
+				}
+				if took := time.Since(stopped); took > virtualGrace {
+					t.Errorf("the stop took %v", took)
+				}
+				for range 30 {
+					if r := <-results; r.err != nil || r.got.status != 200 {
+						t.Errorf("%s: %+v, %v", r.at, r.got, r.err)
+					}
+				}
+				heal()
+				hosts[0].done <- nil // Read again at the end of the play.
+			})
+		})
+	}
+}
--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -23,8 +23,20 @@
 
 const loadGCPercent = 800
 
+// Command is a further command of the program.
+type Command struct {
+	Name, Does string
+	// Main returns the exit code.
+	Main func(args []string, out, errOut io.Writer) int
+}
+
 // Main runs the program and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(args []string, out, errOut io.Writer, further ...Command) int {
+	for _, c := range further {
+		if len(args) > 0 && args[0] == c.Name {
+			return c.Main(args[1:], out, errOut)
+		}
+	}
 	if len(args) > 0 {
 		switch args[0] {
 		case "run":
@@ -37,7 +49,7 @@
 
 Usage: guavayoke-load run [FLAGS]         open-loop load on running daemons
        guavayoke-load experiment [FLAGS]  policies in virtual time, side by side
-
+`+furtherHelp(further)+`
 Checks of a run:
 `+ChecksHelp()+`
 Exit codes: 0 done, 1 failed, 2 wrong use, 3 an invariant was broken.
@@ -45,6 +57,14 @@
 	return exitUsage
 }
 
+func furtherHelp(further []Command) string {
+	var text strings.Builder
+	for _, c := range further {
+		fmt.Fprintf(&text, "       guavayoke-load %-20s%s\n", c.Name+" [FLAGS]", c.Does)
+	}
+	return text.String()
+}
+
 func mainRun(args []string, out, errOut io.Writer) int {
 	var c Config
 	fs := flag.NewFlagSet("run", flag.ContinueOnError)
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -14,7 +14,8 @@
 //  3. A job goes to the owner of the host's own domain unless another one's
 //     queue is shorter by spillMargin. A refused job, of which nothing has
 //     run, is offered to the other owners before the caller hears of it. While
-//     no owner is known, a job waits for ownerPatience at most.
+//     no owner is known, a job waits for ownerPatience at most; so does one
+//     that a leaving owner gives back, for its successor is about to follow.
 //  4. When a session breaks or falls silent for entryLease, its jobs are lost:
 //     the callers are told at once that they may come again. The owner has
 //     stopped what ran of them before a caller does (session.go).
@@ -43,7 +44,8 @@
 	// way there costs time and traffic between domains.
 	spillMargin = 15 * time.Millisecond
 	// ownerPatience is how long a job waits for an owner to be found: after a
-	// restart of all hosts, or of an owner, that takes a few hundred milliseconds.
+	// restart of all hosts, or a change of owner, that takes a few hundred
+	// milliseconds.
 	ownerPatience = 700 * time.Millisecond
 	// noOwnerRetry is when a caller may come again if no owner answers.
 	noOwnerRetry = time.Second
@@ -126,6 +128,10 @@
 	tickets []TicketID
 	tried   []string
 	began   time.Time
+	// patientUntil is until when the job waits if no owner can take it.
+	patientUntil time.Time
+	// moved says that an owner gave it back because it leaves.
+	moved bool
 }
 
 // EntryConfig builds an Entry.
--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -208,3 +208,49 @@
 		t.Errorf("%d sessions were opened, the owner is %q; want 1 and b", opens, e.Hint())
 	}
 }
+
+// TestMovedJobWaitsForSuccessor covers a planned stop of an owner whose domain was
+// cut off: every job of its queue was refused, 20 ms before the next owner was
+// chosen. A refusal that isn't a move is told at once.
+func TestMovedJobWaitsForSuccessor(t *testing.T) {
+	tests := map[string]struct {
+		outcome Outcome
+		after   time.Duration
+		want    Outcome
+		atMost  time.Duration
+	}{
+		"Successor":   {Moved, 400 * time.Millisecond, Completed, 400*time.Millisecond + 2*tickInterval},
+		"NoSuccessor": {Moved, time.Minute, Refused, ownerPatience + 2*tickInterval},
+		"Refused":     {Refused, 400 * time.Millisecond, Refused, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEntry("c", "a", "b")
+			answerOpens(e, entryStart, stamp{Number: 1, Owner: true, Load: Load{Servers: 1}})
+			e.Submit(entryStart, Job{ID: "1"})
+			if actions := e.Take(); len(actions) != 1 || actions[0].Send == nil || actions[0].Send.To != "a" {
+				t.Fatalf("actions are %+v, want the job to be offered to a", actions)
+			}
+			e.Stamped(entryStart, "a", stamp{Number: 2, Owner: true, Leaving: true, Load: Load{Servers: 1}})
+			e.Resulted(entryStart, "a", Result{ID: "1", Outcome: c.outcome, Reason: "OwnerLeaving"})
+			got, at := Lost, entryStart
+			for now := entryStart; now.Before(entryStart.Add(2 * ownerPatience)); now = now.Add(tickInterval) {
+				e.Stamped(now, "b", stamp{Number: 2, Owner: now.Sub(entryStart) >= c.after, Load: Load{Servers: 1}})
+				e.Tick(now)
+				for _, a := range e.Take() {
+					switch {
+					case a.Open != nil:
+						e.Opened(now, a.Open.Incarnation)
+					case a.Send != nil && a.Send.Message.Submit != nil:
+						e.Resulted(now, a.Send.To, Result{ID: "1", Outcome: Completed})
+					case a.Answer != nil:
+						got, at = a.Answer.Result.Outcome, now
+					}
+				}
+			}
+			if got != c.want || at.Sub(entryStart) > c.atMost {
+				t.Errorf("the outcome is %v after %v, want %v within %v", got, at.Sub(entryStart), c.want, c.atMost)
+			}
+		})
+	}
+}
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -18,7 +18,7 @@
 		j.tickets = append(j.tickets, t)
 		return t
 	}
-	j := &entryJob{job: job, tickets: []TicketID{t}, began: now}
+	j := &entryJob{job: job, tickets: []TicketID{t}, began: now, patientUntil: now.Add(ownerPatience)}
 	e.jobs[job.ID] = j
 	e.offer(now, j, noOwner(j))
 	return t
@@ -63,14 +63,18 @@
 		consider(v.target.Incarnation, v.stamp.Load, cost)
 	}
 	if best == "" {
-		if len(j.tried) == 0 && now.Sub(j.began) < ownerPatience {
-			return // Offered again with the next tick.
+		if now.Before(j.patientUntil) {
+			j.owner = "" // Offered again with the next tick.
+			return
 		}
 		e.answer(now, j, otherwise)
 		return
 	}
 	j.owner = best
 	j.tried = append(j.tried, best)
+	if !j.moved {
+		j.patientUntil = time.Time{}
+	}
 	job := j.job
 	job.Age = now.Sub(j.began)
 	e.send(best, message{Submit: &job})
@@ -132,6 +136,9 @@
 		return
 	}
 	if r.Outcome == Refused || r.Outcome == Moved {
+		if r.Outcome == Moved {
+			j.moved, j.patientUntil = true, now.Add(ownerPatience)
+		}
 		otherwise := r
 		otherwise.Outcome = Refused
 		if otherwise.RetryAfter == 0 {
