--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -85,7 +85,7 @@
 	return time.Duration(admitShare * float64(slack))
 }
 
-// noteQueue notes since when work has waited without a break.
+// noteQueue notes whether work waits and for which share of the time it has.
 func (p *Pool) noteQueue(now time.Time) {
 	before := 0.0
 	if p.standing {
