End sessions that nobody wants any more at once

Change: the entry side says whether it wants an opened session; the end of a stream concerns only the one that is in use. TestOpenedTellsWhetherWanted; Entry.Opened told nothing before. Ruled out: closing streams by incarnation, which is the name that both have.

--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -396,13 +396,16 @@
 	e.out = append(e.out, EntryAction{Open: &next})
 }
 
-// Opened tells that the session with an incarnation is open.
-func (e *Entry) Opened(now time.Time, incarnation string) {
+// Opened tells that the session with an incarnation is open. It reports whether
+// the session is still wanted; another host may have been chosen meanwhile.
+func (e *Entry) Opened(now time.Time, incarnation string) bool {
 	for _, v := range e.views {
 		if v.target.Incarnation == incarnation && !v.open {
 			v.open, v.heard = true, now
+			return true
 		}
 	}
+	return false
 }
 
 // Closed tells that a session broke or could not be opened (rule 4).
--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -254,3 +254,18 @@
 		})
 	}
 }
+
+// TestOpenedTellsWhetherWanted covers a session that was opened after another host
+// had been chosen, or opened twice: it stayed until its silence ended it.
+func TestOpenedTellsWhetherWanted(t *testing.T) {
+	e := newTestEntry("c", "a")
+	if !e.Opened(entryStart, "a") {
+		t.Error("the session that was asked for is not wanted")
+	}
+	if e.Opened(entryStart, "a") {
+		t.Error("a second session with the same host is wanted")
+	}
+	if e.Opened(entryStart, "b") {
+		t.Error("a session with a host that was not chosen is wanted")
+	}
+}
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -267,32 +267,43 @@
 		}
 		s.post(func(h *Host, now time.Time) { h.fromOwner(now, c.Incarnation, m) })
 	}
+	// current and ended belong to the loop. The stream may end before the loop
+	// hears that it is open, or after another one has taken its place.
+	var current *peer.Stream
+	ended := false
 	closed := func() {
-		go s.post(func(h *Host, now time.Time) { s.streamClosed(h, now, c.Incarnation) })
+		go s.post(func(h *Host, now time.Time) {
+			ended = true
+			if current != nil && s.streams[c.Incarnation] == current {
+				delete(s.streams, c.Incarnation)
+				h.entry.Closed(now, c.Incarnation, "SessionBroke")
+			}
+		})
 	}
 	st, err := s.peers.OpenStream(ctx, c.Address, c.Incarnation, streamName, receive, closed)
 	if err != nil {
 		reason := "Unreachable"
-		var ended *peer.IncarnationError
-		if errors.As(err, &ended) {
+		var other *peer.IncarnationError
+		if errors.As(err, &other) {
 			reason = "IncarnationEnded"
 		}
 		s.post(func(h *Host, now time.Time) { h.entry.Closed(now, c.Incarnation, reason) })
 		return
 	}
 	s.post(func(h *Host, now time.Time) {
-		s.streams[c.Incarnation] = st
-		h.entry.Opened(now, c.Incarnation)
+		switch {
+		case ended && s.streams[c.Incarnation] == nil:
+			h.entry.Closed(now, c.Incarnation, "SessionBroke")
+		case ended:
+		case h.entry.Opened(now, c.Incarnation):
+			current = st
+			s.streams[c.Incarnation] = st
+		default:
+			st.Close()
+		}
 	})
 }
 
-func (s *Service) streamClosed(h *Host, now time.Time, incarnation string) {
-	if s.streams[incarnation] != nil {
-		delete(s.streams, incarnation)
-		h.entry.Closed(now, incarnation, "SessionBroke")
-	}
-}
-
 // accept serves a session that an entry host has opened.
 func (s *Service) accept(st *peer.Stream) (receive func([]byte), closed func()) {
 	var id SessionID
