--- a/internal/daemon/adapted_test.go
+++ b/internal/daemon/adapted_test.go
@@ -66,7 +66,7 @@
 	a.set.Adapter, a.set.Seeds, a.set.StopLimitMs = "Users", nil, 5500
 	a.set.CallerAddress, a.set.PeerAddress, a.set.OperatorAddress = freeLoopback(t), freeLoopback(t), freeLoopback(t)
 	a.set.PlatformAddresses = []string{l.Addr().String()}
-	p := parts{set: a.set, key: []byte(a.set.PeerKey), incarnation: "incarnation1", log: event.New(io.Discard, "error"), now: bootTime}
+	p := parts{set: a.set, key: []byte(a.set.PeerKey), incarnation: "incarnation1", log: event.New(io.Discard, "error"), now: bootTime, wall: time.Now}
 	k := buildAdapted(p, newPeers(p))
 	ctx, cancel := context.WithCancel(context.Background())
 	a.stop = cancel
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,7 +74,7 @@
 	lines := event.NewQueue(os.Stdout, time.Now)
 	defer lines.Close()
 	logger := event.New(lines, set.LogLevel)
-	p := parts{set: set, key: key, incarnation: id.String(), log: logger, now: bootTime}
+	p := parts{set: set, key: key, incarnation: id.String(), log: logger, now: bootTime, wall: time.Now}
 	peers := newPeers(p)
 	reloads := newReloader(file, set, logger, peers.SetSettingsSeeds, signals.Hangup)
 	k := build(p, peers)
@@ -122,6 +122,8 @@
 	network network.Network
 	// now reads a clock that also runs while the host is suspended.
 	now func() time.Time
+	// wall reads the time of day, which may jump.
+	wall func() time.Time
 }
 
 func seed() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/internal/daemon/virtual_day_test.go
+++ b/internal/daemon/virtual_day_test.go
@@ -67,6 +67,8 @@
 	dayMeanFor = 2 * time.Second
 	dayClients = 10
 	dayPhase   = 10 * time.Second
+	// dayClockOff is how far a time of day jumps at most.
+	dayClockOff = time.Hour
 )
 
 // virtualFault begins a fault and returns how it ends.
@@ -124,6 +126,11 @@
 		d.servers.SetFaults(standin.ServerFaults{LatePercent: 5, LateMs: 2000})
 		return func() { d.servers.SetFaults(standin.ServerFaults{}) }
 	}},
+	"ClockStep": {false, func(d *virtualDay) func() {
+		h := d.any()
+		h.clockOff.Store(d.rand.Int64N(int64(2*dayClockOff)) - int64(dayClockOff))
+		return func() { h.clockOff.Store(0) }
+	}},
 	"RunsFail": {false, func(d *virtualDay) func() {
 		d.servers.SetFaults(standin.ServerFaults{FailPercent: 10})
 		return func() { d.servers.SetFaults(standin.ServerFaults{}) }
--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,10 +42,15 @@
 	incarnation string
 	stop, kill  context.CancelFunc
 	done        chan error
+	// clockOff is how far the host's time of day is off.
+	clockOff atomic.Int64
 }
 
 const (
 	virtualDelay = 200 * time.Microsecond
+	// virtualDrift is by how much a server's clock may run slow; the platform
+	// states it.
+	virtualDrift = 0.02
 	virtualGrace = 5500 * time.Millisecond
 	virtualIdle  = 3 * time.Minute
 	virtualJob   = `{"spec":"%d 4000","best-effort":true,"steps":[{"count":%d,"cpu":4000,"mem-mb":64,"estimate-ms":%d}]}`
@@ -77,6 +83,7 @@
 		}
 		draw := rand.New(rand.NewPCG(1, 1))
 		v.servers = standin.NewServers(func(n int) int { return draw.IntN(n) })
+		v.servers.Drift = virtualDrift
 		v.serve("store:1", v.store.Handler)
 		for d := range domains {
 			for n := range servers {
@@ -142,7 +149,7 @@
 	h.incarnation = fmt.Sprint(h.set.Name, "-", time.Now().UnixMilli())
 	p := parts{
 		set: h.set, key: []byte(strings.Repeat("k", 32)), incarnation: h.incarnation, network: v.net.Host(h.set.Name),
-		log: event.New(v.log, "info"), now: time.Now,
+		log: event.New(v.log, "info"), now: time.Now, wall: func() time.Time { return time.Now().Add(time.Duration(h.clockOff.Load())) },
 	}
 	k := buildAdapted(p, newPeers(p))
 	stop, cancelStop := context.WithCancel(context.Background())
