--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 #            faults from seed 1; SEED and SEEDS name others.
 # make test: the tests. make check: formatter, linters, generated code, models.
 
-.PHONY: build test check demo soak soak-regressions race generate
+.PHONY: build test check demo soak jobs soak-regressions race generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,6 +29,10 @@
 soak: build
 	bin/guavayoke-soak -seed $(SEED) -seeds $(SEEDS) -duration 20s
 
+# jobs plays a load of jobs with daemons and stand-ins of its own.
+jobs: build
+	bin/guavayoke-load jobs
+
 # soak-regressions plays the seeds that failed once.
 soak-regressions: build
 	bin/guavayoke-soak -regressions -duration 20s
