--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -52,7 +52,7 @@
 	})
 	jobs := worker.New(worker.Config{
 		Self: self, Orders: adapter.NewOrders(adapter.OrdersConfig{Network: p.network, Log: logger, Calls: count}),
-		Log: logger, Metrics: registry, Rand: seed(), Now: p.now, Wall: p.wall,
+		Log: logger, Metrics: registry, Now: p.now, Wall: p.wall,
 	})
 	ops := operator.New(operator.Config{
 		Address: set.OperatorAddress, Network: p.network, MetricsAddress: set.MetricsAddress, Environment: set.Environment,
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -1,7 +1,6 @@
 package worker
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -57,7 +56,6 @@
 	Self Candidate
 	// Fence returns a fencing token that no other owner uses, see PoolConfig.
 	Fence func(now time.Time, refused uint64) uint64
-	Rand  *rand.Rand
 	Log   *log.Logger
 	// Now is when the host started.
 	Now time.Time
@@ -79,7 +77,7 @@
 func NewHost(c HostConfig) *Host {
 	return &Host{
 		cfg:   c,
-		pool:  NewPool(PoolConfig{Fence: c.Fence, Rand: c.Rand, Log: c.Log}),
+		pool:  NewPool(PoolConfig{Fence: c.Fence, Log: c.Log}),
 		entry: NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now}),
 	}
 }
--- a/internal/worker/lanes.go
+++ b/internal/worker/lanes.go
@@ -24,15 +24,14 @@
 // lanes carries orders, a few at a time for each server, so that a server that
 // hangs holds up no other.
 type lanes struct {
-	ctx    context.Context
-	orders Orders
-	mu     sync.Mutex
-	lanes  map[string]*lane
-	group  sync.WaitGroup
+	ctx   context.Context
+	mu    sync.Mutex
+	lanes map[string]*lane
+	group sync.WaitGroup
 }
 
-func newLanes(ctx context.Context, o Orders) *lanes {
-	return &lanes{ctx: ctx, orders: o, lanes: map[string]*lane{}}
+func newLanes(ctx context.Context) *lanes {
+	return &lanes{ctx: ctx, lanes: map[string]*lane{}}
 }
 
 func (l *lanes) wait() { l.group.Wait() }
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -17,7 +17,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -70,7 +69,6 @@
 type PoolConfig struct {
 	// Fence returns a fencing token above a given one that no other owner uses.
 	Fence func(now time.Time, above uint64) uint64
-	Rand  *rand.Rand
 	Log   *log.Logger
 }
 
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -49,7 +48,6 @@
 	Orders  Orders
 	Log     *log.Logger
 	Metrics metrics.Registry
-	Rand    *rand.Rand
 	// Now reads a clock that also runs while the host is suspended: leases are
 	// over when it wakes.
 	Now func() time.Time
@@ -95,7 +93,7 @@
 	s.host = NewHost(HostConfig{
 		Self:  c.Self,
 		Fence: func(_ time.Time, refused uint64) uint64 { return fencer.Next(c.Wall(), refused) },
-		Rand:  c.Rand, Log: c.Log, Now: c.Now(),
+		Log:   c.Log, Now: c.Now(),
 	})
 	return s
 }
@@ -128,7 +126,7 @@
 		return nil, err
 	}
 	s.ctx = ctx
-	s.lanes = newLanes(ctx, s.cfg.Orders)
+	s.lanes = newLanes(ctx)
 	s.peers.HandleStream(streamName, s.accept)
 	s.peers.Publish(ownerItem, s.publishOwner)
 	s.peers.HandleNote(ownerItem, func(from string, _ []byte) {
--- a/internal/worker/world_test.go
+++ b/internal/worker/world_test.go
@@ -264,7 +264,7 @@
 	h.host = worker.NewHost(worker.HostConfig{
 		Self:  worker.Candidate{Incarnation: h.incarnation, Address: h.address, FailureDomain: h.domain},
 		Fence: func(now time.Time, refused uint64) uint64 { return fencer.Next(now, refused) },
-		Rand:  w.rand, Log: w.log, Now: w.now,
+		Log:   w.log, Now: w.now,
 	})
 	life := h.lives
 	w.note("host%d boots as %s", h.n, h.incarnation)
