worker: a new owner waits for the list of servers before it starts tasks

Cause: a host that owns nothing reads the list of servers every 4 s.

Change: rule 6 of pool.go. A list older than 1 s is read again before the first start; a failed read ends the wait, and so do 0.3 s without an answer. The read is requested with the event that changes the owner, not at the next tick. The log line OwnershipAssumed says how old the list is.

Ruled out: the list's version in heartbeats and a hand-over by the former owner (nothing is handed over by one that is killed), and more readers for good.

Test that fails first: TestVirtualNewOwnerOfLeavingServers, in virtual time with a store that takes 60 ms an answer: starts after 2.55 s and 2.62 s without the wait in all cases, none with it; with the store down or hanging all jobs are served within a second. TestNewOwnerAwaitsServerList has the single cases.

--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -84,6 +84,7 @@
 	hosts     HostList
 	onApply   []func(*AppliedConfiguration)
 	onHosts   []func([]Host)
+	onRead    []func(HostsRead)
 	storeDown bool
 }
 
@@ -135,6 +136,22 @@
 	}
 }
 
+// HostsRead describes a read of the list of hosts that has ended.
+type HostsRead struct {
+	// Took is the time since the read began. The list is at least that old.
+	Took time.Duration
+	Err  error
+}
+
+// OnHostsRead registers a function that is called after each read of the list of hosts,
+// whether it failed or not. If the list has changed, the functions of OnHosts have
+// returned before.
+func (s *Service) OnHostsRead(f func(HostsRead)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onRead = append(s.onRead, f)
+}
+
 // AppliedConfiguration returns the configuration in force, or nil if there is none.
 func (s *Service) AppliedConfiguration() *AppliedConfiguration {
 	s.mu.Lock()
@@ -411,9 +428,22 @@
 	s.needHosts <- need
 }
 
-// readHosts reads the list of hosts. If it has changed, readHosts passes it to the
-// listeners and the addresses of the entry hosts to the peer service.
+// readHosts reads the list of hosts and passes the outcome to the listeners.
 func (s *Service) readHosts(ctx context.Context) {
+	started := time.Now()
+	err := s.updateHosts(ctx)
+	s.mu.Lock()
+	listeners := s.onRead
+	s.mu.Unlock()
+	for _, f := range listeners {
+		f(HostsRead{time.Since(started), err})
+	}
+}
+
+// updateHosts reads the list of hosts. If it has changed, updateHosts passes it to the
+// listeners and the addresses of the entry hosts to the peer service. It returns the
+// error of the store.
+func (s *Service) updateHosts(ctx context.Context) error {
 	s.mu.Lock()
 	known := s.hosts.Version
 	s.mu.Unlock()
@@ -422,7 +452,7 @@
 	list, err := s.cfg.Store.Hosts(callCtx, known)
 	s.recordStoreResult(err)
 	if err != nil || list.Unchanged {
-		return
+		return err
 	}
 	slices.SortFunc(list.Hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
 	s.mu.Lock()
@@ -430,7 +460,7 @@
 	s.hosts = list
 	if same {
 		s.mu.Unlock()
-		return
+		return nil
 	}
 	listeners := s.onHosts
 	s.mu.Unlock()
@@ -438,6 +468,7 @@
 	for _, f := range listeners {
 		f(list.Hosts)
 	}
+	return nil
 }
 
 // entryAddresses returns the addresses of the entry hosts.
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -192,7 +192,11 @@
 	case a.Answer != nil:
 		h.actions = append(h.actions, HostAction{Answer: a.Answer})
 	case a.AssumeOwnership != nil:
-		h.cfg.Log.Info().Str("FailureDomain", h.cfg.Self.FailureDomain).Int("ExcludedServers", len(a.AssumeOwnership.ExcludedServers)).Msg("OwnershipAssumed")
+		e := h.cfg.Log.Info().Str("FailureDomain", h.cfg.Self.FailureDomain).Int("ExcludedServers", len(a.AssumeOwnership.ExcludedServers))
+		if age, ok := h.pool.ServerListAge(now); ok {
+			e.Int64("ServerListAgeMs", age.Milliseconds())
+		}
+		e.Msg("OwnershipAssumed")
 		h.pool.AssumeOwnership(now, a.AssumeOwnership.ExcludedServers)
 	case a.StepDown != "":
 		h.pool.StepDown(now, a.StepDown)
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -8,9 +8,20 @@
 	"time"
 )
 
+const (
+	// maxServerListAge is the age of a list of servers that a new owner uses without
+	// reading it again. With the time of the next read it stays below the two seconds
+	// after which a leaving server must get no new task.
+	maxServerListAge = time.Second
+	// maxServerListWait limits how long a new owner waits for the list while the store
+	// does not respond.
+	maxServerListWait = 300 * time.Millisecond
+)
+
 // SetServers sets the platform's list of servers of the failure domain. A server
 // of this owner that is missing from the list stays in use while it answers.
 func (p *Pool) SetServers(now time.Time, list []Server) {
+	p.serverListReadAt = now
 	listed := map[string]bool{}
 	for _, info := range list {
 		listed[info.ID] = true
@@ -38,6 +49,27 @@
 	p.place(now)
 }
 
+// HandleServerListRead handles the end of a read of the platform's list of servers,
+// which began at now minus took. If the list has changed, SetServers was called before.
+func (p *Pool) HandleServerListRead(now time.Time, took time.Duration, ok bool) {
+	p.serverListFailed = !ok
+	if ok {
+		p.serverListReadAt = now.Add(-took)
+	}
+	p.place(now)
+}
+
+// ServerListAge returns the time since the start of the newest successful read of the
+// list of servers. ok is false if there was none.
+func (p *Pool) ServerListAge(now time.Time) (age time.Duration, ok bool) {
+	return now.Sub(p.serverListReadAt), !p.serverListReadAt.IsZero()
+}
+
+// awaitsServerList reports whether rule 6 of pool.go forbids to start tasks now.
+func (p *Pool) awaitsServerList(now time.Time) bool {
+	return !p.serverListFailed && now.Sub(p.serverListReadAt) > maxServerListAge && now.Sub(p.ownerSince) < maxServerListWait
+}
+
 // addressChanged retires a server whose ID is now listed with another address,
 // which means that another incarnation of it runs there. The runs at the old
 // address stay tracked until their lease has expired. Setting both polling flags
@@ -68,7 +100,9 @@
 	if p.draining {
 		return
 	}
-	p.owner = true
+	if !p.owner {
+		p.owner, p.ownerSince = true, now
+	}
 	p.excluded = map[string]bool{}
 	for _, id := range excluded {
 		p.excluded[id] = true
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -19,6 +19,10 @@
 //     jobs that only it waits for are abandoned.
 //  5. An owner that leaves starts no new job. It releases a server once that
 //     server has no run and no started job has ready tasks that wait for a server.
+//  6. An owner starts no task by a list of servers that may lack which servers
+//     leave. A host that is not the owner reads the list rarely. When it becomes
+//     the owner, it waits for the read that this triggers, unless its list is
+//     recent, the store fails, or maxServerListWait has passed.
 //
 // A host leaves when it is about to shut down; its pool is draining from then on.
 // Admission and refusals are in admission.go, the choice of servers is in place.go,
@@ -139,6 +143,12 @@
 	// them up because its host leaves.
 	owner    bool
 	draining bool
+	// ownerSince is when the pool last became the owner (rule 6).
+	ownerSince time.Time
+	// serverListReadAt is the start of the newest successful read of the list of
+	// servers, and serverListFailed is whether a later read failed.
+	serverListReadAt time.Time
+	serverListFailed bool
 	// excluded contains the IDs of the servers that leaving owners of the domain
 	// still use. The pool does not acquire them.
 	excluded map[string]bool
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -140,6 +140,9 @@
 	})
 	s.peers.OnChange(s.membersChanged)
 	s.kvstore.OnHosts(s.hostsChanged)
+	s.kvstore.OnHostsRead(func(r kvstore.HostsRead) {
+		s.enqueue(func(h *Host, now time.Time) { h.pool.HandleServerListRead(now, r.Took, r.Err == nil) })
+	})
 	done := make(chan error, 1)
 	go func() {
 		s.loop(ctx)
@@ -176,6 +179,10 @@
 		for _, a := range s.host.HandleEvent(now, event) {
 			s.perform(now, a)
 		}
+		if hostsNeeded := s.host.pool.IsOwner(); hostsNeeded != s.hostsNeeded {
+			s.hostsNeeded = hostsNeeded
+			s.kvstore.SetHostsNeeded(hostsNeeded)
+		}
 	}
 }
 
@@ -185,10 +192,6 @@
 	s.mu.Lock()
 	s.status = st
 	s.mu.Unlock()
-	if hostsNeeded := h.pool.IsOwner(); hostsNeeded != s.hostsNeeded {
-		s.hostsNeeded = hostsNeeded
-		s.kvstore.SetHostsNeeded(hostsNeeded)
-	}
 }
 
 func (s *Service) sendMessage(st *peer.Stream, m message) {
