--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # make test:  runs the tests.
 # make check: checks formatting and generated code and runs the linters.
 
-.PHONY: build test check demo soak jobs soak-regressions race generate
+.PHONY: build test check demo soak jobs soak-regressions regression race generate
 
 build:
 	go build -o bin/ ./cmd/...
@@ -39,3 +39,9 @@
 # make soak-regressions: runs the soak with the seeds that once found a fault.
 soak-regressions: build
 	bin/guavayoke-soak -regressions -duration 20s
+
+# make regression: scores the users' deployments with their bench, BENCH, and the site
+#                  files below SITES, and compares them with the committed journal.
+#                  ARGS may hold flags and names of deployments.
+regression: build
+	bin/guavayoke-load regression -bench "$(BENCH)" -sites "$(SITES)" $(ARGS)
--- a/cmd/guavayoke-load/main.go
+++ b/cmd/guavayoke-load/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"guavayoke/internal/load"
+	"guavayoke/platform/regression"
 	"guavayoke/platform/soak"
 )
 
@@ -13,5 +14,8 @@
 	jobs := load.Command{
 		Name: "jobs", Summary: "load of jobs under leases, on daemons and stand-ins that it starts", Main: soak.MainJobs,
 	}
-	os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr, jobs))
+	scores := load.Command{
+		Name: "regression", Summary: "scores of the users' deployments on their bench, beside the last committed ones", Main: regression.Main,
+	}
+	os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr, jobs, scores))
 }
