--- a/internal/daemon/virtual_faults_test.go
+++ b/internal/daemon/virtual_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,7 +31,7 @@
 	"HostsCut":        {false, func(sc *scenario) func() { return sc.cutLink(sc.anyHost().set.Name, sc.anyHost().set.Name, true) }},
 	"HostsCutOneWay":  {false, func(sc *scenario) func() { return sc.cutLink(sc.anyHost().set.Name, sc.anyHost().set.Name, false) }},
 	"HostCutOff":      {false, func(sc *scenario) func() { return sc.isolateHost(sc.anyHost()) }},
-	"DomainCutOff":    {false, func(sc *scenario) func() { return sc.isolateFirstDomain() }},
+	"DomainCutOff":    {false, func(sc *scenario) func() { return sc.isolateDomain("domain0") }},
 	"StoreCut":        {false, func(sc *scenario) func() { return sc.cutLink(sc.anyHost().set.Name, "store", true) }},
 	"StoreCutOneWay":  {false, func(sc *scenario) func() { return sc.cutLink("store", sc.anyHost().set.Name, false) }},
 	"ServerCut":       {false, func(sc *scenario) func() { return sc.cutLink(sc.anyHost().set.Name, sc.anyServer(), true) }},
@@ -150,7 +151,7 @@
 func (sc *scenario) anyHost() *simHost { return sc.hosts[sc.rand.IntN(len(sc.hosts))] }
 
 func (sc *scenario) anyServer() string {
-	return fmt.Sprintf("server%d-%d", sc.rand.IntN(2), sc.rand.IntN(3))
+	return fmt.Sprintf("server%d-%d", sc.rand.IntN(sc.domains), sc.rand.IntN(sc.serversPerDomain))
 }
 
 // reserveHost draws a host and marks it as unavailable. It returns nil if the host is
@@ -166,6 +167,17 @@
 	return h
 }
 
+// reserve marks a host as unavailable and reports whether it was available.
+func (sc *scenario) reserve(h *simHost) bool {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	if sc.unavailable[h] {
+		return false
+	}
+	sc.unavailable[h] = true
+	return true
+}
+
 // reserveAllHosts marks all hosts that are available as unavailable and returns them.
 func (sc *scenario) reserveAllHosts() []*simHost {
 	sc.mu.Lock()
@@ -196,43 +208,42 @@
 // isolateHost cuts a host off from the store, the other hosts and the servers, but not
 // from its callers.
 func (sc *scenario) isolateHost(h *simHost) func() {
-	ends := []func(){sc.cutLink(h.set.Name, "store", true)}
-	for _, o := range sc.hosts {
-		ends = append(ends, sc.cutLink(h.set.Name, o.set.Name, true))
-	}
-	for domain := range 2 {
-		for n := range 3 {
-			ends = append(ends, sc.cutLink(h.set.Name, fmt.Sprintf("server%d-%d", domain, n), true))
-		}
-	}
-	return func() { callAll(ends) }
+	return sc.isolate([]string{h.set.Name}, func(string) bool { return false })
 }
 
-// isolateFirstDomain cuts the hosts of the first domain off from the hosts and servers
-// of the other one and from the store.
-func (sc *scenario) isolateFirstDomain() func() {
-	var ends []func()
+// isolateDomain cuts the hosts of a domain off from the hosts and servers of the other
+// ones and from the store.
+func (sc *scenario) isolateDomain(domain string) func() {
+	var names []string
 	for _, h := range sc.hosts {
-		if h.set.FailureDomain != "domain0" {
-			continue
-		}
-		ends = append(ends, sc.cutLink(h.set.Name, "store", true))
-		for _, o := range sc.hosts {
-			if o.set.FailureDomain != "domain0" {
-				ends = append(ends, sc.cutLink(h.set.Name, o.set.Name, true))
-			}
-		}
-		for n := range 3 {
-			ends = append(ends, sc.cutLink(h.set.Name, fmt.Sprintf("server1-%d", n), true))
+		if h.set.FailureDomain == domain {
+			names = append(names, h.set.Name)
 		}
 	}
-	return func() { callAll(ends) }
+	return sc.isolate(names, func(failureDomain string) bool { return failureDomain == domain })
 }
 
-func callAll(fs []func()) {
-	for _, f := range fs {
-		f()
+// isolate cuts hosts off from the store, and from all other hosts and servers but those
+// in domains for which reachable returns true. It returns the function that restores the
+// network.
+func (sc *scenario) isolate(names []string, reachable func(failureDomain string) bool) func() {
+	others := []string{"store"}
+	for _, o := range sc.hosts {
+		if !slices.Contains(names, o.set.Name) && !reachable(o.set.FailureDomain) {
+			others = append(others, o.set.Name)
+		}
 	}
+	for _, s := range sc.backends {
+		if !reachable(s.FailureDomain) {
+			others = append(others, s.ID)
+		}
+	}
+	set := func(cut bool) {
+		sc.network.SetAllBlocked(names, others, cut)
+		sc.network.SetAllBlocked(others, names, cut)
+	}
+	set(true)
+	return func() { set(false) }
 }
 
 func (sc *scenario) injectStoreFault(f standin.StoreFaults) func() {
--- a/internal/daemon/virtual_scenario_test.go
+++ b/internal/daemon/virtual_scenario_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -44,17 +45,22 @@
 // Checks 4 to 6 apply while there has been no unplanned fault for settleTime.
 type scenario struct {
 	*simulation
+	scenarioConfig
 	rand *rand.Rand
 
 	mu sync.Mutex
 	// finished tells the callers and the watcher to end.
 	finished bool
-	// disturbedUntil is the end of the last unplanned fault, which may lie ahead.
-	disturbedUntil time.Time
+	// unplannedFaults is the number of unplanned faults that have not ended, and
+	// disturbedUntil the end of the last one that has.
+	unplannedFaults int
+	disturbedUntil  time.Time
 	// version is the version of the configuration in the store.
 	version int
 	// queues holds the queues of the configuration in the order of their addition.
 	queues []scenarioQueue
+	// idleQueues is the number of further queues, which no job is sent to.
+	idleQueues int
 	// knownQueues holds how many queues, counted from the first one, each host has
 	// shown that it knows.
 	knownQueues map[*simHost]int
@@ -69,6 +75,22 @@
 	withoutHosts time.Duration
 }
 
+// scenarioConfig is what distinguishes the scenarios.
+type scenarioConfig struct {
+	// seed determines which faults are injected when.
+	seed uint64
+	// kinds holds the kinds of faults by name.
+	kinds                                     map[string]faultKind
+	domains, hostsPerDomain, serversPerDomain int
+	callers                                   int
+	faultsDuration                            time.Duration
+}
+
+// smallScenario is the size at which many seeds can be run.
+func smallScenario(seed uint64, kinds map[string]faultKind) scenarioConfig {
+	return scenarioConfig{seed: seed, kinds: kinds, domains: 2, hostsPerDomain: 3, serversPerDomain: 3, callers: 10, faultsDuration: 30 * time.Second}
+}
+
 type scenarioQueue struct {
 	prefix  string
 	addedAt time.Time
@@ -78,7 +100,6 @@
 	// settleTime is how long after an unplanned fault checks 4 to 6 don't apply.
 	settleTime      = 3 * time.Second
 	startupTime     = 4 * time.Second
-	faultsDuration  = 30 * time.Second
 	maxApplyTime    = 2 * time.Second
 	maxDrainTime    = 2 * time.Second
 	maxRecoveryTime = 12 * time.Second
@@ -87,13 +108,12 @@
 	requestTimeout    = 4 * time.Second
 	meanFaultInterval = 900 * time.Millisecond
 	meanFaultDuration = 2 * time.Second
-	callerCount       = 10
 	// phaseDuration is the length of a phase. Unplanned faults begin only in every other
 	// phase.
 	phaseDuration = 10 * time.Second
-	// minJobsPerSecond is the minimum rate of responses with status 200 while any host is
-	// running.
-	minJobsPerSecond = 10
+	// minJobsPerSecond is the minimum rate of responses with status 200 for each caller
+	// while any host is running.
+	minJobsPerSecond = 1
 	// maxClockOffset limits the error of a host's time of day.
 	maxClockOffset = time.Hour
 )
@@ -127,12 +147,18 @@
 	sc.version += 1 + sc.rand.IntN(3)
 	sc.queues = append(sc.queues, scenarioQueue{fmt.Sprintf("/jobs%d/", len(sc.queues)), time.Now()})
 	var routes []map[string]any
-	for _, q := range sc.queues {
+	add := func(prefix string) {
 		routes = append(routes, map[string]any{
-			"name": q.prefix, "host": routeHost, "prefix": q.prefix, "service": "booking", "attempts": 4,
+			"name": prefix, "host": routeHost, "prefix": prefix, "service": "booking", "attempts": 4,
 			"stretch": 2, "target-duration-ms": 200, "timeout-ms": 1500,
 		})
 	}
+	for _, q := range sc.queues {
+		add(q.prefix)
+	}
+	for n := range sc.idleQueues {
+		add(fmt.Sprintf("/idle%d/", n))
+	}
 	b, err := json.Marshal(map[string]any{
 		"version": sc.version, "routes": routes, "services": []map[string]any{{"name": "booking"}},
 		"limits": map[string]int{"max-body-bytes": 20000, "max-header-bytes": 8000},
@@ -155,20 +181,25 @@
 	sc.counts[what]++
 }
 
-// disturbFor records that there is an unplanned fault for length from now on.
-func (sc *scenario) disturbFor(length time.Duration) {
+// unplannedFaultBegins and unplannedFaultEnds record the times of unplanned faults.
+func (sc *scenario) unplannedFaultBegins() {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if until := time.Now().Add(length); until.After(sc.disturbedUntil) {
-		sc.disturbedUntil = until
-	}
+	sc.unplannedFaults++
+}
+
+func (sc *scenario) unplannedFaultEnds() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	sc.unplannedFaults--
+	sc.disturbedUntil = time.Now()
 }
 
 // calmBefore reports whether there was no unplanned fault for settleTime before t.
 func (sc *scenario) calmBefore(t time.Time) bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	return t.Sub(sc.disturbedUntil) > settleTime
+	return sc.unplannedFaults == 0 && t.Sub(sc.disturbedUntil) > settleTime
 }
 
 // pickHost returns a random host that is available, as a load balancer does, or nil if
@@ -312,48 +343,47 @@
 	}
 }
 
-// injectFaults begins faults of the given kinds for faultsDuration and waits until all
-// have ended. Faults of different kinds overlap. Unplanned faults begin in every other
-// phase only.
-func (sc *scenario) injectFaults(kinds []string) {
-	type running struct {
-		name  string
-		end   func()
-		endAt time.Time
-	}
-	var active []running
-	activeNames := map[string]bool{}
+// injectFaults begins faults for faultsDuration and waits until all have ended. Faults of
+// different kinds overlap, also while the end of one takes its time. Unplanned faults
+// begin in every other phase only.
+func (sc *scenario) injectFaults() {
+	var faults sync.WaitGroup
+	defer faults.Wait()
+	var mu sync.Mutex
+	active := map[string]bool{}
+	names := slices.Sorted(maps.Keys(sc.kinds))
 	started := time.Now()
-	faultsEnd := started.Add(faultsDuration)
-	for time.Now().Before(faultsEnd) || len(active) > 0 {
+	for ; time.Since(started) < sc.faultsDuration; time.Sleep(50 * time.Millisecond) {
 		now := time.Now()
-		remaining := active[:0]
-		for _, a := range active {
-			if now.Before(a.endAt) {
-				remaining = append(remaining, a)
-				continue
-			}
-			a.end()
-			if !faultKinds[a.name].planned {
-				sc.disturbFor(0)
-			}
-			delete(activeNames, a.name)
-		}
-		active = remaining
-		name := kinds[sc.rand.IntN(len(kinds))]
-		f := faultKinds[name]
+		name := names[sc.rand.IntN(len(names))]
+		f := sc.kinds[name]
 		quiet := int(now.Sub(started)/phaseDuration)%2 == 1 && !f.planned
-		if now.Before(faultsEnd) && !activeNames[name] && !quiet && sc.rand.Float64() < float64(50*time.Millisecond)/float64(meanFaultInterval) {
-			length := time.Duration(sc.rand.ExpFloat64() * float64(meanFaultDuration))
-			activeNames[name] = true
-			sc.count(name)
-			fmt.Fprintf(sc.log, "%s FAULT %s for %v\n", now.UTC().Format("04:05.000"), name, length)
+		mu.Lock()
+		skip := active[name] || quiet
+		mu.Unlock()
+		if skip || sc.rand.Float64() >= float64(50*time.Millisecond)/float64(meanFaultInterval) {
+			continue
+		}
+		length := time.Duration(sc.rand.ExpFloat64() * float64(meanFaultDuration))
+		mu.Lock()
+		active[name] = true
+		mu.Unlock()
+		sc.count(name)
+		fmt.Fprintf(sc.log, "%s FAULT %s for %v\n", now.UTC().Format("04:05.000"), name, length)
+		if !f.planned {
+			sc.unplannedFaultBegins()
+		}
+		end := f.begin(sc)
+		faults.Go(func() {
+			time.Sleep(length)
+			end()
 			if !f.planned {
-				sc.disturbFor(length)
+				sc.unplannedFaultEnds()
 			}
-			active = append(active, running{name, f.begin(sc), now.Add(length)})
-		}
-		time.Sleep(50 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			delete(active, name)
+		})
 	}
 }
 
@@ -380,22 +410,22 @@
 // request occurred. The count named wanted is the minimum number of responses with
 // status 200. At the end it checks that no end of a run is left without an
 // acknowledgment (check 7), and that no run is left without a caller.
-func runScenario(t *testing.T, seed uint64, kinds []string) map[string]int {
+func runScenario(t *testing.T, c scenarioConfig) map[string]int {
 	t.Helper()
 	var counts map[string]int
-	simulate(t, 2, 3, 3, func(s *simulation) {
+	simulate(t, c.domains, c.hostsPerDomain, c.serversPerDomain, func(s *simulation) {
 		sc := &scenario{
-			simulation: s, rand: newSeededRand(seed), knownQueues: map[*simHost]int{},
+			simulation: s, scenarioConfig: c, rand: newSeededRand(c.seed), knownQueues: map[*simHost]int{},
 			startedAt: map[*simHost]time.Time{}, unavailable: map[*simHost]bool{}, counts: map[string]int{},
 		}
 		sc.configure()
 		time.Sleep(startupTime)
 		var callers, watchers sync.WaitGroup
-		for n := range callerCount {
-			callers.Go(func() { sc.runCaller(seed, n) })
+		for n := range c.callers {
+			callers.Go(func() { sc.runCaller(c.seed, n) })
 		}
 		watchers.Go(sc.watchServers)
-		sc.injectFaults(kinds)
+		sc.injectFaults()
 		sc.checkRecovery()
 		time.Sleep(settleTime)
 		sc.mu.Lock()
@@ -414,7 +444,7 @@
 			t.Error(f)
 		}
 		counts = sc.counts
-		counts["wanted"] = int(minJobsPerSecond * (faultsDuration - sc.withoutHosts).Seconds())
+		counts["wanted"] = int(float64(minJobsPerSecond*c.callers) * (c.faultsDuration - sc.withoutHosts).Seconds())
 	})
 	return counts
 }
@@ -436,10 +466,10 @@
 // With the race detector it runs the latter alone.
 func TestVirtualScenarios(t *testing.T) {
 	first, count := seedRange(t)
-	scenarios := map[string][]string{"Calm": {"Configuration"}}
-	for name := range faultKinds {
-		scenarios[name] = []string{name, "Configuration"}
-		scenarios["All"] = append(scenarios["All"], name)
+	configuration := faultKinds["Configuration"]
+	scenarios := map[string]map[string]faultKind{"Calm": {"Configuration": configuration}, "All": faultKinds}
+	for name, kind := range faultKinds {
+		scenarios[name] = map[string]faultKind{name: kind, "Configuration": configuration}
 	}
 	for name, kinds := range scenarios {
 		if raceDetector && name != "All" {
@@ -447,7 +477,7 @@
 		}
 		t.Run(name, func(t *testing.T) {
 			for seed := first; seed < first+count; seed++ {
-				counts := runScenario(t, seed, sorted(kinds))
+				counts := runScenario(t, smallScenario(seed, kinds))
 				if counts["200"] < counts["wanted"] && name != "All" || t.Failed() {
 					t.Fatalf("seed %d: %v", seed, counts)
 				}
@@ -455,10 +485,3 @@
 		})
 	}
 }
-
-// sorted returns a sorted copy, since the order of a map is random.
-func sorted(kinds []string) []string {
-	kinds = slices.Clone(kinds)
-	slices.Sort(kinds)
-	return kinds
-}
--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -27,15 +27,20 @@
 // simulation runs whole daemons in one process and in virtual time (see
 // testing/synctest), with a network in memory and the stand-in of the users' platform.
 type simulation struct {
-	t         *testing.T
-	network   *basestandin.MemoryNetwork
-	store     *standin.Store
-	servers   *standin.Servers
+	t       *testing.T
+	network *basestandin.MemoryNetwork
+	store   *standin.Store
+	servers *standin.Servers
+	// backends describes the servers, in the order in which servers counts them.
+	backends  []worker.Server
 	hosts     []*simHost
 	listeners []net.Listener
 	log       io.Writer
 	// eventCounts counts the log lines of all hosts by event.
 	eventCounts sync.Map
+	// owners maps each failure domain to the name of the host that last said in its log
+	// that it owns the domain.
+	owners sync.Map
 	// running maps each running incarnation to the time of its start. falselyDead
 	// describes each case in which a host declared one of them dead.
 	running, falselyDead sync.Map
@@ -104,10 +109,12 @@
 			for n := range servers {
 				name := fmt.Sprintf("server%d-%d", d, n)
 				s.servers.Network = s.network.Host(name)
-				if err := s.servers.Add(s.store, worker.Server{
+				info := worker.Server{
 					ID: name, Address: name + ":1", Service: "booking", FailureDomain: fmt.Sprint("domain", d),
 					Capacity: worker.Resources{CPUMilli: 32000, MemoryMB: 1 << 16},
-				}); err != nil {
+				}
+				s.backends = append(s.backends, info)
+				if err := s.servers.Add(s.store, info); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -177,6 +184,9 @@
 		n, _ := l.eventCounts.LoadOrStore(string(m[1]), new(atomic.Int64))
 		n.(*atomic.Int64).Add(1)
 	}
+	if m := ownerPattern.FindSubmatch(b); m != nil {
+		l.owners.Store(string(m[1]), l.name)
+	}
 	if m := deadMemberPattern.FindSubmatch(b); m != nil {
 		if at, ok := l.running.Load(string(m[1])); ok {
 			l.falselyDead.Store(fmt.Sprintf("%s declared %s dead, which has been running since %v", l.name, m[1], at), true)
@@ -199,6 +209,8 @@
 
 var eventPattern = regexp.MustCompile(`Event=(\S+)`)
 
+var ownerPattern = regexp.MustCompile(`Event=OwnershipAssumed FailureDomain=(\S+)`)
+
 var deadMemberPattern = regexp.MustCompile(`Event=MemberChanged .*Incarnation=(\S+) .*State=Dead`)
 
 // start starts the process of a host with a new incarnation.
@@ -280,7 +292,7 @@
 				putConfiguration(t, s.store, 1)
 				time.Sleep(4 * time.Second)
 				sc := &scenario{simulation: s}
-				heal := sc.isolateFirstDomain()
+				heal := sc.isolateDomain("domain0")
 				if stopAtOnce {
 					// The stop begins before the hosts have detected the partition.
 					time.Sleep(100 * time.Millisecond)
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -31,8 +31,10 @@
 	// blockedPairs holds true for each pair of hosts whose data from the first to
 	// the second is blocked.
 	blockedPairs map[[2]string]bool
-	down         map[string]bool
-	// changed is closed and replaced at each call of SetBlocked.
+	// slowHosts holds the additional latency of all that a host sends.
+	slowHosts map[string]time.Duration
+	down      map[string]bool
+	// changed is closed and replaced when blockedPairs changes.
 	changed chan struct{}
 }
 
@@ -41,7 +43,7 @@
 func NewMemoryNetwork(delay time.Duration) *MemoryNetwork {
 	return &MemoryNetwork{
 		Delay: delay, listeners: map[string]*memoryListener{}, conns: map[*memoryConn]bool{},
-		blockedPairs: map[[2]string]bool{}, down: map[string]bool{}, changed: make(chan struct{}),
+		blockedPairs: map[[2]string]bool{}, slowHosts: map[string]time.Duration{}, down: map[string]bool{}, changed: make(chan struct{}),
 	}
 }
 
@@ -58,13 +60,37 @@
 // SetBlocked blocks or unblocks the data that one host sends to another. Blocked data
 // is kept and arrives after it has been unblocked.
 func (n *MemoryNetwork) SetBlocked(from, to string, blocked bool) {
+	n.SetAllBlocked([]string{from}, []string{to}, blocked)
+}
+
+// SetAllBlocked does what SetBlocked does for each pair of a host in from and one in to.
+func (n *MemoryNetwork) SetAllBlocked(from, to []string, blocked bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.blockedPairs[[2]string{from, to}] = blocked
+	for _, f := range from {
+		for _, t := range to {
+			n.blockedPairs[[2]string{f, t}] = blocked
+		}
+	}
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
+// SetSlow adds a latency to all that a host sends from now on, as if it had little
+// processor time; 0 ends that. Data that is already on its way is not reordered.
+func (n *MemoryNetwork) SetSlow(host string, latency time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slowHosts[host] = latency
+}
+
+// latency returns the latency of what a host sends now.
+func (n *MemoryNetwork) latency(host string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Delay + n.slowHosts[host]
+}
+
 // LosePower takes a host off the network as a loss of power does: its peers don't see
 // their connections to it close, and what they write on them is lost.
 func (n *MemoryNetwork) LosePower(host string) {
@@ -323,8 +349,14 @@
 	if broken {
 		return 0, &net.OpError{Op: "write", Net: "memory", Addr: c.remote, Err: syscall.EPIPE}
 	}
-	chunk := memoryChunk{time.Now().Add(c.network.Delay), append([]byte(nil), b...)}
-	c.peer.incoming.update(func() { c.peer.incoming.chunks = append(c.peer.incoming.chunks, chunk) })
+	chunk := memoryChunk{time.Now().Add(c.network.latency(c.from)), append([]byte(nil), b...)}
+	q := c.peer.incoming
+	q.update(func() {
+		if last := len(q.chunks) - 1; last >= 0 && q.chunks[last].at.After(chunk.at) {
+			chunk.at = q.chunks[last].at
+		}
+		q.chunks = append(q.chunks, chunk)
+	})
 	return len(b), nil
 }
 
@@ -335,7 +367,7 @@
 	c.network.mu.Unlock()
 	c.endIncoming(net.ErrClosed, 0)
 	if !c.powerLost.Load() {
-		c.peer.endIncoming(io.EOF, c.network.Delay)
+		c.peer.endIncoming(io.EOF, c.network.latency(c.from))
 	}
 	return nil
 }
