--- a/internal/daemon/virtual_stale_servers_test.go
+++ b/internal/daemon/virtual_stale_servers_test.go
@@ -14,23 +14,28 @@
 // host that owns no servers reads their list only now and then, so its list may be from
 // before a server began to leave. When the owner is killed, its successor must not start
 // tasks on that server, also if the store answers a read only after the successor has
-// acquired the servers. While the store doesn't answer at all, jobs are served.
+// acquired the servers, or if the successor's connection to the store no longer delivers
+// anything. While the store doesn't answer at all, jobs are served.
 func TestVirtualNewOwnerOfLeavingServers(t *testing.T) {
 	cases := map[string]struct {
-		faults standin.StoreFaults
+		// silence makes the connections to the store deliver nothing any more, some
+		// seconds before the server leaves. New connections work.
+		silence bool
+		faults  standin.StoreFaults
 		// leavingFor is how long the server has been leaving when the owner is killed.
 		leavingFor time.Duration
 	}{
-		"SlowReads":      {standin.StoreFaults{ResponseDelayMs: 60}, 2200 * time.Millisecond},
-		"SlowReadsLater": {standin.StoreFaults{ResponseDelayMs: 60}, 2900 * time.Millisecond},
-		"StoreDown":      {standin.StoreFaults{Down: true}, 0},
-		"StoreHangs":     {standin.StoreFaults{ResponseDelayMs: 5000}, 0},
+		"SlowReads":      {false, standin.StoreFaults{ResponseDelayMs: 60}, 2200 * time.Millisecond},
+		"SlowReadsLater": {false, standin.StoreFaults{ResponseDelayMs: 60}, 2900 * time.Millisecond},
+		"StoreDown":      {false, standin.StoreFaults{Down: true}, 0},
+		"StoreHangs":     {false, standin.StoreFaults{ResponseDelayMs: 5000}, 0},
+		"Silence":        {true, standin.StoreFaults{ResponseDelayMs: 60}, 2200 * time.Millisecond},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			// The age of the successor's list varies with the time of the kill.
-			for after := 7 * time.Second; after < 11*time.Second; after += 500 * time.Millisecond {
-				killOwnerOfLeavingServer(t, after, c.faults, c.leavingFor)
+			for after := 10 * time.Second; after < 22*time.Second; after += time.Second {
+				killOwnerOfLeavingServer(t, after, c.silence, c.faults, c.leavingFor)
 			}
 		})
 	}
@@ -38,12 +43,19 @@
 
 // killOwnerOfLeavingServer kills the owner of a domain at the given time, and checks the
 // starts of its successor and the answers of jobs that were sent just after the kill.
-func killOwnerOfLeavingServer(t *testing.T, after time.Duration, faults standin.StoreFaults, leavingFor time.Duration) {
+func killOwnerOfLeavingServer(t *testing.T, after time.Duration, silence bool, faults standin.StoreFaults, leavingFor time.Duration) {
 	t.Helper()
 	const jobs = 10
+	const silentFor = 4 * time.Second
 	simulate(t, 1, 3, 3, func(s *simulation) {
 		putConfiguration(t, s.store, 1)
-		time.Sleep(after - leavingFor)
+		time.Sleep(after - leavingFor - silentFor)
+		if silence {
+			s.network.LosePower("store")
+			s.network.SetDown("store", false)
+			s.serve("store:1", s.store.Handler)
+		}
+		time.Sleep(silentFor)
 		if leavingFor > 0 {
 			s.servers.SetLeaving(0, true)
 			time.Sleep(leavingFor)
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -52,9 +52,10 @@
 // HandleServerListRead handles the end of a read of the platform's list of servers,
 // which began at now minus took. If the list has changed, SetServers was called before.
 func (p *Pool) HandleServerListRead(now time.Time, took time.Duration, ok bool) {
-	p.serverListFailed = !ok
 	if ok {
 		p.serverListReadAt = now.Add(-took)
+	} else {
+		p.serverListFailedAt = now.Add(-took)
 	}
 	p.place(now)
 }
@@ -67,7 +68,7 @@
 
 // awaitsServerList reports whether rule 6 of pool.go forbids to start tasks now.
 func (p *Pool) awaitsServerList(now time.Time) bool {
-	return !p.serverListFailed && now.Sub(p.serverListReadAt) > maxServerListAge && now.Sub(p.ownerSince) < maxServerListWait
+	return now.Sub(p.serverListReadAt) > maxServerListAge && p.serverListFailedAt.Before(p.ownerSince) && now.Sub(p.ownerSince) < maxServerListWait
 }
 
 // addressChanged retires a server whose ID is now listed with another address,
--- a/internal/worker/ownership_test.go
+++ b/internal/worker/ownership_test.go
@@ -9,18 +9,27 @@
 // task, and on which server it does then. Its list, from before it became the owner,
 // lacks that the server leaves.
 func TestNewOwnerAwaitsServerList(t *testing.T) {
-	const readEnds = 60 * time.Millisecond
+	const (
+		readEnds = 60 * time.Millisecond
+		never    = time.Duration(-1)
+	)
 	cases := map[string]struct {
 		listAge time.Duration
+		// failedBefore is set if a read failed before the change of owner.
+		failedBefore bool
 		// read handles the end of the read that the change of owner triggers; it is nil
 		// if the read does not end.
 		read func(p *poolTester)
-		// wantStart is how long after the change of owner the task starts; 0 means that
-		// it does not.
+		// wantStart is how long after the change of owner the task starts; if it is
+		// negative, the task does not start.
 		wantStart time.Duration
 	}{
 		"RecentList": {listAge: 900 * time.Millisecond, wantStart: time.Millisecond},
-		"ServerLeaves": {listAge: 4 * time.Second, read: func(p *poolTester) {
+		"ServerLeaves": {listAge: 4 * time.Second, wantStart: never, read: func(p *poolTester) {
+			p.pool.SetServers(p.now, []Server{testServer("a", true)})
+			p.pool.HandleServerListRead(p.now, readEnds, true)
+		}},
+		"ServerLeavesAfterFailure": {listAge: 4 * time.Second, failedBefore: true, wantStart: never, read: func(p *poolTester) {
 			p.pool.SetServers(p.now, []Server{testServer("a", true)})
 			p.pool.HandleServerListRead(p.now, readEnds, true)
 		}},
@@ -40,20 +49,29 @@
 			p := newPoolTester(t)
 			p.pool.SetServers(p.now, []Server{testServer("a", false)})
 			p.now = p.now.Add(c.listAge)
+			if c.failedBefore {
+				p.pool.HandleServerListRead(p.now, time.Millisecond, false)
+				p.now = p.now.Add(time.Millisecond)
+			}
 			became := p.now
 			p.pool.AssumeOwnership(p.now, nil)
 			p.pool.Submit(p.now, 1, testJob("1"))
-			started := time.Duration(0)
+			// The task may start with the poll that acquires the server.
+			const tolerance = time.Millisecond
+			started := time.Duration(-1)
 			for p.now.Before(became.Add(time.Second)) {
 				if p.now.Sub(became) == readEnds && c.read != nil {
 					c.read(p)
 				}
 				p.advance(time.Millisecond, "a")
-				if len(p.starts) > 0 && started == 0 {
+				if len(p.starts) > 0 && started < 0 {
 					started = p.now.Sub(became)
 				}
 			}
-			if d := started - c.wantStart; d < 0 || d > time.Millisecond {
+			switch {
+			case c.wantStart < 0 && started >= 0:
+				t.Errorf("the task was started %v after the change of owner, want no start", started)
+			case c.wantStart >= 0 && (started < c.wantStart || started > c.wantStart+tolerance):
 				t.Errorf("the task was started %v after the change of owner, want %v", started, c.wantStart)
 			}
 		})
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -22,7 +22,8 @@
 //  6. An owner starts no task by a list of servers that may lack which servers
 //     leave. A host that is not the owner reads the list rarely. When it becomes
 //     the owner, it waits for the read that this triggers, unless its list is
-//     recent, the store fails, or maxServerListWait has passed.
+//     recent, that read fails, or maxServerListWait has passed. An earlier read
+//     that failed doesn't count, since the store may be back.
 //
 // A host leaves when it is about to shut down; its pool is draining from then on.
 // Admission and refusals are in admission.go, the choice of servers is in place.go,
@@ -145,10 +146,9 @@
 	draining bool
 	// ownerSince is when the pool last became the owner (rule 6).
 	ownerSince time.Time
-	// serverListReadAt is the start of the newest successful read of the list of
-	// servers, and serverListFailed is whether a later read failed.
-	serverListReadAt time.Time
-	serverListFailed bool
+	// serverListReadAt and serverListFailedAt are the starts of the newest reads of the
+	// list of servers that succeeded and that failed.
+	serverListReadAt, serverListFailedAt time.Time
 	// excluded contains the IDs of the servers that leaving owners of the domain
 	// still use. The pool does not acquire them.
 	excluded map[string]bool
