worker: a new host waits for listed hosts with more processor time

Change: a host registers its processor time with its entry in the store. While it is new, a host assumes no ownership as long as the list names a host of its domain with clearly more processor time that it doesn't know as a member, for 1.5 s at most, as when it knows nobody.

Ruled out: waiting until no new member has come for some time, as at a hundred hosts members come all the time; waiting for hosts of the same class too, as one that never comes back would cost a second of service.

Entries of earlier versions have no processor time and change nothing.

--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -49,7 +49,7 @@
 		}),
 		Self: kvstore.Host{
 			Name: set.Name, Kind: kvstore.EntryHost, Address: advertisedAddress(set),
-			FailureDomain: set.FailureDomain, Region: set.Region,
+			FailureDomain: set.FailureDomain, Region: set.Region, CPUMilli: self.CPUMilli,
 		},
 		Incarnation: incarnation, PeerAddress: advertisedAddress(set), Environment: set.Environment,
 		Key: deps.key, Nonce: rand.Uint64, Log: logger,
--- a/internal/kvstore/store.go
+++ b/internal/kvstore/store.go
@@ -100,7 +100,8 @@
 	Leaving bool
 	// CPUMilli (thousandths of a core), MemoryMB and GPUs are the capacity of a
 	// backend server that runs tasks under leases. They are 0 for a server whose
-	// capacity is counted in slots.
+	// capacity is counted in slots. CPUMilli of an entry host is the processor time
+	// that its daemon may use, 0 if not known.
 	CPUMilli int `json:",omitempty"`
 	MemoryMB int `json:",omitempty"`
 	GPUs     int `json:",omitempty"`
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -17,7 +17,10 @@
 //     when a candidate that comes before it announces that it owns the same
 //     domain. A host that has just started first asks another one with at least
 //     as much processor time who the owner is, because a host whose time of day
-//     was set back appears to have started before all others.
+//     was set back appears to have started before all others. While it is new, it
+//     also waits for hosts with clearly more processor time that the platform lists
+//     and that it doesn't know as members yet: after a restart of all hosts the
+//     small ones may find each other first.
 //  3. A job goes to the owner of the host's own domain unless the queue of
 //     another owner is shorter by spillOverMargin. A refused job, of which no
 //     task has started, is offered to the other owners before the caller is
@@ -169,6 +172,9 @@
 	candidates []Candidate
 	// domains has the failure domains of all candidates, sorted.
 	domains []string
+	// listedHosts has the hosts of this host's domain that the platform lists, without
+	// their incarnations. Some may have ended.
+	listedHosts []Candidate
 	// views has the owner of each failure domain.
 	views map[string]*ownerView
 	// draining has the sessions with leaving owners that still finish jobs or use
@@ -228,6 +234,9 @@
 	e.Tick(now)
 }
 
+// SetListedHosts replaces the platform's list of the hosts of this host's domain.
+func (e *Entry) SetListedHosts(list []Candidate) { e.listedHosts = list }
+
 // SetLoad records the load of this host's own pool.
 func (e *Entry) SetLoad(l Load) { e.localLoad = l }
 
--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -313,3 +313,49 @@
 		})
 	}
 }
+
+// TestNewHostAwaitsLargerHost covers rule 2 of entry.go: when a new host that knows one
+// small member assumes ownership.
+func TestNewHostAwaitsLargerHost(t *testing.T) {
+	const small, large = 190, 800
+	cases := map[string]struct {
+		listed, members []Candidate
+		want            time.Duration
+	}{
+		"NothingListed":  {nil, nil, electionDelayAfterPeer},
+		"LargerListed":   {[]Candidate{{Address: "z", CPUMilli: large}}, nil, electionDelay},
+		"SameClass":      {[]Candidate{{Address: "z", CPUMilli: small + 5}}, nil, electionDelayAfterPeer},
+		"UnknownClass":   {[]Candidate{{Address: "z"}}, nil, electionDelayAfterPeer},
+		"OtherDomain":    {nil, []Candidate{{"y", "y", "domain2", large}}, electionDelayAfterPeer},
+		"LargerIsMember": {[]Candidate{{Address: "z", CPUMilli: large}}, []Candidate{{"z", "z", "domain1", large}}, -1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := NewEntry(EntryConfig{Self: Candidate{"a", "a", "domain1", small}, Log: event.New(io.Discard, "error"), Now: testStart})
+			e.SetListedHosts(c.listed)
+			e.SetMembers(testStart, append([]Candidate{{"b", "b", "domain1", small}}, c.members...))
+			got := time.Duration(-1)
+			for at := time.Duration(0); at < 2*electionDelay && got < 0; at += tickInterval {
+				now := testStart.Add(at)
+				e.Tick(now)
+				for _, a := range e.TakeActions() {
+					switch {
+					case a.Open != nil && a.Open.Incarnation == "z":
+						e.HandleSessionOpened(now, "z")
+					case a.Open != nil:
+						e.HandleSessionOpened(now, a.Open.Incarnation)
+						e.HandleHeartbeat(now, a.Open.Incarnation, heartbeat{Number: 1})
+					case a.AssumeOwnership != nil:
+						got = at
+					}
+				}
+				if v := e.views["domain1"]; v.open && v.candidate.Incarnation == "z" {
+					e.HandleHeartbeat(now, "z", heartbeat{Number: 1, IsOwner: true})
+				}
+			}
+			if got < c.want || c.want < 0 && got >= 0 || c.want >= 0 && (got < 0 || got > c.want+2*tickInterval) {
+				t.Errorf("ownership was assumed after %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -162,9 +162,21 @@
 
 // mayAssumeOwnership reports whether this host has waited long enough to know all
 // other members. The wait is shorter once it knows one of them, because members
-// exchange their lists of members on first contact.
+// exchange their lists of members on first contact, and if it awaits no larger host.
 func (e *Entry) mayAssumeOwnership(now time.Time) bool {
-	return now.Sub(e.cfg.Now) >= electionDelay || !e.firstPeerAt.IsZero() && now.Sub(e.firstPeerAt) >= electionDelayAfterPeer
+	if now.Sub(e.cfg.Now) >= electionDelay {
+		return true
+	}
+	return !e.firstPeerAt.IsZero() && now.Sub(e.firstPeerAt) >= electionDelayAfterPeer && !e.awaitsLargerHost()
+}
+
+// awaitsLargerHost reports whether the platform lists a host of the domain with clearly
+// more processor time that is not among the candidates (rule 2).
+func (e *Entry) awaitsLargerHost() bool {
+	return slices.ContainsFunc(e.listedHosts, func(h Candidate) bool {
+		return h.CPUMilli/cpuClassMilli > e.cfg.Self.CPUMilli/cpuClassMilli &&
+			!slices.ContainsFunc(e.candidates, func(c Candidate) bool { return c.Address == h.Address })
+	})
 }
 
 // switchOwner makes next the host that is considered the owner of a domain.
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -363,7 +363,11 @@
 
 func (s *Service) hostsChanged(hosts []kvstore.Host) {
 	var list []Server
+	var entryHosts []Candidate
 	for _, h := range hosts {
+		if h.Kind == kvstore.EntryHost && h.FailureDomain == s.cfg.Self.FailureDomain {
+			entryHosts = append(entryHosts, Candidate{Address: h.Address, FailureDomain: h.FailureDomain, CPUMilli: h.CPUMilli})
+		}
 		if h.Kind == kvstore.BackendServer && h.FailureDomain == s.cfg.Self.FailureDomain && h.CPUMilli > 0 {
 			list = append(list, Server{
 				ID: h.Name, Address: h.Address, Service: h.Service, FailureDomain: h.FailureDomain, Labels: h.Labels,
@@ -372,6 +376,7 @@
 		}
 	}
 	s.enqueue(func(h *Host, now time.Time) {
+		h.entry.SetListedHosts(entryHosts)
 		h.pool.SetServers(now, list)
 		s.commandQueues.retain(h.pool.TrackedServers())
 	})
