--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -241,11 +241,9 @@
 	sim.counts.refused++
 }
 
-// dispatcher is a dispatch policy as it runs on all hosts.
-type dispatcher interface {
-	// submit accepts a task at its entry host.
-	submit(t *taskState)
-}
+// submitFunc is a dispatch policy as it runs on all hosts: it accepts a task at its entry
+// host.
+type submitFunc func(t *taskState)
 
 // warmUp is the virtual time before the first arrival. It gives the hosts time to agree
 // on the shares of the servers' slots.
@@ -266,12 +264,12 @@
 			hang: i >= c.FailFastServers+c.SlowServers && i < c.FailFastServers+c.SlowServers+c.HangingServers,
 		})
 	}
-	d := build(sim)
+	submit := build(sim)
 	for i, a := range c.arrivals() {
 		a.at += warmUp
 		t := &taskState{arrival: a, id: i}
 		sim.tasks = append(sim.tasks, t)
-		sim.schedule(a.at, func() { d.submit(t) })
+		sim.schedule(a.at, func() { submit(t) })
 	}
 	end := warmUp + c.Duration + 2*c.Deadline
 	for len(sim.events) > 0 && sim.events[0].at < end {
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -8,17 +8,17 @@
 	"guavayoke/internal/backend"
 )
 
-// Policies holds the dispatch policies by name. Each function creates the dispatcher of
+// Policies holds the dispatch policies by name. Each function creates the policy of
 // a simulation. Shared is a single queue with full knowledge. Random, TwoChoices and
 // LeastOutstanding choose servers by what the host alone knows. Shares and Guavayoke use
 // the dispatcher of the daemons, without and with loans of slots between hosts.
-var Policies = map[string]func(*simulation) dispatcher{
+var Policies = map[string]func(*simulation) submitFunc{
 	"Shared":           newSharedQueue,
-	"Random":           func(sim *simulation) dispatcher { return newLocalPolicy(sim, chooseRandom) },
-	"TwoChoices":       func(sim *simulation) dispatcher { return newLocalPolicy(sim, chooseTwo) },
-	"LeastOutstanding": func(sim *simulation) dispatcher { return newLocalPolicy(sim, chooseLeast) },
-	"Shares":           func(sim *simulation) dispatcher { return newDaemons(sim, true) },
-	"Guavayoke":        func(sim *simulation) dispatcher { return newDaemons(sim, false) },
+	"Random":           func(sim *simulation) submitFunc { return newLocalPolicy(sim, chooseRandom) },
+	"TwoChoices":       func(sim *simulation) submitFunc { return newLocalPolicy(sim, chooseTwo) },
+	"LeastOutstanding": func(sim *simulation) submitFunc { return newLocalPolicy(sim, chooseLeast) },
+	"Shares":           func(sim *simulation) submitFunc { return newDaemons(sim, true) },
+	"Guavayoke":        func(sim *simulation) submitFunc { return newDaemons(sim, false) },
 }
 
 // sharedQueue is the baseline with full knowledge: one queue of tasks for the slots of
@@ -28,7 +28,7 @@
 	queue []*taskState
 }
 
-func newSharedQueue(sim *simulation) dispatcher { return &sharedQueue{sim: sim} }
+func newSharedQueue(sim *simulation) submitFunc { return (&sharedQueue{sim: sim}).submit }
 
 func (s *sharedQueue) submit(t *taskState) {
 	s.queue = append(s.queue, t)
@@ -91,7 +91,7 @@
 // maxRetryDelay is the upper bound of the random delay before a retry.
 const maxRetryDelay = 10 * time.Millisecond
 
-func newLocalPolicy(sim *simulation, choose func(*rand.Rand, []*simServer, []int) *simServer) dispatcher {
+func newLocalPolicy(sim *simulation, choose func(*rand.Rand, []*simServer, []int) *simServer) submitFunc {
 	p := &localPolicy{sim: sim, choose: choose, rand: rand.New(rand.NewPCG(sim.cfg.Seed, 11))}
 	for range sim.cfg.Hosts {
 		p.outstanding = append(p.outstanding, make([]int, len(sim.servers)))
@@ -100,7 +100,7 @@
 	for _, s := range sim.servers {
 		p.domainServers[s.domain] = append(p.domainServers[s.domain], s)
 	}
-	return p
+	return p.submit
 }
 
 func (p *localPolicy) submit(t *taskState) { p.attempt(t, 0) }
@@ -176,7 +176,7 @@
 	serviceName       = "service"
 )
 
-func newDaemons(sim *simulation, disableLoans bool) dispatcher {
+func newDaemons(sim *simulation, disableLoans bool) submitFunc {
 	d := &daemons{sim: sim, byName: map[string]*simServer{}, byHostID: map[string]*daemonHost{}}
 	var servers []backend.Server
 	for _, s := range sim.servers {
@@ -198,7 +198,7 @@
 	for _, h := range d.hosts {
 		d.start(h, servers)
 	}
-	return d
+	return d.submit
 }
 
 func domainName(i int) string { return fmt.Sprintf("domain%d", i) }
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -16,6 +16,8 @@
 	// Dial returns a connection to an address. It returns an error when ctx ends
 	// before it has connected.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// IsClosed reports what PeerClosed reports, for connections without a socket.
+	IsClosed func(conn net.Conn) bool
 }
 
 // OpenListener returns a listener at an address, from n.Listen if it is set.
@@ -35,17 +37,13 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// PeerCloseDetector is implemented by connections that can report by themselves
-// whether the other side has closed them, such as connections without a socket.
-type PeerCloseDetector interface{ PeerClosed() bool }
-
-// PeerClosed reports whether the other side of a connection has closed it, or whether
-// the connection has failed. It consumes no data, and while received data is unread
-// it reports false. It also reports false if conn is neither a PeerCloseDetector nor
-// a syscall.Conn.
-func PeerClosed(conn net.Conn) bool {
-	if c, ok := conn.(PeerCloseDetector); ok {
-		return c.PeerClosed()
+// PeerClosed reports whether the other side of a connection of n has closed it, or
+// whether the connection has failed. It consumes no data, and while received data is
+// unread it reports false. Without n.IsClosed it also reports false if conn is not a
+// syscall.Conn.
+func (n Network) PeerClosed(conn net.Conn) bool {
+	if n.IsClosed != nil {
+		return n.IsClosed(conn)
 	}
 	sc, ok := conn.(syscall.Conn)
 	if !ok {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -54,6 +54,10 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return n.dial(ctx, name, address)
 		},
+		IsClosed: func(conn net.Conn) bool {
+			c, ok := conn.(*memoryConn)
+			return ok && c.peerClosed()
+		},
 	}
 }
 
@@ -399,9 +403,8 @@
 	})
 }
 
-// PeerClosed implements network.PeerCloseDetector. It reports whether the end of the
-// connection has arrived at this side.
-func (c *memoryConn) PeerClosed() bool {
+// peerClosed reports whether the end of the connection has arrived at this side.
+func (c *memoryConn) peerClosed() bool {
 	if blocked, _ := c.network.blocked(c.to, c.from); blocked {
 		return false
 	}
