daemon: scenarios draw from their seed in one goroutine only

Cause, found by reading: in the fleet scenario the kind ConfigurationStorm calls configure from a goroutine of its own, which drew the step of the version from the generator that injects the faults. The fleet doesn't run with the race detector, so nothing showed it; a seed could draw other faults from run to run.

Change: the steps of versions follow from the version. Seeds of the scenarios draw other faults than before.

--- a/internal/daemon/virtual_scenario_test.go
+++ b/internal/daemon/virtual_scenario_test.go
@@ -144,7 +144,9 @@
 func (sc *scenario) configure() {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	sc.version += 1 + sc.rand.IntN(3)
+	// Versions increase in uneven steps. sc.rand belongs to the goroutine that injects
+	// the faults; some of them call configure from another one.
+	sc.version += 1 + sc.version%3
 	sc.queues = append(sc.queues, scenarioQueue{fmt.Sprintf("/jobs%d/", len(sc.queues)), time.Now()})
 	var routes []map[string]any
 	add := func(prefix string) {
