--- a/internal/kvstore/config_test.go
+++ b/internal/kvstore/config_test.go
@@ -253,10 +253,10 @@
 		raw  string
 		want int
 	}{{"a", 1}, {"a", 1}, {"ab", 2}, {"ab", 2}, {"a", 3}} {
-		a := s.verify([]byte(c.raw), "Store")
+		a := s.verify([]byte(c.raw), sourceRead)
 		if a.Version != uint64(len(c.raw)) || decoded != c.want {
 			t.Errorf("step %d: version %d after %d decodings, want %d after %d", i, a.Version, decoded, len(c.raw), c.want)
 		}
-		s.apply(a)
+		s.apply(a, sourceRead)
 	}
 }
--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -30,6 +30,8 @@
 	// configurationName names the heartbeat item, the one-way message and the call
 	// by which peers exchange the configuration.
 	configurationName = "Configuration"
+	// sourceRead and sourceWatch name the calls to the store in logs.
+	sourceRead, sourceWatch = "Read", "Watch"
 )
 
 // Config holds the parameters of New.
@@ -203,19 +205,20 @@
 	if cbor.Unmarshal(b, &w) != nil {
 		return
 	}
-	s.runSyncer(ctx, func(now time.Time) []SyncAction { return s.syncer.PeerAdvertised(now, from, w.Version) })
+	s.runSyncer(ctx, from, func(now time.Time) []SyncAction { return s.syncer.PeerAdvertised(now, from, w.Version) })
 }
 
 // runSyncer calls f, which calls a method of the syncer, with mu held, and then
-// performs the actions that f returns.
-func (s *Service) runSyncer(ctx context.Context, f func(now time.Time) []SyncAction) {
+// performs the actions that f returns. source is where a configuration that f applies
+// comes from: sourceRead, sourceWatch or the name of a peer.
+func (s *Service) runSyncer(ctx context.Context, source string, f func(now time.Time) []SyncAction) {
 	s.mu.Lock()
 	actions := f(time.Now())
 	s.mu.Unlock()
 	for _, a := range actions {
 		switch {
 		case a.Apply != nil:
-			s.apply(a.Apply)
+			s.apply(a.Apply, source)
 		case a.Fetch != "":
 			go s.fetchFromPeer(ctx, a.Fetch)
 		case a.Watch != nil:
@@ -226,18 +229,22 @@
 	}
 }
 
-// apply puts a configuration in force, unless one with the same or a higher version
-// is in force, and calls the listeners.
-func (s *Service) apply(a *AppliedConfiguration) {
+// apply puts a configuration from a source in force, unless one with the same or a
+// higher version is in force, and calls the listeners.
+func (s *Service) apply(a *AppliedConfiguration, source string) {
 	s.mu.Lock()
 	if s.applied != nil && s.applied.Version >= a.Version {
 		s.mu.Unlock()
 		return
 	}
+	var previous uint64
+	if s.applied != nil {
+		previous = s.applied.Version
+	}
 	s.applied = a
 	listeners := s.onApply
 	s.mu.Unlock()
-	s.cfg.Log.Info().Uint64("Version", a.Version).Str("Digest", a.Digest).Msg("ConfigurationApplied")
+	s.cfg.Log.Info().Uint64("Version", a.Version).Str("Digest", a.Digest).Str("Source", source).Uint64("Previous", previous).Msg("ConfigurationApplied")
 	for _, f := range listeners {
 		f(a)
 	}
@@ -274,7 +281,7 @@
 // readStore reads the accepted configuration from the store.
 func (s *Service) readStore(ctx context.Context) {
 	v, err := s.cfg.Store.Get(ctx, AcceptedKey(s.cfg.Environment))
-	s.handleStoreResponse(ctx, v, err)
+	s.handleStoreResponse(ctx, sourceRead, v, err)
 }
 
 // watchStore waits at the store for a new version of the accepted configuration.
@@ -283,22 +290,22 @@
 	if err == nil && v.Version == w.After {
 		// The value has not changed, so the configuration in force is the response.
 		a := s.AppliedConfiguration()
-		s.runSyncer(ctx, func(now time.Time) []SyncAction { return s.syncer.StoreResponded(now, w.After, a) })
+		s.runSyncer(ctx, sourceWatch, func(now time.Time) []SyncAction { return s.syncer.StoreResponded(now, w.After, a) })
 		return
 	}
-	s.handleStoreResponse(ctx, v, err)
+	s.handleStoreResponse(ctx, sourceWatch, v, err)
 }
 
-// handleStoreResponse passes the result of a read or a watch to the syncer. If it
-// brought a new configuration into force, it notifies the failure domain.
-func (s *Service) handleStoreResponse(ctx context.Context, v Value, err error) {
+// handleStoreResponse passes the result of a read or a watch, which source names, to the
+// syncer. If it brought a new configuration into force, it notifies the failure domain.
+func (s *Service) handleStoreResponse(ctx context.Context, source string, v Value, err error) {
 	s.recordStoreResult(err)
 	var a *AppliedConfiguration
 	if err == nil && v.Version > 0 {
-		a = s.verify(v.Data, "Store")
+		a = s.verify(v.Data, source)
 	}
 	before := s.AppliedConfiguration()
-	s.runSyncer(ctx, func(now time.Time) []SyncAction { return s.syncer.StoreResponded(now, v.Version, a) })
+	s.runSyncer(ctx, source, func(now time.Time) []SyncAction { return s.syncer.StoreResponded(now, v.Version, a) })
 	if s.AppliedConfiguration() != before {
 		s.notifyDomain()
 	}
@@ -336,15 +343,19 @@
 // and passes the result to the syncer.
 func (s *Service) fetchFromPeer(ctx context.Context, from string) {
 	var a *AppliedConfiguration
+	source := from
 	if m, ok := s.peers.Find(from); ok {
+		source = m.Name
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		raw, err := s.peers.Call(callCtx, m.Address, from, configurationName, nil)
 		cancel()
 		if err == nil {
-			a = s.verify(raw, m.Name)
+			a = s.verify(raw, source)
+		} else {
+			s.cfg.Log.Warn().Str("Peer", source).Err(err).Msg("ConfigurationFetchFailed")
 		}
 	}
-	s.runSyncer(ctx, func(now time.Time) []SyncAction { return s.syncer.PeerResponded(now, a) })
+	s.runSyncer(ctx, source, func(now time.Time) []SyncAction { return s.syncer.PeerResponded(now, a) })
 }
 
 // syncLoop calls Tick of the syncer regularly until ctx ends.
@@ -352,9 +363,13 @@
 	watcher := false
 	runEvery(ctx, syncTickInterval, func() {
 		if s.membersChanged.Swap(false) {
+			before := watcher
 			watcher = isWatcher(s.peers.Self(), s.peers.Members())
+			if watcher != before {
+				s.cfg.Log.Info().Bool("Watching", watcher).Msg("ConfigurationWatcherChanged")
+			}
 		}
-		s.runSyncer(ctx, func(now time.Time) []SyncAction { return s.syncer.Tick(now, watcher) })
+		s.runSyncer(ctx, "", func(now time.Time) []SyncAction { return s.syncer.Tick(now, watcher) })
 	})
 }
 
