--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -108,6 +108,18 @@
 	n.SetDown(host, true)
 }
 
+// Silence makes all open connections of a host silent for good: what is written on them
+// is lost, and neither side sees the other one close. New connections work.
+func (n *MemoryNetwork) Silence(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.from == host || c.to == host {
+			c.silent.Store(true)
+		}
+	}
+}
+
 // Close ends all connections; their reads and writes fail from then on.
 func (n *MemoryNetwork) Close() {
 	n.mu.Lock()
@@ -322,6 +334,8 @@
 	// powerLost is set when this side's host has lost power: the other side then never
 	// sees the connection close.
 	powerLost atomic.Bool
+	// silent is set on both sides when the connection no longer delivers anything.
+	silent atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -353,6 +367,9 @@
 	if broken {
 		return 0, &net.OpError{Op: "write", Net: "memory", Addr: c.remote, Err: syscall.EPIPE}
 	}
+	if c.silent.Load() {
+		return len(b), nil
+	}
 	chunk := memoryChunk{time.Now().Add(c.network.latency(c.from)), append([]byte(nil), b...)}
 	q := c.peer.incoming
 	q.update(func() {
@@ -370,7 +387,7 @@
 	delete(c.network.conns, c)
 	c.network.mu.Unlock()
 	c.endIncoming(net.ErrClosed, 0)
-	if !c.powerLost.Load() {
+	if !c.powerLost.Load() && !c.silent.Load() {
 		c.peer.endIncoming(io.EOF, c.network.latency(c.from))
 	}
 	return nil
