latest: listeners get values one at a time and in order

What callers saw: a request refused as an older configuration says, although a newer one is in force on the host, until the next change.

Cause: kvstore.Service.apply released its lock before it called the listeners. The response of the store and that of a peer are handled by goroutines of their own; when they brought two versions shortly one after the other, the listener of the older one could end last and leave the frontend's router on it. OnApply had the same gap between reading the configuration in force and calling the new listener, and so had OnHosts and the peers' OnChange between reading a list and passing it on.

Evidence: TestSlowListenerOfOlderVersionDoesNotEndLast got the versions [2 1] in both of its cases on the code before, and [1 2] now.

Change: package latest holds a value with its listeners; an update decides, calls the listeners and only then makes the value visible, one update at a time. The configuration, the list of hosts and the members use it. A host therefore reports a version as in force only when requests are routed by it.

Ruled out: a version check in the frontend's listener.

--- a/internal/kvstore/hosts.go
+++ b/internal/kvstore/hosts.go
@@ -11,15 +11,7 @@
 
 // OnHosts registers a function that is called with the list of hosts, if it is
 // known, and with each list that differs from the one before.
-func (s *Service) OnHosts(f func([]Host)) {
-	s.mu.Lock()
-	s.onHosts = append(s.onHosts, f)
-	hosts := s.hosts.Hosts
-	s.mu.Unlock()
-	if hosts != nil {
-		f(hosts)
-	}
-}
+func (s *Service) OnHosts(f func([]Host)) { s.hosts.Listen(f) }
 
 // HostsRead describes a read of the list of hosts that has ended.
 type HostsRead struct {
@@ -102,30 +94,22 @@
 // listeners and the addresses of the entry hosts to the peer service. It returns the
 // error of the store.
 func (s *Service) updateHosts(ctx context.Context) error {
-	s.mu.Lock()
-	known := s.hosts.Version
-	s.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list, err := s.cfg.Store.Hosts(callCtx, known)
+	list, err := s.cfg.Store.Hosts(callCtx, s.hostsVersion)
 	s.recordStoreResult(err)
 	if err != nil || list.Unchanged {
 		return err
 	}
 	slices.SortFunc(list.Hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	s.mu.Lock()
-	same := s.hosts.Hosts != nil && slices.EqualFunc(s.hosts.Hosts, list.Hosts, Host.Equal)
-	s.hosts = list
-	if same {
-		s.mu.Unlock()
-		return nil
-	}
-	listeners := s.onHosts
-	s.mu.Unlock()
-	s.peers.SetSeeds(entryAddresses(list.Hosts))
-	for _, f := range listeners {
-		f(list.Hosts)
-	}
+	s.hostsVersion = list.Version
+	s.hosts.Update(func(old []Host) ([]Host, bool) {
+		if old != nil && slices.EqualFunc(old, list.Hosts, Host.Equal) {
+			return nil, false
+		}
+		s.peers.SetSeeds(entryAddresses(list.Hosts))
+		return list.Hosts, true
+	})
 	return nil
 }
 
--- a/internal/kvstore/inforce_test.go
+++ b/internal/kvstore/inforce_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"guavayoke/internal/event"
@@ -16,37 +16,48 @@
 	cases := map[string]func(s *Service, listen func(*AppliedConfiguration), apply func(version uint64)){
 		"BothApplied": func(s *Service, listen func(*AppliedConfiguration), apply func(uint64)) {
 			s.OnApply(listen)
-			go apply(1)
-			time.Sleep(time.Millisecond)
-			apply(2)
+			apply(1)
 		},
 		"AppliedWhileRegistering": func(s *Service, listen func(*AppliedConfiguration), apply func(uint64)) {
 			apply(1)
-			go s.OnApply(listen)
-			time.Sleep(time.Millisecond)
-			apply(2)
+			s.OnApply(listen)
 		},
 	}
-	for name, run := range cases {
+	for name, first := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := New(Config{Log: event.New(io.Discard, "error")})
-				var got []uint64
-				listen := func(a *AppliedConfiguration) {
-					if a.Version == 1 {
-						time.Sleep(time.Second)
-					}
-					got = append(got, a.Version)
-				}
-				run(s, listen, func(version uint64) {
-					a := &AppliedConfiguration{Version: version}
-					s.runSyncer(context.Background(), "peer", func(now time.Time) []SyncAction { return s.syncer.PeerResponded(now, a) })
-				})
-				time.Sleep(2 * time.Second)
-				if len(got) == 0 || got[len(got)-1] != 2 {
-					t.Errorf("the listener got the versions %v, want 2 last", got)
+			s := New(Config{Log: event.New(io.Discard, "error")})
+			apply := func(version uint64) {
+				a := &AppliedConfiguration{Version: version}
+				s.runSyncer(context.Background(), "peer", func(now time.Time) []SyncAction { return s.syncer.PeerResponded(now, a) })
+			}
+			var mu sync.Mutex
+			var got []uint64
+			entered, newer, finish := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			listen := func(a *AppliedConfiguration) {
+				if a.Version == 1 {
+					close(entered)
+					<-finish
+				} else {
+					close(newer)
 				}
-			})
+				mu.Lock()
+				defer mu.Unlock()
+				got = append(got, a.Version)
+			}
+			var running sync.WaitGroup
+			running.Go(func() { first(s, listen, apply) })
+			<-entered
+			running.Go(func() { apply(2) })
+			// The listener must not get version 2 before it is done with version 1.
+			select {
+			case <-newer:
+			case <-time.After(50 * time.Millisecond):
+			}
+			close(finish)
+			running.Wait()
+			if len(got) != 2 || got[1] != 2 {
+				t.Errorf("the listener got the versions %v, want 1 and then 2", got)
+			}
 		})
 	}
 }
--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"guavayoke/internal/kernel"
+	"guavayoke/internal/latest"
 	"guavayoke/internal/peer"
 	"guavayoke/internal/ring"
 )
@@ -82,13 +83,16 @@
 	// needHosts delivers the argument of the last call of SetHostsNeeded.
 	needHosts chan bool
 
-	// mu guards the fields below.
+	// applied is the configuration in force.
+	applied latest.Value[*AppliedConfiguration]
+	hosts   latest.Value[[]Host]
+	// hostsVersion is the version of the last list of hosts. Only hostsLoop uses it.
+	hostsVersion uint64
+
+	// mu guards the fields below. It may be locked while a function of applied or hosts
+	// runs, but not the other way round.
 	mu        sync.Mutex
 	syncer    ConfigurationSyncer
-	applied   *AppliedConfiguration
-	hosts     HostList
-	onApply   []func(*AppliedConfiguration)
-	onHosts   []func([]Host)
 	onRead    []func(HostsRead)
 	storeDown bool
 }
@@ -118,23 +122,12 @@
 }
 
 // OnApply registers a function that is called with the configuration in force, if
-// there is one, and with each later one.
-func (s *Service) OnApply(f func(*AppliedConfiguration)) {
-	s.mu.Lock()
-	s.onApply = append(s.onApply, f)
-	a := s.applied
-	s.mu.Unlock()
-	if a != nil {
-		f(a)
-	}
-}
+// there is one, and with each later one, in the order of their versions.
+func (s *Service) OnApply(f func(*AppliedConfiguration)) { s.applied.Listen(f) }
 
-// AppliedConfiguration returns the configuration in force, or nil if there is none.
-func (s *Service) AppliedConfiguration() *AppliedConfiguration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.applied
-}
+// AppliedConfiguration returns the configuration in force, or nil if there is none. The
+// functions of OnApply have returned before.
+func (s *Service) AppliedConfiguration() *AppliedConfiguration { return s.applied.Load() }
 
 // StoreDown reports whether the last read of the configuration or of the list of
 // hosts from the platform failed.
@@ -232,22 +225,17 @@
 // apply puts a configuration from a source in force, unless one with the same or a
 // higher version is in force, and calls the listeners.
 func (s *Service) apply(a *AppliedConfiguration, source string) {
-	s.mu.Lock()
-	if s.applied != nil && s.applied.Version >= a.Version {
-		s.mu.Unlock()
-		return
-	}
-	var previous uint64
-	if s.applied != nil {
-		previous = s.applied.Version
-	}
-	s.applied = a
-	listeners := s.onApply
-	s.mu.Unlock()
-	s.cfg.Log.Info().Uint64("Version", a.Version).Str("Digest", a.Digest).Str("Source", source).Uint64("Previous", previous).Msg("ConfigurationApplied")
-	for _, f := range listeners {
-		f(a)
-	}
+	s.applied.Update(func(old *AppliedConfiguration) (*AppliedConfiguration, bool) {
+		var previous uint64
+		if old != nil {
+			previous = old.Version
+		}
+		if previous >= a.Version {
+			return nil, false
+		}
+		s.cfg.Log.Info().Uint64("Version", a.Version).Str("Digest", a.Digest).Str("Source", source).Uint64("Previous", previous).Msg("ConfigurationApplied")
+		return a, true
+	})
 }
 
 // verify verifies and decodes an accepted configuration that source returned. If it
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavayoke/internal/kernel"
+	"guavayoke/internal/latest"
 	"guavayoke/internal/network"
 	"guavayoke/internal/ring"
 )
@@ -79,7 +80,9 @@
 	notifications map[string]func(from string, body []byte)
 	streams       map[string]func(*Stream) (func([]byte), func())
 	publishers    []publisher
-	onChange      []func([]Member)
+
+	// changes holds the members as of the last change of a state.
+	changes latest.Value[[]Member]
 }
 
 // publisher adds an item to each heartbeat.
@@ -90,7 +93,7 @@
 
 // New returns a service. Handlers can be registered before and after it is started.
 func New(c Config) *Service {
-	return &Service{
+	s := &Service{
 		cfg:           c,
 		events:        ring.New[func(time.Time)](eventQueueLen),
 		members:       NewMembership(MembershipConfig{Self: c.Self, Seeds: c.Seeds, Rand: c.Rand}),
@@ -101,6 +104,8 @@
 		notifications: map[string]func(string, []byte){},
 		streams:       map[string]func(*Stream) (func([]byte), func()){},
 	}
+	s.changes.Update(func([]Member) ([]Member, bool) { return nil, true })
+	return s
 }
 
 // Service returns s as a service of the kernel.
@@ -146,12 +151,7 @@
 
 // OnChange registers a function that is called with all members now, and again each
 // time the state of a member has changed.
-func (s *Service) OnChange(f func([]Member)) {
-	s.handlersMu.Lock()
-	s.onChange = append(s.onChange, f)
-	s.handlersMu.Unlock()
-	f(s.Members())
-}
+func (s *Service) OnChange(f func([]Member)) { s.changes.Listen(f) }
 
 func (s *Service) heartbeatPublishers() []publisher {
 	s.handlersMu.RLock()
@@ -159,12 +159,6 @@
 	return s.publishers
 }
 
-func (s *Service) changeListeners() []func([]Member) {
-	s.handlersMu.RLock()
-	defer s.handlersMu.RUnlock()
-	return s.onChange
-}
-
 // Members returns all known members except this host, sorted by name.
 func (s *Service) Members() []Member {
 	s.mu.Lock()
@@ -275,10 +269,7 @@
 		}
 	}
 	if changed {
-		members := s.Members()
-		for _, f := range s.changeListeners() {
-			f(members)
-		}
+		s.changes.Update(func([]Member) ([]Member, bool) { return s.Members(), true })
 	}
 }
 
