kvstore: each host watches the store, and one rule decides the version in force

What callers saw: 404 for a queue that had been added longer ago than the time within which a change must be in force, on hosts that the store served.

Cause: two hosts of each failure domain, chosen by membership alone, watched the store. If the store didn't serve these two, or they were frozen or lost power (they count as up for 4 s more), the others learned of a change from random heartbeats or from their own read every 5 s, in step on all hosts. An advertised version was dropped while a fetch from another peer hung. Nothing of it was bounded by the 2 to 4 s that the platform states, and the intervals didn't depend on them.

Each host reads and then watches the store; a watch without a response is given up after 0.85 of the apply time and followed by a read at once. Peers are for hosts that the store doesn't serve: two announcers of each domain pass on each new version from whichever source, a host whose calls fail asks random peers, and it remembers who advertised what. The new setting ConfigurationApplyMs is the time that the intervals follow from.

Evidence: TestVirtualChangeWhenHighestRankedHostsFail, TestVirtualStoreServesOneHost and TestAdvertisementDuringHangingFetch failed before and pass, as does TestVirtualChangeAfterConnectionsFellSilent. TestAdvertisementDuringHangingFetch advertises the second version earlier than before, while the fetch still hangs under either timing. TestSyncerLimitsCalls keeps the 300 calls in 5 minutes of TestSyncerRetriesAfterLostResponses for lost calls and adds four kinds.

Ruled out: few watchers chosen by whether the store serves them (each change of the store moves the role, and the others depend on it meanwhile); a read by every host each second (the whole document each time). A first try read at once after any failed watch: with 36 hosts at their share of the store's rate, 230 reads a second, 161 refused, since each refusal brought another call. Refused calls now back off up to the watch's wait: TestVirtualThunderingHerd passes, 69 to 75 reads in the worst steady second, none refused.

--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -26,16 +26,11 @@
 	// list only if they become the owner while the store is down; otherwise a new owner
 	// reads it again.
 	idleServersInterval = 12 * time.Second
+	// adaptedApplyTime is the time within which a change of the configuration must be in
+	// force unless the settings say otherwise.
+	adaptedApplyTime = 2 * time.Second
 )
 
-// adaptedSyncTimings are for a store whose watches may stop reporting changes without
-// an error. Therefore a watch waits no longer than the time within which a new
-// configuration must be in force.
-var adaptedSyncTimings = kvstore.SyncTimings{
-	PollInterval: 5 * time.Second, InitialPollInterval: 200 * time.Millisecond, RetryDelay: 300 * time.Millisecond,
-	Fetch: 500 * time.Millisecond, WatchWait: time.Second, ResponseTimeout: storeTimeout + 200*time.Millisecond,
-}
-
 // buildAdapted returns the kernel of a daemon that runs on the users' platform and uses
 // its protocol. The services start and stop in the order explained at build.
 func buildAdapted(deps dependencies, peers *peer.Service) *kernel.Kernel {
@@ -53,7 +48,7 @@
 		},
 		Incarnation: incarnation, PeerAddress: advertisedAddress(set), Environment: set.Environment,
 		Key: deps.key, Nonce: rand.Uint64, Log: logger,
-		VerifyConfiguration: adapter.DecodeConfiguration, Sync: adaptedSyncTimings, HostsInterval: serversInterval, IdleHostsInterval: idleServersInterval,
+		VerifyConfiguration: adapter.DecodeConfiguration, Sync: kvstore.TimingsFor(applyTime(set, adaptedApplyTime)), HostsInterval: serversInterval, IdleHostsInterval: idleServersInterval,
 	})
 	workers := worker.New(worker.Config{
 		Self: self, Commands: adapter.NewCommands(adapter.CommandsConfig{Network: deps.network, Log: logger, OnCall: countCall}),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -161,6 +161,19 @@
 	})
 }
 
+// defaultApplyTime is the time within which a change of the configuration must be in
+// force unless the settings say otherwise.
+const defaultApplyTime = 11 * time.Second
+
+// applyTime returns the time within which a change of the configuration must be in force
+// on every host, or fallback if the settings don't say.
+func applyTime(set settings.Daemon, fallback time.Duration) time.Duration {
+	if set.ConfigurationApplyMs == 0 {
+		return fallback
+	}
+	return time.Duration(set.ConfigurationApplyMs) * time.Millisecond
+}
+
 // build returns the kernel of a daemon that uses the product's own protocol. The peer
 // service starts first and stops last: its leave notice tells the other hosts that
 // nothing answers for this incarnation any more, which is true once the other services
@@ -179,7 +192,7 @@
 			FailureDomain: set.FailureDomain, Region: set.Region,
 		},
 		Incarnation: incarnation, PeerAddress: advertisedAddress(set), Environment: set.Environment,
-		Key: key, Nonce: rand.Uint64, Log: logger,
+		Key: key, Nonce: rand.Uint64, Log: logger, Sync: kvstore.TimingsFor(applyTime(set, defaultApplyTime)),
 	})
 	backends := backend.New(backend.Config{
 		Self: incarnation, Domain: set.FailureDomain, Rand: newRand(), Log: logger, Metrics: registry,
--- a/internal/daemon/virtual_configuration_test.go
+++ b/internal/daemon/virtual_configuration_test.go
@@ -84,8 +84,8 @@
 			sc.configure()
 			time.Sleep(2 * time.Second)
 			endFault()
-			sc.checkNewestQueueKnown(s.hosts)
 			time.Sleep(settleTime)
+			sc.checkNewestQueueKnown(s.hosts)
 		}
 	})
 }
--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -167,6 +167,7 @@
 	set := validSettings()
 	set.Name, set.FailureDomain, set.Adapter = name, fmt.Sprint("domain", domain), "Users"
 	set.CallerAddress, set.PeerAddress, set.OperatorAddress = name+":1", name+":2", name+":3"
+	set.ConfigurationApplyMs = int(maxApplyTime.Milliseconds())
 	set.PlatformAddresses, set.Seeds = []string{"store:1"}, []string{"entry0-0:2", "entry1-0:2"}
 	return set
 }
--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -22,15 +22,17 @@
 const Name = "Platform"
 
 const (
-	callTimeout       = 2 * time.Second
-	hostsInterval     = time.Second
-	claimTickInterval = 10 * time.Millisecond
-	syncTickInterval  = 100 * time.Millisecond
-	watchersPerDomain = 2
-	claimQueueSize    = 4096
+	callTimeout         = 2 * time.Second
+	hostsInterval       = time.Second
+	claimTickInterval   = 10 * time.Millisecond
+	syncTickInterval    = 100 * time.Millisecond
+	announcersPerDomain = 2
+	claimQueueSize      = 4096
 	// configurationName names the heartbeat item, the one-way message and the call
 	// by which peers exchange the configuration.
 	configurationName = "Configuration"
+	// questionName names the one-way message that asks a peer for a newer version.
+	questionName = "ConfigurationQuestion"
 	// sourceRead and sourceWatch name the calls to the store in logs.
 	sourceRead, sourceWatch = "Read", "Watch"
 )
@@ -78,12 +80,12 @@
 	claimsEnded chan struct{}
 
 	// membersChanged is set when the state of a member has changed, and reset by
-	// syncLoop.
-	membersChanged atomic.Bool
+	// syncLoop. announcer is the result of isAnnouncer for this host.
+	membersChanged, announcer atomic.Bool
 	// needHosts delivers the argument of the last call of SetHostsNeeded.
 	needHosts chan bool
 
-	// applied is the configuration in force.
+	// applied is the configuration in force, which passOn takes from the syncer.
 	applied latest.Value[*AppliedConfiguration]
 	hosts   latest.Value[[]Host]
 	// hostsVersion is the version of the last list of hosts. Only hostsLoop uses it.
@@ -137,8 +139,8 @@
 	return s.storeDown
 }
 
-// wireVersion is the content of the heartbeat item and the one-way message that
-// tell peers the version of the configuration in force.
+// wireVersion is the content of the heartbeat item and the one-way messages that
+// tell peers the version of the configuration in force, or ask for a higher one.
 type wireVersion struct{ Version uint64 }
 
 // start registers the handlers for peers and starts the background loops. The
@@ -151,6 +153,7 @@
 	s.peers = peers
 	peers.Publish(configurationName, s.publishVersion)
 	peers.HandleNotification(configurationName, func(from string, b []byte) { s.handlePeerVersion(ctx, from, b) })
+	peers.HandleNotification(questionName, s.handleQuestion)
 	peers.HandleCall(configurationName, s.serveRecord)
 	peers.OnChange(func([]peer.Member) { s.membersChanged.Store(true) })
 	var loops sync.WaitGroup
@@ -176,9 +179,14 @@
 	if a == nil {
 		return nil
 	}
-	b, err := cbor.Marshal(wireVersion{a.Version})
+	return encodeVersion(a.Version)
+}
+
+func encodeVersion(version uint64) []byte {
+	b, err := cbor.Marshal(wireVersion{version})
 	if err != nil {
-		return nil
+		// A number can always be encoded.
+		panic(err)
 	}
 	return b
 }
@@ -201,41 +209,73 @@
 	s.runSyncer(ctx, from, func(now time.Time) []SyncAction { return s.syncer.PeerAdvertised(now, from, w.Version) })
 }
 
-// runSyncer calls f, which calls a method of the syncer, with mu held, and then
-// performs the actions that f returns. source is where a configuration that f applies
-// comes from: sourceRead, sourceWatch or the name of a peer.
+// handleQuestion handles the question of a peer for a version above that of its
+// wireVersion. It answers as a heartbeat does, or not at all if there is none.
+func (s *Service) handleQuestion(from string, b []byte) {
+	var w wireVersion
+	if cbor.Unmarshal(b, &w) != nil {
+		return
+	}
+	if a := s.AppliedConfiguration(); a != nil && a.Version > w.Version {
+		s.peers.Notify(from, configurationName, encodeVersion(a.Version))
+	}
+}
+
+// askPeer asks a random peer for a version above the given one.
+func (s *Service) askPeer(above uint64) {
+	var up []peer.Member
+	for _, m := range s.peers.Members() {
+		if m.Up() {
+			up = append(up, m)
+		}
+	}
+	if len(up) > 0 {
+		m := up[s.cfg.Nonce()%uint64(len(up))]
+		s.peers.Notify(m.Incarnation, questionName, encodeVersion(above))
+	}
+}
+
+// runSyncer calls f, which calls a method of the syncer, with mu held. It then passes the
+// configuration in force on and performs the actions that f returns. source is where a
+// configuration that f puts in force comes from: sourceRead, sourceWatch or the name of a
+// peer.
 func (s *Service) runSyncer(ctx context.Context, source string, f func(now time.Time) []SyncAction) {
 	s.mu.Lock()
+	previous := s.syncer.Version()
 	actions := f(time.Now())
+	a := s.syncer.InForce()
 	s.mu.Unlock()
+	if a != nil && a.Version != previous {
+		s.cfg.Log.Info().Uint64("Version", a.Version).Str("Digest", a.Digest).Str("Source", source).Uint64("Previous", previous).Msg("ConfigurationApplied")
+		s.passOn()
+	}
 	for _, a := range actions {
 		switch {
-		case a.Apply != nil:
-			s.apply(a.Apply, source)
 		case a.Fetch != "":
 			go s.fetchFromPeer(ctx, a.Fetch)
 		case a.Watch != nil:
 			go s.watchStore(ctx, *a.Watch)
-		case a.Read:
-			go s.readStore(ctx)
+		case a.Read != nil:
+			go s.readStore(ctx, *a.Read)
+		case a.Ask:
+			s.askPeer(a.AskAbove)
 		}
 	}
 }
 
-// apply puts a configuration from a source in force, unless one with the same or a
-// higher version is in force, and calls the listeners.
-func (s *Service) apply(a *AppliedConfiguration, source string) {
+// passOn passes the configuration that the syncer has put in force to the listeners and,
+// if this host is an announcer, to the failure domain.
+func (s *Service) passOn() {
+	changed := false
 	s.applied.Update(func(old *AppliedConfiguration) (*AppliedConfiguration, bool) {
-		var previous uint64
-		if old != nil {
-			previous = old.Version
-		}
-		if previous >= a.Version {
-			return nil, false
-		}
-		s.cfg.Log.Info().Uint64("Version", a.Version).Str("Digest", a.Digest).Str("Source", source).Uint64("Previous", previous).Msg("ConfigurationApplied")
-		return a, true
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		changed = s.syncer.InForce() != old
+		return s.syncer.InForce(), changed
 	})
+	if changed && s.announcer.Load() {
+		s.notifyDomain()
+	}
 }
 
 // verify verifies and decodes an accepted configuration that source returned. If it
@@ -267,41 +307,47 @@
 }
 
 // readStore reads the accepted configuration from the store.
-func (s *Service) readStore(ctx context.Context) {
+func (s *Service) readStore(ctx context.Context, r SyncRead) {
 	v, err := s.cfg.Store.Get(ctx, AcceptedKey(s.cfg.Environment))
-	s.handleStoreResponse(ctx, sourceRead, v, err)
+	s.handleStoreResult(ctx, sourceRead, r.Call, v, err)
 }
 
 // watchStore waits at the store for a new version of the accepted configuration.
 func (s *Service) watchStore(ctx context.Context, w SyncWatch) {
-	v, err := s.cfg.Store.Watch(ctx, AcceptedKey(s.cfg.Environment), w.After, w.Wait)
+	watchCtx, cancel := context.WithTimeout(ctx, w.Timeout)
+	defer cancel()
+	v, err := s.cfg.Store.Watch(watchCtx, AcceptedKey(s.cfg.Environment), w.After, w.Wait)
 	if err == nil && v.Version == w.After {
-		// The value has not changed, so the configuration in force is the response.
-		a := s.AppliedConfiguration()
-		s.runSyncer(ctx, sourceWatch, func(now time.Time) []SyncAction { return s.syncer.StoreResponded(now, w.After, a) })
+		s.recordStoreResult(nil)
+		s.runSyncer(ctx, sourceWatch, func(now time.Time) []SyncAction {
+			return s.syncer.StoreResponded(now, StoreResponse{Call: w.Call, KeyVersion: w.After})
+		})
 		return
 	}
-	s.handleStoreResponse(ctx, sourceWatch, v, err)
+	s.handleStoreResult(ctx, sourceWatch, w.Call, v, err)
 }
 
-// handleStoreResponse passes the result of a read or a watch, which source names, to the
-// syncer. If it brought a new configuration into force, it notifies the failure domain.
-func (s *Service) handleStoreResponse(ctx context.Context, source string, v Value, err error) {
+// handleStoreResult passes the result of a read or a watch, which source names, to the
+// syncer, unless the call failed because the service stops.
+func (s *Service) handleStoreResult(ctx context.Context, source string, call uint64, v Value, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	s.recordStoreResult(err)
-	var a *AppliedConfiguration
-	if err == nil && v.Version > 0 {
-		a = s.verify(v.Data, source)
+	if err != nil {
+		s.runSyncer(ctx, source, func(now time.Time) []SyncAction { return s.syncer.StoreFailed(now, call) })
+		return
 	}
-	before := s.AppliedConfiguration()
-	s.runSyncer(ctx, source, func(now time.Time) []SyncAction { return s.syncer.StoreResponded(now, v.Version, a) })
-	if s.AppliedConfiguration() != before {
-		s.notifyDomain()
+	r := StoreResponse{Call: call, KeyVersion: v.Version}
+	if v.Version > 0 {
+		r.Configuration = s.verify(v.Data, source)
 	}
+	s.runSyncer(ctx, source, func(now time.Time) []SyncAction { return s.syncer.StoreResponded(now, r) })
 }
 
 // notifyDomain sends the version of the configuration in force to the hosts of this
-// failure domain. It is called when the store has returned a new configuration,
-// because heartbeats would take several intervals to reach all hosts.
+// failure domain, for those that the store doesn't serve. Heartbeats would take several
+// intervals to reach all of them.
 func (s *Service) notifyDomain() {
 	body := s.publishVersion()
 	self := s.peers.Self()
@@ -343,36 +389,31 @@
 			s.cfg.Log.Warn().Str("Peer", source).Err(err).Msg("ConfigurationFetchFailed")
 		}
 	}
-	s.runSyncer(ctx, source, func(now time.Time) []SyncAction { return s.syncer.PeerResponded(now, a) })
+	s.runSyncer(ctx, source, func(now time.Time) []SyncAction { return s.syncer.PeerResponded(now, from, a) })
 }
 
 // syncLoop calls Tick of the syncer regularly until ctx ends.
 func (s *Service) syncLoop(ctx context.Context) {
-	watcher := false
 	runEvery(ctx, syncTickInterval, func() {
 		if s.membersChanged.Swap(false) {
-			before := watcher
-			watcher = isWatcher(s.peers.Self(), s.peers.Members())
-			if watcher != before {
-				s.cfg.Log.Info().Bool("Watching", watcher).Msg("ConfigurationWatcherChanged")
-			}
+			s.announcer.Store(isAnnouncer(s.peers.Self(), s.peers.Members()))
 		}
-		s.runSyncer(ctx, "", func(now time.Time) []SyncAction { return s.syncer.Tick(now, watcher) })
+		s.runSyncer(ctx, "", s.syncer.Tick)
 	})
 }
 
-// isWatcher reports whether a host is one of the watchers of its failure domain, which
-// wait at the store for a new configuration. These are the watchersPerDomain hosts with
-// the highest hashes of their incarnations among those that are up. members holds the
-// other hosts.
-func isWatcher(self peer.Member, members []peer.Member) bool {
+// isAnnouncer reports whether a host is one of the announcers of its failure domain, which
+// tell the others of a new version (rule 4 of the syncer). These are the
+// announcersPerDomain hosts with the highest hashes of their incarnations among those that
+// are up. members holds the other hosts.
+func isAnnouncer(self peer.Member, members []peer.Member) bool {
 	rank := 0
 	for _, m := range members {
 		if m.Up() && m.FailureDomain == self.FailureDomain && xxhash.Sum64String(m.Incarnation) > xxhash.Sum64String(self.Incarnation) {
 			rank++
 		}
 	}
-	return rank < watchersPerDomain
+	return rank < announcersPerDomain
 }
 
 // runEvery calls f at once and then once per interval until ctx ends.
