kvstore: reads of the store end like watches, questions are a type of their own

Read as a newcomer: SyncAction.Ask and AskAbove broke the rule that exactly one field is set, and a read ended by the timeout of the store client while the syncer counted it as lost by another one. Comments of regression tests are one line.

--- a/internal/daemon/virtual_configuration_test.go
+++ b/internal/daemon/virtual_configuration_test.go
@@ -36,8 +36,7 @@
 	return sc
 }
 
-// TestVirtualChangeWhenHighestRankedHostsFail guards against hosts that learn of a change
-// too late because the two hosts of their domain with the highest hashes can't pass it on.
+// Hosts must learn of a change although the two with the highest hashes can't pass it on.
 func TestVirtualChangeWhenHighestRankedHostsFail(t *testing.T) {
 	faults := map[string]func(sc *scenario, h *simHost) func(){
 		"CutOff":       func(sc *scenario, h *simHost) func() { return sc.isolateHost(h) },
@@ -74,8 +73,7 @@
 	}
 }
 
-// TestVirtualWatchesMissChange guards against a change that stays unknown because the
-// watches of that time ended without it.
+// A change must not stay unknown because the watches of that time ended without it.
 func TestVirtualWatchesMissChange(t *testing.T) {
 	simulate(t, 1, 2, 3, func(s *simulation) {
 		sc := newConfigurationTest(s)
@@ -90,8 +88,7 @@
 	})
 }
 
-// TestVirtualStoreServesOneHost guards against hosts that the store refuses and that don't
-// learn of a change from the one that it serves.
+// Hosts that the store refuses must learn of a change from the one that it serves.
 func TestVirtualStoreServesOneHost(t *testing.T) {
 	simulate(t, 1, 7, 3, func(s *simulation) {
 		sc := newConfigurationTest(s)
@@ -110,8 +107,7 @@
 	})
 }
 
-// TestVirtualChangeAfterConnectionsFellSilent guards against a change that arrives too
-// late because all connections that were open before it deliver nothing any more.
+// A change must be in force in time although open connections deliver nothing any more.
 func TestVirtualChangeAfterConnectionsFellSilent(t *testing.T) {
 	simulate(t, 2, 4, 3, func(s *simulation) {
 		sc := newConfigurationTest(s)
@@ -128,8 +124,7 @@
 	})
 }
 
-// TestVirtualChangesAtOnce guards against a host that ends with the older one of two
-// versions that are accepted at about the same time.
+// No host may end with an older one of versions that are accepted at about the same time.
 func TestVirtualChangesAtOnce(t *testing.T) {
 	for name, gap := range map[string]time.Duration{"Same": 0, "Millisecond": time.Millisecond, "Delay": simNetworkDelay} {
 		t.Run(name, func(t *testing.T) {
@@ -147,4 +142,3 @@
 		})
 	}
 }
-
--- a/internal/kvstore/inforce_test.go
+++ b/internal/kvstore/inforce_test.go
@@ -18,8 +18,7 @@
 	}}
 }
 
-// TestSlowListenerOfOlderVersionDoesNotEndLast guards against a listener that is left with
-// an older configuration than the one in force.
+// A listener must not be left with an older configuration than the one in force.
 func TestSlowListenerOfOlderVersionDoesNotEndLast(t *testing.T) {
 	cases := map[string]func(s *Service, listen func(*AppliedConfiguration), apply func(version uint64)){
 		"BothApplied": func(s *Service, listen func(*AppliedConfiguration), apply func(uint64)) {
@@ -70,8 +69,7 @@
 	}
 }
 
-// TestAdvertisementDuringHangingFetch guards against a version that is forgotten because a
-// peer advertises it while a fetch from another one hangs.
+// A version that a peer advertises during a fetch from another one must not be forgotten.
 func TestAdvertisementDuringHangingFetch(t *testing.T) {
 	syncer := ConfigurationSyncer{Timings: SyncTimings{
 		PollInterval: time.Hour, InitialPollInterval: time.Hour, RetryDelay: time.Second, Fetch: 500 * time.Millisecond,
--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -257,8 +257,8 @@
 			go s.watchStore(ctx, *a.Watch)
 		case a.Read != nil:
 			go s.readStore(ctx, *a.Read)
-		case a.Ask:
-			s.askPeer(a.AskAbove)
+		case a.Ask != nil:
+			s.askPeer(a.Ask.Above)
 		}
 	}
 }
@@ -308,7 +308,9 @@
 
 // readStore reads the accepted configuration from the store.
 func (s *Service) readStore(ctx context.Context, r SyncRead) {
-	v, err := s.cfg.Store.Get(ctx, AcceptedKey(s.cfg.Environment))
+	readCtx, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	v, err := s.cfg.Store.Get(readCtx, AcceptedKey(s.cfg.Environment))
 	s.handleStoreResult(ctx, sourceRead, r.Call, v, err)
 }
 
--- a/internal/kvstore/syncer.go
+++ b/internal/kvstore/syncer.go
@@ -87,13 +87,16 @@
 	// Watch and Read request a call to the store.
 	Watch *SyncWatch
 	Read  *SyncRead
-	// Ask requests that a random peer is asked for a version above AskAbove.
-	Ask      bool
-	AskAbove uint64
+	// Ask requests a question to a random peer.
+	Ask *SyncQuestion
 }
 
-// SyncRead is a read of the configuration from the store. Call identifies it.
-type SyncRead struct{ Call uint64 }
+// SyncRead is a read of the configuration from the store, which ends after Timeout. Call
+// identifies it.
+type SyncRead struct {
+	Call    uint64
+	Timeout time.Duration
+}
 
 // SyncWatch is a read that waits at the store, for up to Wait, until the version of
 // the key is above After. This is the store's version of the key, not the version
@@ -104,6 +107,9 @@
 	Wait, Timeout time.Duration
 }
 
+// SyncQuestion asks a peer whether it has a version above Above.
+type SyncQuestion struct{ Above uint64 }
+
 // StoreResponse is the result of a read or a watch that did not fail.
 type StoreResponse struct {
 	// Call is that of the SyncRead or SyncWatch.
@@ -291,7 +297,7 @@
 	}
 	if s.failures > 0 && !now.Before(s.nextAsk) {
 		s.nextAsk = now.Add(s.timings().RetryDelay)
-		actions = append(actions, SyncAction{Ask: true, AskAbove: s.Version()})
+		actions = append(actions, SyncAction{Ask: &SyncQuestion{s.Version()}})
 	}
 	return actions
 }
@@ -303,7 +309,7 @@
 	case !s.readDone && !now.Before(s.nextRead):
 		s.lastCall++
 		s.call = storeCall{id: s.lastCall, startedAt: now, lostAt: now.Add(t.ReadTimeout)}
-		return []SyncAction{{Read: &SyncRead{s.lastCall}}}
+		return []SyncAction{{Read: &SyncRead{s.lastCall, t.ReadTimeout}}}
 	case s.keyVersion > 0 && !now.Before(s.nextWatch):
 		s.lastCall++
 		s.call = storeCall{id: s.lastCall, watch: true, watchAfter: s.keyVersion, startedAt: now, lostAt: now.Add(t.WatchWait + t.WatchGrace)}
--- a/internal/kvstore/syncer_test.go
+++ b/internal/kvstore/syncer_test.go
@@ -151,9 +151,9 @@
 			w.watches = append(w.watches, simWatch{*a.Watch, w.now.Add(a.Watch.Wait)})
 		case a.Fetch != "":
 			w.fetch(a.Fetch)
-		case a.Ask:
+		case a.Ask != nil:
 			p := w.peers[rapid.IntRange(0, len(w.peers)-1).Draw(w.t, "asked")]
-			w.advertise(p, a.AskAbove)
+			w.advertise(p, a.Ask.Above)
 		}
 	}
 }
@@ -170,6 +170,7 @@
 		w.deliver(syncLatency, respond)
 	case storeRefuses:
 		w.deliver(syncLatency, func(now time.Time) []SyncAction { return w.syncer.StoreFailed(now, call) })
+	case storeSilent:
 	case storeLate:
 		w.deliver(time.Duration(rapid.IntRange(0, maxSyncFaultTime).Draw(w.t, "late"))*time.Millisecond, respond)
 	}
