daemon: scenarios with silent watches and silent connections

The scenarios had no fault under which a watch ends without a change, and none under which open connections deliver nothing while new ones work.

--- a/internal/daemon/virtual_faults_test.go
+++ b/internal/daemon/virtual_faults_test.go
@@ -50,6 +50,19 @@
 		sc.store.DiscardHistory()
 		return func() {}
 	}},
+	// Watches miss all changes of that time. Then the history is discarded.
+	"WatchesSilent": {false, func(sc *scenario) func() {
+		end := sc.injectStoreFault(standin.StoreFaults{WatchesSilent: true})
+		return func() {
+			end()
+			sc.store.DiscardHistory()
+		}
+	}},
+	// The open connections of a host deliver nothing any more, and new ones work.
+	"ConnectionsSilent": {false, func(sc *scenario) func() {
+		sc.network.Silence(sc.anyHost().set.Name)
+		return func() {}
+	}},
 	"LeasesForgotten": {false, func(sc *scenario) func() {
 		sc.store.ExpireLeases()
 		return func() {}
