worker, kvstore: hold evacuations of failure domains

What operators saw: a failure domain that was evacuated on the users' platform got tasks as before.

Where EvacuationApplyMs is set, each host reads and watches the configuration and the evacuations together, in as many calls to the store as the configuration took alone, exchanges the set of the highest revision with its peers in heartbeats, and the owner of an evacuated domain admits nothing, returns what has not started and ends its starts after the finish time. After a release its servers come back over two seconds. Where the setting is 0 or missing, calls, messages and behaviour stay.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"flag"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -174,6 +175,7 @@
 		store = st.StoreError
 	}
 	fmt.Fprintf(c.out, "%s: version %d accepted at %s, store: %s\n", st.Environment, st.Accepted, formatTime(st.AcceptedMs), store)
+	printEvacuations(c.out, st.Hosts)
 	w := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "HOST\tDOMAIN\tREADY\tVERSION\tAFTER MS\tTASKS\tMEMBERS\tADDRESS")
 	for _, h := range st.Hosts {
@@ -187,6 +189,39 @@
 	_ = w.Flush()
 }
 
+// printEvacuations prints the evacuated failure domains as the daemon with the highest
+// revision knows them, what still runs there, and which daemons don't know them.
+func printEvacuations(out io.Writer, hosts []hostStatus) {
+	var newest operator.Status
+	for _, h := range hosts {
+		if h.Error == "" && h.Status.EvacuationRevision > newest.EvacuationRevision {
+			newest = h.Status
+		}
+	}
+	for _, domain := range newest.EvacuatedDomains {
+		running := "no owner reached"
+		var unaware []string
+		for _, h := range hosts {
+			s := h.Status
+			if h.Error != "" {
+				continue
+			}
+			if !slices.Contains(s.EvacuatedDomains, domain) {
+				unaware = append(unaware, s.Name)
+			}
+			if s.FailureDomain == domain && s.Worker != nil && s.Worker.Evacuation != nil {
+				e := s.Worker.Evacuation
+				running = fmt.Sprintf("for %d ms, %d tasks still run, %d jobs returned, %d lost", e.SinceMs, e.Running, e.Returned, e.Lost)
+			}
+		}
+		fmt.Fprintf(out, "evacuated: %s at revision %d: %s", domain, newest.EvacuationRevision, running)
+		if len(unaware) > 0 {
+			fmt.Fprintf(out, "; not known to %s", strings.Join(unaware, ", "))
+		}
+		fmt.Fprintln(out)
+	}
+}
+
 func countStates(members []operator.MemberStatus) string {
 	counts := map[string]int{}
 	for _, m := range members {
--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -11,6 +11,7 @@
 	"guavayoke/internal/kvstore"
 	"guavayoke/internal/operator"
 	"guavayoke/internal/peer"
+	"guavayoke/internal/settings"
 	"guavayoke/internal/worker"
 	adapter "guavayoke/platform"
 )
@@ -29,6 +30,9 @@
 	// adaptedApplyTime is the time within which a change of the configuration must be in
 	// force unless the settings say otherwise.
 	adaptedApplyTime = 2 * time.Second
+	// maxLearnShare is the share of EvacuationApplyMs after which every host must know of
+	// an evacuation. The rest is for the jobs that have started (worker.Config).
+	maxLearnShare = 0.6
 )
 
 // buildAdapted returns the kernel of a daemon that runs on the users' platform and uses
@@ -38,9 +42,11 @@
 	registry := metrics.NewRegistry()
 	countCall := func(op string) { metrics.GetOrRegisterCounter("Calls."+op, registry).Inc(1) }
 	self := worker.Candidate{Incarnation: incarnation, Address: advertisedAddress(set), FailureDomain: set.FailureDomain, CPUMilli: cpuMilli(set)}
+	evacuations := time.Duration(set.EvacuationApplyMs) * time.Millisecond
 	store := kvstore.New(kvstore.Config{
 		Store: adapter.NewStore(adapter.StoreConfig{
 			Address: set.PlatformAddresses[0], Network: deps.network, Timeout: storeTimeout, Log: logger, OnCall: countCall,
+			Evacuations: evacuations > 0,
 		}),
 		Self: kvstore.Host{
 			Name: set.Name, Kind: kvstore.EntryHost, Address: advertisedAddress(set),
@@ -48,11 +54,12 @@
 		},
 		Incarnation: incarnation, PeerAddress: advertisedAddress(set), Environment: set.Environment,
 		Key: deps.key, Nonce: rand.Uint64, Log: logger,
-		VerifyConfiguration: adapter.DecodeConfiguration, Sync: kvstore.TimingsFor(applyTime(set, adaptedApplyTime)), HostsInterval: serversInterval, IdleHostsInterval: idleServersInterval,
+		VerifyConfiguration: adapter.DecodeConfiguration, Sync: kvstore.TimingsFor(learnTime(set)), HostsInterval: serversInterval, IdleHostsInterval: idleServersInterval,
+		Evacuations: evacuations > 0,
 	})
 	workers := worker.New(worker.Config{
 		Self: self, Commands: adapter.NewCommands(adapter.CommandsConfig{Network: deps.network, Log: logger, OnCall: countCall}),
-		Log: logger, Metrics: registry, Now: deps.now, Wall: deps.wall,
+		Log: logger, Metrics: registry, Now: deps.now, Wall: deps.wall, EvacuationApplyTime: evacuations,
 	})
 	ops := operator.New(operator.Config{
 		Address: set.OperatorAddress, Network: deps.network, MetricsAddress: set.MetricsAddress, Environment: set.Environment,
@@ -62,6 +69,16 @@
 	return kernel.New(peers.Service(), store.Service(), workers.Service(), ops.Service(), frontend.Service())
 }
 
+// learnTime returns the time within which this host must learn of changes of the
+// configuration and of evacuations.
+func learnTime(set settings.Daemon) time.Duration {
+	d := applyTime(set, adaptedApplyTime)
+	if set.EvacuationApplyMs > 0 {
+		d = min(d, time.Duration(float64(set.EvacuationApplyMs)*maxLearnShare)*time.Millisecond)
+	}
+	return d
+}
+
 // bootTime reads CLOCK_BOOTTIME, the clock that also runs while the host is suspended. It
 // panics if the clock can't be read.
 func bootTime() time.Time {
--- a/internal/kvstore/config_test.go
+++ b/internal/kvstore/config_test.go
@@ -50,7 +50,7 @@
 				if s.value.Version != expect {
 					return false
 				}
-				s.value = Value{expect + 1, data}
+				s.value = Value{Version: expect + 1, Data: data}
 				return true
 			}
 			if applyLater {
--- /dev/null
+++ b/internal/kvstore/evacuation_test.go
@@ -0,0 +1,54 @@
+package kvstore
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestEvacuationsNeverGoBack passes what the store and peers have had, in any order, with
+// duplicates, stale reads and restarts, to several registers. Each must hold the set of the
+// highest revision that it has met since its start, and registers of one revision agree.
+func TestEvacuationsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := []Evacuations{}
+		for revision := uint64(100); len(history) < 8; revision += uint64(rapid.IntRange(1, 3).Draw(t, "step")) {
+			domains := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 0, 4).Draw(t, "domains")
+			history = append(history, NewEvacuations(revision, domains))
+		}
+		hosts := make([]evacuationRegister, 3)
+		highest := make([]uint64, len(hosts))
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			n := rapid.IntRange(0, len(hosts)-1).Draw(t, "host")
+			var told Evacuations
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				hosts[n], highest[n] = evacuationRegister{}, 0
+				continue
+			case 1, 2:
+				told = hosts[rapid.IntRange(0, len(hosts)-1).Draw(t, "peer")].current
+			default:
+				told = rapid.SampledFrom(history).Draw(t, "read")
+			}
+			before := hosts[n].current
+			newer, changed := hosts[n].learn(told)
+			if want := told.Revision > highest[n]; newer != want {
+				t.Fatalf("revision %d after %d: newer is %t", told.Revision, highest[n], newer)
+			}
+			if want := newer && (before.Revision == 0 || !slices.Equal(before.FailureDomains, told.FailureDomains)); changed != want {
+				t.Fatalf("%v after %v: changed is %t", told, before, changed)
+			}
+			highest[n] = max(highest[n], told.Revision)
+			if hosts[n].current.Revision != highest[n] {
+				t.Fatalf("host holds revision %d, met %d", hosts[n].current.Revision, highest[n])
+			}
+			for _, e := range history {
+				if e.Revision == highest[n] && fmt.Sprint(e.FailureDomains) != fmt.Sprint(hosts[n].current.FailureDomains) {
+					t.Fatalf("host holds %v at revision %d, the store had %v", hosts[n].current.FailureDomains, e.Revision, e.FailureDomains)
+				}
+			}
+		}
+	})
+}
--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -65,6 +65,9 @@
 	// IdleHostsInterval, if set, replaces HostsInterval while this host doesn't
 	// need the list of hosts; see SetHostsNeeded. Initially it doesn't.
 	IdleHostsInterval time.Duration
+	// Evacuations says that the store's values carry evacuations (Value.Evacuations), which
+	// this host then learns from the store and exchanges with its peers.
+	Evacuations bool
 }
 
 // Service connects this host to the platform: it claims submissions, keeps the
@@ -72,6 +75,7 @@
 type Service struct {
 	cfg          Config
 	peers        *peer.Service
+	ctx          context.Context
 	claimQueue   *ring.Queue[func(now time.Time) []ClaimAction]
 	claimer      *Claimer
 	claimWaiters map[uint64]chan ClaimResult
@@ -88,15 +92,20 @@
 	// applied is the configuration in force, which passOn takes from the syncer.
 	applied latest.Value[*AppliedConfiguration]
 	hosts   latest.Value[[]Host]
+	// evacuations is the newest set, which passOnEvacuations takes from the register.
+	evacuations latest.Value[Evacuations]
 	// hostsVersion is the version of the last list of hosts. Only hostsLoop uses it.
 	hostsVersion uint64
 
 	// mu guards the fields below. It may be locked while a function of applied or hosts
 	// runs, but not the other way round.
-	mu        sync.Mutex
-	syncer    ConfigurationSyncer
-	onRead    []func(HostsRead)
-	storeDown bool
+	mu       sync.Mutex
+	syncer   ConfigurationSyncer
+	register evacuationRegister
+	onRead   []func(HostsRead)
+	// onEvacuationsRead is called after each read; see OnEvacuationsRead.
+	onEvacuationsRead []func(EvacuationsRead)
+	storeDown         bool
 }
 
 // New returns a service, which the kernel starts.
@@ -141,7 +150,12 @@
 
 // wireVersion is the content of the heartbeat item and the one-way messages that
 // tell peers the version of the configuration in force, or ask for a higher one.
-type wireVersion struct{ Version uint64 }
+type wireVersion struct {
+	Version uint64
+	// EvacuationRevision is set in questions only: the revision of the evacuations that
+	// the asking host knows.
+	EvacuationRevision uint64 `cbor:",omitempty"`
+}
 
 // start registers the handlers for peers and starts the background loops. The
 // channel delivers nil when all loops have ended.
@@ -150,11 +164,15 @@
 	if err != nil {
 		return nil, err
 	}
-	s.peers = peers
+	s.peers, s.ctx = peers, ctx
 	peers.Publish(configurationName, s.publishVersion)
 	peers.HandleNotification(configurationName, func(from string, b []byte) { s.handlePeerVersion(ctx, from, b) })
 	peers.HandleNotification(questionName, s.handleQuestion)
 	peers.HandleCall(configurationName, s.serveRecord)
+	if s.cfg.Evacuations {
+		peers.Publish(evacuationsName, s.publishEvacuations)
+		peers.HandleNotification(evacuationsName, s.handlePeerEvacuations)
+	}
 	peers.OnChange(func([]peer.Member) { s.membersChanged.Store(true) })
 	var loops sync.WaitGroup
 	for _, loop := range []func(context.Context){s.syncLoop, s.hostsLoop, s.registerLoop, s.claimLoop} {
@@ -179,11 +197,11 @@
 	if a == nil {
 		return nil
 	}
-	return encodeVersion(a.Version)
+	return encodeVersion(wireVersion{Version: a.Version})
 }
 
-func encodeVersion(version uint64) []byte {
-	b, err := cbor.Marshal(wireVersion{version})
+func encodeVersion(w wireVersion) []byte {
+	b, err := cbor.Marshal(w)
 	if err != nil {
 		// A number can always be encoded.
 		panic(err)
@@ -210,14 +228,18 @@
 }
 
 // handleQuestion handles the question of a peer for a version above that of its
-// wireVersion. It answers as a heartbeat does, or not at all if there is none.
+// wireVersion, or for later evacuations. It answers as a heartbeat does, or not at all if
+// there is neither.
 func (s *Service) handleQuestion(from string, b []byte) {
 	var w wireVersion
 	if cbor.Unmarshal(b, &w) != nil {
 		return
 	}
 	if a := s.AppliedConfiguration(); a != nil && a.Version > w.Version {
-		s.peers.Notify(from, configurationName, encodeVersion(a.Version))
+		s.peers.Notify(from, configurationName, encodeVersion(wireVersion{Version: a.Version}))
+	}
+	if s.cfg.Evacuations && s.Evacuations().Revision > w.EvacuationRevision {
+		s.peers.Notify(from, evacuationsName, s.publishEvacuations())
 	}
 }
 
@@ -231,7 +253,7 @@
 	}
 	if len(up) > 0 {
 		m := up[s.cfg.Nonce()%uint64(len(up))]
-		s.peers.Notify(m.Incarnation, questionName, encodeVersion(above))
+		s.peers.Notify(m.Incarnation, questionName, encodeVersion(wireVersion{above, s.Evacuations().Revision}))
 	}
 }
 
@@ -310,7 +332,11 @@
 func (s *Service) readStore(ctx context.Context, r SyncRead) {
 	readCtx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
+	started := time.Now()
 	v, err := s.cfg.Store.Get(readCtx, AcceptedKey(s.cfg.Environment))
+	if ctx.Err() == nil {
+		s.evacuationsRead(started, v, err)
+	}
 	s.handleStoreResult(ctx, sourceRead, r.Call, v, err)
 }
 
@@ -319,6 +345,9 @@
 	watchCtx, cancel := context.WithTimeout(ctx, w.Timeout)
 	defer cancel()
 	v, err := s.cfg.Store.Watch(watchCtx, AcceptedKey(s.cfg.Environment), w.After, w.Wait)
+	if err == nil && v.Evacuations != nil {
+		s.learnEvacuations(sourceWatch, *v.Evacuations)
+	}
 	if err == nil && v.Version == w.After {
 		s.recordStoreResult(nil)
 		s.runSyncer(ctx, sourceWatch, func(now time.Time) []SyncAction {
--- a/internal/kvstore/store.go
+++ b/internal/kvstore/store.go
@@ -32,6 +32,9 @@
 type Value struct {
 	Version uint64
 	Data    []byte
+	// Evacuations is what the same call has read of the evacuations, nil if it read
+	// nothing of them. Only reads and watches of the configuration set it.
+	Evacuations *Evacuations
 }
 
 // Store is a client of the platform's key-value store. Its fields are functions so
@@ -213,7 +216,7 @@
 	}
 	switch r.status {
 	case fasthttp.StatusOK:
-		return Value{r.version, r.body}, nil
+		return Value{Version: r.version, Data: r.body}, nil
 	case fasthttp.StatusNotFound:
 		return Value{}, nil
 	}
@@ -242,7 +245,7 @@
 	}
 	switch r.status {
 	case fasthttp.StatusOK:
-		return Value{r.version, r.body}, nil
+		return Value{Version: r.version, Data: r.body}, nil
 	case fasthttp.StatusNotModified:
 		return Value{Version: after}, nil
 	}
--- a/internal/kvstore/syncer.go
+++ b/internal/kvstore/syncer.go
@@ -238,6 +238,16 @@
 	return s.nextActions(now)
 }
 
+// Reread makes the host read from the store at once, without waiting for the watch in
+// progress, because what it knows may be old. While the store fails, the retries of rule 3
+// remain as they are.
+func (s *ConfigurationSyncer) Reread(now time.Time) []SyncAction {
+	if s.failures == 0 {
+		s.call, s.readDone, s.nextRead = storeCall{}, false, now
+	}
+	return s.nextActions(now)
+}
+
 // PeerAdvertised handles the version that is in force on the peer with the given
 // incarnation.
 func (s *ConfigurationSyncer) PeerAdvertised(now time.Time, peer string, version uint64) []SyncAction {
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -171,6 +171,8 @@
 		metrics.GetOrRegisterGauge("Worker.Jobs", s.cfg.Metrics).Update(int64(st.Jobs))
 		metrics.GetOrRegisterGauge("Worker.Waiting", s.cfg.Metrics).Update(int64(st.Waiting))
 		metrics.GetOrRegisterGauge("Worker.Servers", s.cfg.Metrics).Update(int64(st.Load.Servers))
+		metrics.GetOrRegisterGauge("Evacuation.FailureDomains", s.cfg.Metrics).Update(int64(len(s.kvstore.Evacuations().FailureDomains)))
+		metrics.GetOrRegisterGauge("Evacuation.Revision", s.cfg.Metrics).Update(int64(s.kvstore.Evacuations().Revision))
 	} else {
 		held, bytes := s.callers.Held()
 		metrics.GetOrRegisterGauge("Caller.Held", s.cfg.Metrics).Update(int64(held))
@@ -227,6 +229,11 @@
 	// StoreDown is set if the last read of the configuration or of the list of hosts
 	// from the platform failed.
 	StoreDown bool
+	// EvacuationRevision is the revision of the platform's store at which this host knows
+	// the evacuations, 0 if it knows none. EvacuatedDomains are the evacuated failure
+	// domains.
+	EvacuationRevision uint64   `json:",omitempty"`
+	EvacuatedDomains   []string `json:",omitempty"`
 	// InFlight is the number of tasks that wait or run. Held is the number of
 	// submissions held, and HeldBytes their size.
 	InFlight  int
@@ -263,6 +270,8 @@
 	if a := s.kvstore.AppliedConfiguration(); a != nil {
 		st.Version, st.Digest, st.AppliedMs = a.Version, a.Digest, a.AtMs
 	}
+	evacuations := s.kvstore.Evacuations()
+	st.EvacuationRevision, st.EvacuatedDomains = evacuations.Revision, evacuations.FailureDomains
 	for _, m := range s.peers.Members() {
 		st.Members = append(st.Members, MemberStatus{
 			m.Name, m.Incarnation, m.Operator, m.FailureDomain, m.Region, m.State.String(), float64(m.RTT.Microseconds()) / 1000,
--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -60,6 +60,8 @@
 		return Result{Outcome: Returned, Reason: "OwnerLeaving"}, false
 	case !p.owner:
 		return Result{Outcome: Returned, Reason: "NotOwner"}, false
+	case p.evacuation.active:
+		return Result{Outcome: Returned, Reason: reasonEvacuated}, false
 	}
 	known := 0
 	for i := range j.Steps {
@@ -179,6 +181,9 @@
 // Load returns the current load.
 func (p *Pool) Load() Load {
 	var l Load
+	if p.evacuation.active {
+		return l // Entry hosts offer no job to an owner without servers.
+	}
 	for _, s := range p.orderedServers {
 		if s.usable() {
 			l.Servers++
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -185,9 +185,11 @@
 	// leavingHosts holds the incarnations that have announced that they leave; a
 	// host never revokes that.
 	leavingHosts map[string]bool
-	jobs         map[string]*entryJob
-	waiters      map[WaiterID]string
-	lastWaiter   WaiterID
+	// evacuated holds the failure domains that are evacuated, as far as this host knows.
+	evacuated  map[string]bool
+	jobs       map[string]*entryJob
+	waiters    map[WaiterID]string
+	lastWaiter WaiterID
 	// firstPeerAt is the time at which the host first knew another member.
 	firstPeerAt time.Time
 	// peerConsulted is set once this host need not ask another one before it assumes
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -52,6 +52,8 @@
 	Load    Load
 	// Ready says whether the load balancer should send callers here.
 	Ready bool
+	// Evacuation is set if this host owns an evacuated failure domain.
+	Evacuation *EvacuationStatus `json:",omitempty"`
 }
 
 // HostConfig configures a Host.
@@ -62,6 +64,8 @@
 	Log       *log.Logger
 	// Now is the time at which the host started.
 	Now time.Time
+	// EvacuationApplyTime is that of PoolConfig.
+	EvacuationApplyTime time.Duration
 }
 
 // Host combines the state machines of one host: the Entry for its own callers, the
@@ -81,7 +85,7 @@
 func NewHost(c HostConfig) *Host {
 	return &Host{
 		cfg:   c,
-		pool:  NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log}),
+		pool:  NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime}),
 		entry: NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now}),
 	}
 }
@@ -108,10 +112,10 @@
 }
 
 // Status returns the current state of the host.
-func (h *Host) Status() Status {
+func (h *Host) Status(now time.Time) Status {
 	return Status{
 		Owner: h.entry.KnownOwner(), Jobs: h.pool.Jobs(), Waiting: h.entry.Jobs(), Load: h.pool.Load(),
-		Ready: !h.leaving && h.entry.HasUsableOwner(),
+		Ready: !h.leaving && h.entry.HasUsableOwner(), Evacuation: h.pool.EvacuationStatus(now),
 	}
 }
 
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -66,7 +66,7 @@
 		consider(v.candidate.Incarnation, v.heartbeat.Load, cost)
 	}
 	if best == "" {
-		if now.Before(j.waitUntil) {
+		if now.Before(j.waitUntil) && !e.allEvacuated() {
 			j.owner = "" // The next tick offers the job again.
 			return
 		}
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -103,6 +103,7 @@
 	}
 	if !p.owner {
 		p.owner, p.ownerSince = true, now
+		p.requireEvacuationsRead(now)
 	}
 	p.excluded = map[string]bool{}
 	for _, id := range excluded {
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -23,7 +23,7 @@
 // place starts all ready tasks for which a server has enough free resources.
 func (p *Pool) place(now time.Time) {
 	defer p.updateQueuedShare(now)
-	if len(p.queue) == 0 || p.awaitsServerList(now) {
+	if len(p.queue) == 0 || p.awaitsServerList(now) || p.startsForbidden(now) {
 		return
 	}
 	free := p.largestFree(now)
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -94,6 +94,10 @@
 	// other owner uses.
 	NextToken func(now time.Time, above uint64) uint64
 	Log       *log.Logger
+	// EvacuationApplyTime is the time after the operator's request within which no task may
+	// be started any more in an evacuated failure domain; 0 means that there are no
+	// evacuations (evacuation.go).
+	EvacuationApplyTime time.Duration
 }
 
 // task is one task of a job.
@@ -174,6 +178,7 @@
 	hadQueue       bool
 	queueUpdatedAt time.Time
 	queuedShare    float64
+	evacuation     evacuation
 	actions        []Action
 }
 
@@ -366,6 +371,7 @@
 		}
 	}
 	p.refuseTooLate(now)
+	p.tickEvacuation(now)
 	p.place(now)
 	p.releaseServers()
 }
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -155,6 +155,8 @@
 	listed bool
 	// lastRunEndedAt is when a tracked run last ended.
 	lastRunEndedAt time.Time
+	// heldBack is set while the server is not used yet after an evacuation.
+	heldBack bool
 	// health tracks how runs ended on this server, see health.go.
 	health health
 }
@@ -164,7 +166,9 @@
 
 // usable reports whether the server's state permits starting tasks, regardless of
 // its health and its free resources.
-func (s *server) usable() bool { return s.state == stateReady && !s.Leaving && !s.unresponsive }
+func (s *server) usable() bool {
+	return s.state == stateReady && !s.Leaving && !s.unresponsive && !s.heldBack
+}
 
 // hasLabel reports whether the server has the label.
 func (s *server) hasLabel(label string) bool {
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -56,6 +56,10 @@
 	Now func() time.Time
 	// Wall reads the time of day, from which fencing tokens are made.
 	Wall func() time.Time
+	// EvacuationApplyTime is the time after the operator's request within which no task may
+	// be started any more in an evacuated failure domain; 0 means that there are no
+	// evacuations.
+	EvacuationApplyTime time.Duration
 }
 
 // Service runs the Host state machine of this host: it delivers events to it and
@@ -99,7 +103,7 @@
 	s.host = NewHost(HostConfig{
 		Self:      c.Self,
 		NextToken: func(_ time.Time, refused uint64) uint64 { return tokens.Next(c.Wall(), refused) },
-		Log:       c.Log, Now: c.Now(),
+		Log:       c.Log, Now: c.Now(), EvacuationApplyTime: c.EvacuationApplyTime,
 	})
 	return s
 }
@@ -143,6 +147,7 @@
 	s.kvstore.OnHostsRead(func(r kvstore.HostsRead) {
 		s.enqueue(func(h *Host, now time.Time) { h.pool.HandleServerListRead(now, r.Took, r.Err == nil) })
 	})
+	s.followEvacuations()
 	done := make(chan error, 1)
 	go func() {
 		s.loop(ctx)
@@ -183,12 +188,15 @@
 			s.hostsNeeded = hostsNeeded
 			s.kvstore.SetHostsNeeded(hostsNeeded)
 		}
+		if s.host.pool.TakeEvacuationsReread() {
+			s.kvstore.RereadEvacuations()
+		}
 	}
 }
 
 func (s *Service) tick(h *Host, now time.Time) {
 	h.Tick(now)
-	st := h.Status()
+	st := h.Status(now)
 	s.mu.Lock()
 	s.status = st
 	s.mu.Unlock()
@@ -382,6 +390,22 @@
 	})
 }
 
+// followEvacuations passes the evacuations to the host.
+func (s *Service) followEvacuations() {
+	if s.cfg.EvacuationApplyTime == 0 {
+		return
+	}
+	s.kvstore.OnEvacuations(func(e kvstore.Evacuations) {
+		s.enqueue(func(h *Host, now time.Time) {
+			h.entry.SetEvacuations(e.FailureDomains)
+			h.pool.SetEvacuated(now, e.Contains(s.cfg.Self.FailureDomain))
+		})
+	})
+	s.kvstore.OnEvacuationsRead(func(r kvstore.EvacuationsRead) {
+		s.enqueue(func(h *Host, now time.Time) { h.pool.HandleEvacuationsRead(now, r.Took, r.Err == nil) })
+	})
+}
+
 // Submit submits a caller's job. It calls answer with the result, at most once and
 // from the loop, so answer must not block. It returns the function to call when the
 // caller has left before the result.
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -96,8 +96,9 @@
 	Failed
 	// Refused means that no task of the job has started or will start.
 	Refused
-	// Returned means that a host refused the job because it is not the owner, or is
-	// a leaving owner; the entry host submits the job to another owner.
+	// Returned means that a host refused the job because it is not the owner, is a
+	// leaving owner, or owns an evacuated failure domain; the entry host submits the job
+	// to another owner.
 	Returned
 )
 
