--- a/internal/daemon/virtual_scenario_test.go
+++ b/internal/daemon/virtual_scenario_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/settings"
 )
 
 // A scenario runs whole daemons in a simulation and injects faults that it draws from a
@@ -42,7 +44,10 @@
 //
 //  9. Alive: no host declares a running incarnation dead.
 //
-// Checks 4 to 6 apply while there has been no unplanned fault for settleTime.
+//  10. Evacuation: no task is started in a failure domain that has been evacuated for
+//     longer than maxEvacuateTime. This applies to the scenarios with evacuations.
+//
+// Checks 4 to 6 and 10 apply while there has been no unplanned fault for settleTime.
 type scenario struct {
 	*simulation
 	scenarioConfig
@@ -84,6 +89,8 @@
 	domains, hostsPerDomain, serversPerDomain int
 	callers                                   int
 	faultsDuration                            time.Duration
+	// adjust, if set, changes the settings of the hosts.
+	adjust func(*settings.Daemon)
 }
 
 // smallScenario is the size at which many seeds can be run.
@@ -323,7 +330,7 @@
 
 // watchServers checks the servers until the scenario is finished (checks 1 and 6).
 func (sc *scenario) watchServers() {
-	violations, late := 0, 0
+	violations, late, evacuated := 0, 0, 0
 	for {
 		time.Sleep(5 * time.Millisecond)
 		if v := sc.servers.Violations(); len(v) > violations {
@@ -336,6 +343,12 @@
 			}
 			late = len(l)
 		}
+		if l := sc.servers.EvacuatedStarts(maxEvacuateTime); len(l) > evacuated {
+			if x := l[evacuated]; sc.calmBefore(x.At) {
+				sc.failf("Evacuation: %s was started on %s, whose domain had been evacuated for %v", x.Task, x.Server, x.EvacuatedFor)
+			}
+			evacuated = len(l)
+		}
 		sc.mu.Lock()
 		finished := sc.finished
 		sc.mu.Unlock()
@@ -415,7 +428,11 @@
 func runScenario(t *testing.T, c scenarioConfig) map[string]int {
 	t.Helper()
 	var counts map[string]int
-	simulate(t, c.domains, c.hostsPerDomain, c.serversPerDomain, func(s *simulation) {
+	adjust := c.adjust
+	if adjust == nil {
+		adjust = func(*settings.Daemon) {}
+	}
+	simulateWith(t, c.domains, c.hostsPerDomain, c.serversPerDomain, adjust, func(s *simulation) {
 		sc := &scenario{
 			simulation: s, scenarioConfig: c, rand: newSeededRand(c.seed), knownQueues: map[*simHost]int{},
 			startedAt: map[*simHost]time.Time{}, unavailable: map[*simHost]bool{}, counts: map[string]int{},
@@ -473,13 +490,18 @@
 	for name, kind := range faultKinds {
 		scenarios[name] = map[string]faultKind{name: kind, "Configuration": configuration}
 	}
+	scenarios["Evacuations"] = evacuationKinds()
 	for name, kinds := range scenarios {
 		if raceDetector && name != "All" {
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
 			for seed := first; seed < first+count; seed++ {
-				counts := runScenario(t, smallScenario(seed, kinds))
+				c := smallScenario(seed, kinds)
+				if kinds["Evacuation"].begin != nil {
+					c.adjust = withEvacuations
+				}
+				counts := runScenario(t, c)
 				if counts["200"] < counts["wanted"] && name != "All" || t.Failed() {
 					t.Fatalf("seed %d: %v", seed, counts)
 				}
--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -87,6 +87,12 @@
 // test fails if a host has declared a running incarnation dead, or if a server exceeded
 // its capacity or a task ran on two servers at once.
 func simulate(t *testing.T, domains, hosts, servers int, run func(s *simulation)) {
+	t.Helper()
+	simulateWith(t, domains, hosts, servers, func(*settings.Daemon) {}, run)
+}
+
+// simulateWith is simulate with hosts whose settings adjust may change.
+func simulateWith(t *testing.T, domains, hosts, servers int, adjust func(*settings.Daemon), run func(s *simulation)) {
 	t.Helper()
 	warmUp()
 	synctest.Test(t, func(t *testing.T) {
@@ -119,7 +125,9 @@
 				}
 			}
 			for n := range hosts {
-				s.hosts = append(s.hosts, &simHost{set: s.settings(d, n)})
+				h := &simHost{set: s.settings(d, n)}
+				adjust(&h.set)
+				s.hosts = append(s.hosts, h)
 			}
 		}
 		for _, h := range s.hosts {
--- a/internal/worker/evacuation_test.go
+++ b/internal/worker/evacuation_test.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// TestEvacuationStartsNothingBeforeLateTick checks that the end of the finish time holds for
+// an event that comes before the first tick after it, as on a host that was suspended.
+func TestEvacuationStartsNothingBeforeLateTick(t *testing.T) {
+	p, answering := newEvacuationTester(t, 1)
+	p.pool.Submit(p.now, 1, waitingJob("1", 2))
+	p.advance(time.Millisecond, answering...)
+	p.pool.SetEvacuated(p.now, true)
+	p.advance(2*maxFinishTime, answering...)
+	s := p.pool.servers["00"]
+	for _, r := range s.runs {
+		p.pool.runEnded(p.now, s, r, RunDone)
+	}
+	p.pool.place(p.now)
+	p.results(answering...)
+	if len(p.starts) != 1 {
+		t.Errorf("%d starts, want one, from before the evacuation", len(p.starts))
+	}
+}
+
 // TestReleasedServersComeBackGradually checks that a release doesn't send the whole load to
 // servers that may be cold.
 func TestReleasedServersComeBackGradually(t *testing.T) {
