--- a/internal/kvstore/evacuation_test.go
+++ b/internal/kvstore/evacuation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -52,3 +53,30 @@
 		}
 	})
 }
+
+// TestReread checks that a host which needs the present evacuations reads beside its watch,
+// and that it doesn't call a store that fails more often.
+func TestReread(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	started := func() *ConfigurationSyncer {
+		s := &ConfigurationSyncer{}
+		read := s.Tick(now)[0].Read
+		watch := s.StoreResponded(now, StoreResponse{Call: read.Call, KeyVersion: 7, Configuration: &AppliedConfiguration{Version: 1}})
+		if len(watch) != 1 || watch[0].Watch == nil {
+			t.Fatalf("no watch after the first read: %+v", watch)
+		}
+		return s
+	}
+	s := started()
+	actions := s.Reread(now.Add(time.Second))
+	if len(actions) != 1 || actions[0].Read == nil {
+		t.Errorf("got %+v, want a read", actions)
+	}
+	s = started()
+	s.StoreFailed(now.Add(time.Second), s.call.id)
+	for _, a := range s.Reread(now.Add(time.Second)) {
+		if a.Read != nil || a.Watch != nil {
+			t.Errorf("the failing store is called at once: %+v", a)
+		}
+	}
+}
