worker: a session outlives its connection

When connections between hosts stopped delivering without an end, callers were answered 502 for all jobs on them, and 503 while no owner was known. Cause: a session was its connection. It ended after 350 ms of silence with its jobs, and the owner was not a candidate for 2 s, although new connections to it worked.

An entry host now dials the same incarnation again when heartbeats or acks stay away, and attaches the session to the new path within its lease. The owner sends results again whose arrival it doesn't know, and names the jobs it never accepted, which are offered again. The lease still counts from when the newest acked heartbeat was sent (TestLeaseChain). A submission that no stream took is offered elsewhere or answered as not run.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -146,10 +146,12 @@
 func (s *Service) installLink(address string, l *link) {
 	s.mu.Lock()
 	s.links[address] = l
+	s.running[l] = true
 	s.mu.Unlock()
 	go func() {
 		l.run(func(f frame) { s.handle(f, l.incarnation, func(r frame) { l.out.Offer(r) }) })
 		s.mu.Lock()
+		delete(s.running, l)
 		if s.links[address] == l {
 			delete(s.links, address)
 		}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -149,6 +149,9 @@
 	return now.Sub(time.Unix(0, l.lastRead.Load())) > suspectTimeout
 }
 
+// silentSince reports whether no frame has been received since a time.
+func (l *link) silentSince(t time.Time) bool { return l.lastRead.Load() < t.UnixNano() }
+
 // deliverReply passes a reply to the call that waits for it, if there still is one.
 func (l *link) deliverReply(f frame) {
 	l.mu.Lock()
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -65,7 +65,10 @@
 	members *Membership
 	// links holds the dialed links by address; dialing holds for each address that
 	// is being dialed a channel that is closed when the attempt has ended.
-	links    map[string]*link
+	links map[string]*link
+	// running holds all dialed links that have not ended, also those that others have
+	// replaced.
+	running  map[*link]bool
 	dialing  map[string]chan struct{}
 	accepted map[*websocket.Conn]bool
 	// activeWriters is the number of goroutines that write to accepted connections.
@@ -98,6 +101,7 @@
 		events:        ring.New[func(time.Time)](eventQueueLen),
 		members:       NewMembership(MembershipConfig{Self: c.Self, Seeds: c.Seeds, Rand: c.Rand}),
 		links:         map[string]*link{},
+		running:       map[*link]bool{},
 		dialing:       map[string]chan struct{}{},
 		accepted:      map[*websocket.Conn]bool{},
 		calls:         map[string]func(context.Context, []byte) ([]byte, error){},
@@ -368,7 +372,7 @@
 func (s *Service) closeConnections() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, l := range s.links {
+	for l := range s.running {
 		l.close()
 	}
 	for c := range s.accepted {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -57,15 +57,20 @@
 	if l.incarnation != target {
 		return nil, s.incarnationEnded(target, l.incarnation)
 	}
+	return s.addStream(l, name, onMessage, onClose), nil
+}
+
+// addStream opens a stream on a link.
+func (s *Service) addStream(l *link, name string, onMessage func([]byte), onClose func()) *Stream {
 	st := &Stream{
-		Peer: target, name: name, onMessage: onMessage, onClose: onClose, closeLink: l.close,
+		Peer: l.incarnation, name: name, onMessage: onMessage, onClose: onClose, closeLink: l.close,
 		send: func(f frame) bool { return s.offerAndCount(l.out.Offer, f) },
 	}
 	l.addStream(st)
 	// The first frame opens the stream at the other host; without a body it carries
 	// no message.
 	st.Send(nil)
-	return st, nil
+	return st
 }
 
 // offerAndCount offers a frame to a send queue and counts it as sent if there was
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -98,6 +98,8 @@
 	Open *Candidate
 	// Close ends the session with an incarnation.
 	Close string
+	// Dial opens a new path to an owner, Adopt makes it carry the session.
+	Dial, Adopt *PathDial
 	// Send sends a message on the session with an incarnation.
 	Send *OwnerMessage
 	// Local submits a job to this host's own pool, or cancels it there.
@@ -137,6 +139,7 @@
 	openingSince time.Time
 	lastContact  time.Time
 	heartbeat    heartbeat
+	path         sessionPath
 }
 
 // usable reports whether new jobs may be sent to the owner.
@@ -188,6 +191,8 @@
 	jobs         map[string]*entryJob
 	waiters      map[WaiterID]string
 	lastWaiter   WaiterID
+	// lastAttach is the number of the last attach.
+	lastAttach uint64
 	// firstPeerAt is the time at which the host first knew another member.
 	firstPeerAt time.Time
 	// peerConsulted is set once this host need not ask another one before it assumes
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -26,6 +26,9 @@
 	Open    *Candidate
 	CloseTo string
 	SendTo  *OwnerMessage
+	// Dial opens another stream to an incarnation, Adopt makes it replace the present one,
+	// which is closed.
+	Dial, Adopt *PathDial
 	// Reply sends a message on a session that an entry host has opened,
 	// CloseSession closes such a session.
 	Reply        *SessionMessage
@@ -139,9 +142,11 @@
 	due, ended := h.sessions.Tick(now)
 	for _, id := range ended {
 		h.cfg.Log.Warn().Uint64("Session", uint64(id)).Msg("SessionExpired")
-		h.actions = append(h.actions, HostAction{CloseSession: id})
 		h.pool.DropSession(now, id, "EntryHostSilent")
 	}
+	for _, path := range h.sessions.takeUnusedPaths() {
+		h.actions = append(h.actions, HostAction{CloseSession: path})
+	}
 	if len(due) == 0 {
 		return
 	}
@@ -156,7 +161,7 @@
 		if h.leaving {
 			hb.RetainedServers = h.pool.RetainedServers()
 		}
-		h.actions = append(h.actions, HostAction{Reply: &SessionMessage{id, message{Heartbeat: &hb}}})
+		h.actions = append(h.actions, HostAction{Reply: h.sessions.heartbeatMessage(id, &hb)})
 	}
 }
 
@@ -181,6 +186,8 @@
 	switch {
 	case a.Open != nil:
 		h.actions = append(h.actions, HostAction{Open: a.Open})
+	case a.Dial != nil || a.Adopt != nil:
+		h.actions = append(h.actions, HostAction{Dial: a.Dial, Adopt: a.Adopt})
 	case a.Close != "":
 		h.actions = append(h.actions, HostAction{CloseTo: a.Close})
 	case a.Send != nil:
@@ -214,7 +221,7 @@
 	case a.Answer != nil && a.Answer.Session == localSession:
 		h.entry.HandleResult(now, h.cfg.Self.Incarnation, a.Answer.Result)
 	case a.Answer != nil:
-		h.actions = append(h.actions, HostAction{Reply: &SessionMessage{a.Answer.Session, message{Result: &a.Answer.Result}}})
+		h.replyResult(a.Answer.Session, a.Answer.Result)
 	case a.Fenced:
 		h.entry.Fenced(now)
 	}
@@ -224,31 +231,38 @@
 func (h *Host) handleOwnerMessage(now time.Time, owner string, m message) {
 	switch {
 	case m.Heartbeat != nil:
-		h.entry.HandleHeartbeat(now, owner, *m.Heartbeat)
+		h.entry.handleSessionHeartbeat(now, owner, m)
 	case m.Result != nil:
 		h.entry.HandleResult(now, owner, *m.Result)
+	case m.Attached != nil:
+		h.entry.handleAttached(now, owner, *m.Attached)
 	}
 }
 
-// handleEntryMessage handles a message from an entry host on a session that the entry
+// handleEntryMessage handles a message from an entry host on a path that the entry
 // host opened.
-func (h *Host) handleEntryMessage(now time.Time, id SessionID, m message) {
-	if !h.sessions.Has(id) {
+func (h *Host) handleEntryMessage(now time.Time, path SessionID, m message) {
+	id, ok := h.sessions.idOf(path)
+	if !ok {
 		return
 	}
 	switch {
+	case m.Attach != nil:
+		h.handleAttach(now, path, *m.Attach)
 	case m.Ack != 0:
 		h.sessions.Ack(id, m.Ack)
 	case m.Submit != nil:
+		h.sessions.forgetResult(id, m.Submit.ID)
 		h.pool.Submit(now, id, *m.Submit)
 	case m.Cancel != "":
 		h.pool.Cancel(now, id, m.Cancel)
 	}
 }
 
-// handleIncomingSessionClosed handles the end of a session that an entry host opened.
-func (h *Host) handleIncomingSessionClosed(now time.Time, id SessionID) {
-	if h.sessions.Has(id) {
+// handleIncomingSessionClosed handles the end of a path that an entry host opened. The
+// session ends with it unless another path carries it.
+func (h *Host) handleIncomingSessionClosed(now time.Time, path SessionID) {
+	if id, ok := h.sessions.idOf(path); ok {
 		h.sessions.Close(id)
 		h.pool.DropSession(now, id, "EntryHostGone")
 	}
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -1,13 +1,20 @@
 package worker
 
 // message is one message on a session between an entry host and an owner. Exactly
-// one field is set: the owner sends Heartbeat and Result, the entry host the others.
+// one field is set, besides Session and Acked: the owner sends Heartbeat, Result and
+// Attached, the entry host the others. A host ignores fields that it doesn't know.
 type message struct {
 	Heartbeat *heartbeat `cbor:"1,keyasint,omitempty"`
 	Ack       uint64     `cbor:"2,keyasint,omitempty"`
 	Submit    *Job       `cbor:"3,keyasint,omitempty"`
 	Cancel    string     `cbor:"4,keyasint,omitempty"`
 	Result    *Result    `cbor:"5,keyasint,omitempty"`
+	Attach    *attach    `cbor:"6,keyasint,omitempty"`
+	Attached  *attached  `cbor:"7,keyasint,omitempty"`
+	// Session and Acked accompany a heartbeat: the session, to which the entry host may
+	// attach, and the newest ack that has arrived.
+	Session SessionID `cbor:"8,keyasint,omitempty"`
+	Acked   uint64    `cbor:"9,keyasint,omitempty"`
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -56,7 +56,7 @@
 	}
 	for _, d := range e.domains {
 		v := e.views[d]
-		if v == nil || !v.usable() {
+		if v == nil || !v.usable() || v.path.suspect() {
 			continue
 		}
 		cost := spillOverMargin
@@ -89,6 +89,10 @@
 		e.actions = append(e.actions, EntryAction{Local: &m})
 		return
 	}
+	if v := e.viewOf(owner); v != nil && v.path.suspect() {
+		v.path.held = append(v.path.held, m)
+		return
+	}
 	e.actions = append(e.actions, EntryAction{Send: &OwnerMessage{owner, m}})
 }
 
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -37,6 +37,7 @@
 			e.dropDraining(now, id, "SessionSilent")
 			continue
 		}
+		e.tickPath(now, v)
 		// This host may become the owner later and must not acquire these servers
 		// then.
 		needed := !e.leaving && v.domain == e.cfg.Self.FailureDomain && len(v.heartbeat.RetainedServers) > 0
@@ -95,6 +96,8 @@
 		}
 		if unresponsive {
 			e.ownerLost(now, v, "SessionSilent")
+		} else {
+			e.tickPath(now, v)
 		}
 	}
 	waiting := v.candidate.Incarnation != "" && (!v.open || v.heartbeat.Number == 0)
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -73,7 +73,11 @@
 	host           *Host
 	ownerStreams   map[string]*peer.Stream
 	sessionStreams map[SessionID]*peer.Stream
-	waiters        map[WaiterID]func(Result)
+	// newPaths has the streams on which an attach was sent, unsent the submissions that no
+	// stream took.
+	newPaths map[pathKey]*peer.Stream
+	unsent   []unsent
+	waiters  map[WaiterID]func(Result)
 	// hostsNeeded is whether this host last told the platform that it needs the list
 	// of hosts.
 	hostsNeeded bool
@@ -89,7 +93,7 @@
 func New(c Config) *Service {
 	s := &Service{
 		cfg: c, events: ring.New[func(*Host, time.Time)](eventQueueLen), ownerStreams: map[string]*peer.Stream{},
-		sessionStreams: map[SessionID]*peer.Stream{}, waiters: map[WaiterID]func(Result){},
+		sessionStreams: map[SessionID]*peer.Stream{}, newPaths: map[pathKey]*peer.Stream{}, waiters: map[WaiterID]func(Result){},
 		submitted: metrics.GetOrRegisterCounter("Worker.Submitted", c.Metrics),
 		answered:  metrics.GetOrRegisterCounter("Worker.Answered", c.Metrics),
 		latency: metrics.GetOrRegisterHistogram("Worker.AnswerMs", c.Metrics,
@@ -179,6 +183,7 @@
 		for _, a := range s.host.HandleEvent(now, event) {
 			s.perform(now, a)
 		}
+		s.reportUnsent(now)
 		if hostsNeeded := s.host.pool.IsOwner(); hostsNeeded != s.hostsNeeded {
 			s.hostsNeeded = hostsNeeded
 			s.kvstore.SetHostsNeeded(hostsNeeded)
@@ -194,18 +199,22 @@
 	s.mu.Unlock()
 }
 
-func (s *Service) sendMessage(st *peer.Stream, m message) {
+// sendMessage queues a message on a stream. It reports false if the stream can't take it,
+// and closes the stream then.
+func (s *Service) sendMessage(st *peer.Stream, m message) bool {
 	b, err := cbor.Marshal(m)
 	if err != nil {
 		s.cfg.Log.Error().Err(err).Msg("MessageEncodingFailed")
-		return
+		return false
 	}
 	if !st.Send(b) {
 		// Sessions rely on messages that arrive in order and without gaps, so the
 		// stream is closed when it can't take one.
 		s.cfg.Log.Warn().Str("Peer", st.Peer).Msg("StreamFull")
 		st.Close()
+		return false
 	}
+	return true
 }
 
 func (s *Service) perform(now time.Time, a HostAction) {
@@ -235,10 +244,13 @@
 			delete(s.ownerStreams, a.CloseTo)
 			st.Close()
 		}
+		s.closeNewPaths(a.CloseTo)
+	case a.Dial != nil:
+		go s.openPath(*a.Dial)
+	case a.Adopt != nil:
+		s.adoptPath(*a.Adopt)
 	case a.SendTo != nil:
-		if st := s.ownerStreams[a.SendTo.To]; st != nil {
-			s.sendMessage(st, a.SendTo.Message)
-		}
+		s.sendToOwner(a.SendTo)
 	case a.CloseSession != 0:
 		if st := s.sessionStreams[a.CloseSession]; st != nil {
 			delete(s.sessionStreams, a.CloseSession)
@@ -274,24 +286,28 @@
 func (s *Service) openSession(c Candidate) {
 	ctx, cancel := context.WithTimeout(s.ctx, openTimeout)
 	defer cancel()
+	// Only the loop uses current and ended. The stream may end before the loop
+	// handles its opening, or after another stream has replaced it.
+	var current *peer.Stream
+	ended := false
 	receive := func(b []byte) {
 		var m message
 		if err := cbor.Unmarshal(b, &m); err != nil {
 			s.cfg.Log.Warn().Str("Peer", c.Incarnation).Err(err).Msg("MessageMalformed")
 			return
 		}
-		s.enqueue(func(h *Host, now time.Time) { h.handleOwnerMessage(now, c.Incarnation, m) })
+		s.enqueue(func(h *Host, now time.Time) {
+			// A heartbeat counts only on the stream that carries the session.
+			if m.Heartbeat == nil || s.ownerStreams[c.Incarnation] == current {
+				h.handleOwnerMessage(now, c.Incarnation, m)
+			}
+		})
 	}
-	// Only the loop uses current and ended. The stream may end before the loop
-	// handles its opening, or after another stream has replaced it.
-	var current *peer.Stream
-	ended := false
 	closed := func() {
 		go s.enqueue(func(h *Host, now time.Time) {
 			ended = true
-			if current != nil && s.ownerStreams[c.Incarnation] == current {
-				delete(s.ownerStreams, c.Incarnation)
-				h.entry.HandleSessionClosed(now, c.Incarnation, "SessionBroke")
+			if current != nil {
+				s.ownerStreamEnded(h, now, current)
 			}
 		})
 	}
--- a/internal/worker/session.go
+++ b/internal/worker/session.go
@@ -40,6 +40,7 @@
 	sent            [maxUnackedHeartbeats]time.Time
 	confirmedAt     time.Time
 	nextHeartbeatAt time.Time
+	attachState
 }
 
 // Sessions holds the sessions that entry hosts have opened with this host. It is
@@ -48,6 +49,9 @@
 	// list is sorted by ID, since IDs increase.
 	list []*session
 	last SessionID
+	// byPath has the sessions by the path that carries them. unusedPaths are to be closed.
+	byPath      map[SessionID]*session
+	unusedPaths []SessionID
 	// nextTickAt is the earliest time at which Tick can have something to do.
 	nextTickAt time.Time
 }
@@ -64,7 +68,9 @@
 // Open adds a session with the incarnation peer.
 func (s *Sessions) Open(now time.Time, peer string) SessionID {
 	s.last++
-	s.list = append(s.list, &session{id: s.last, peer: peer, confirmedAt: now})
+	o := &session{id: s.last, peer: peer, confirmedAt: now}
+	s.setPath(o, o.id)
+	s.list = append(s.list, o)
 	s.nextTickAt = now
 	return s.last
 }
@@ -73,6 +79,7 @@
 func (s *Sessions) Close(id SessionID) {
 	if o, n := s.find(id); o != nil {
 		s.list = slices.Delete(s.list, n, n+1)
+		s.removePaths(o)
 	}
 }
 
@@ -85,6 +92,7 @@
 	if at := o.sent[number%maxUnackedHeartbeats]; at.After(o.confirmedAt) {
 		o.confirmedAt = at
 	}
+	s.noteAck(o, number)
 }
 
 // Tick returns the sessions on which a heartbeat is due, with the number of the
