worker: tests of sessions on silent streams

One failure each in the simulation: silent one way, both, silent again during the attach, result, submission and cancellation in flight, owner dead or paused, refused attach, owner of the version before. TestSimulationSilentStreams has silent streams as a fault in a run of its own, so the other scenarios draw what they drew.

--- /dev/null
+++ b/internal/worker/session_attach_test.go
@@ -0,0 +1,179 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Only the incarnation of the session may attach, within the lease, and each time with a
+// higher number.
+func TestSessionsRefuseAttach(t *testing.T) {
+	tests := map[string]struct {
+		peer    string
+		after   time.Duration
+		session SessionID
+		number  uint64
+		want    bool
+	}{
+		"Accepted":           {peer: "entry", session: 1, number: 2, want: true},
+		"OtherIncarnation":   {peer: "other", session: 1, number: 2},
+		"LeaseOver":          {peer: "entry", after: sessionLease + time.Millisecond, session: 1, number: 2},
+		"AtEndOfLease":       {peer: "entry", after: sessionLease, session: 1, number: 2, want: true},
+		"UnknownSession":     {peer: "entry", session: 9, number: 2},
+		"OlderNumber":        {peer: "entry", session: 1, number: 1},
+		"SessionOfNewStream": {peer: "entry", session: 3, number: 2},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s Sessions
+			id := s.Open(testStart, "entry")
+			first := s.Open(testStart, "entry")
+			if s.Attach(testStart, first, attach{Session: id, Number: 1}) == nil {
+				t.Fatal("the first attach was refused")
+			}
+			path := s.Open(testStart, c.peer)
+			if got := s.Attach(testStart.Add(c.after), path, attach{Session: c.session, Number: c.number}) != nil; got != c.want {
+				t.Errorf("attached %v, want %v", got, c.want)
+			}
+			if got, _ := s.idOf(path); (got == id) != c.want {
+				t.Errorf("the new path carries session %d", got)
+			}
+			if _, ok := s.idOf(first); ok == c.want {
+				t.Errorf("the former path still counts: %v", ok)
+			}
+		})
+	}
+}
+
+// An attach extends the lease only by the heartbeat that it acks.
+func TestAttachDoesNotExtendLease(t *testing.T) {
+	var s Sessions
+	id := s.Open(testStart, "entry")
+	now := testStart.Add(sessionLease - 50*time.Millisecond)
+	if s.Attach(now, s.Open(now, "entry"), attach{Session: id, Number: 1}) == nil {
+		t.Fatal("the attach was refused")
+	}
+	if _, ended := s.Tick(testStart.Add(sessionLease + time.Millisecond)); len(ended) != 1 {
+		t.Error("the attach extended the lease")
+	}
+}
+
+// A result is kept until a heartbeat sent after it is acked, not one sent before it.
+func TestResultIsKeptUntilLaterHeartbeatIsAcked(t *testing.T) {
+	var s Sessions
+	id := s.Open(testStart, "entry")
+	s.Tick(testStart)
+	s.keepResult(id, Result{ID: "job"})
+	s.Ack(id, 1)
+	o, _ := s.find(id)
+	if len(o.kept) != 1 {
+		t.Fatal("the result was dropped after the ack of an earlier heartbeat")
+	}
+	s.Tick(testStart.Add(heartbeatInterval))
+	s.Ack(id, 2)
+	if len(o.kept) != 0 {
+		t.Error("the result is still kept after the ack of a later heartbeat")
+	}
+}
+
+// The former path is closed only when the entry host uses the new one.
+func TestFormerPathIsClosedAfterAck(t *testing.T) {
+	var s Sessions
+	id := s.Open(testStart, "entry")
+	s.Tick(testStart)
+	path := s.Open(testStart, "entry")
+	s.Attach(testStart, path, attach{Session: id, Number: 1, Ack: 1})
+	if got := s.takeUnusedPaths(); len(got) != 0 {
+		t.Errorf("paths %v are closed before an ack on the new one", got)
+	}
+	due, _ := s.Tick(testStart)
+	s.Ack(id, due[id])
+	if got := s.takeUnusedPaths(); len(got) != 1 || got[0] != id {
+		t.Errorf("paths %v are closed after the ack, want the former one", got)
+	}
+}
+
+// An owner of an earlier version names no session; its sessions end with their path.
+func TestNoAttachToOldOwner(t *testing.T) {
+	e := newTestEntry("b", "a")
+	acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+	waiter := e.Submit(testStart, Job{ID: "1"})
+	for now := testStart; !now.After(testStart.Add(sessionLease + tickInterval)); now = now.Add(tickInterval) {
+		e.Tick(now)
+	}
+	lost := false
+	for _, a := range e.TakeActions() {
+		if a.Dial != nil {
+			t.Error("a path to an owner that can't attach was dialed")
+		}
+		lost = lost || a.Answer != nil && a.Answer.Waiter == waiter && a.Answer.Result.Outcome == Lost
+	}
+	if !lost {
+		t.Error("the job was not lost at the end of the lease")
+	}
+}
+
+// A slow round trip must not look like lost acks.
+func TestLateAcksAreNotSilence(t *testing.T) {
+	e := newTestEntry("b", "a")
+	acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+	now := testStart
+	for n := uint64(2); n < 20; n++ {
+		now = now.Add(heartbeatInterval)
+		e.Tick(now)
+		e.handleSessionHeartbeat(now, "a", message{Heartbeat: &heartbeat{Number: n, IsOwner: true}, Session: 1, Acked: n - 2})
+	}
+	for _, a := range e.TakeActions() {
+		if a.Dial != nil {
+			t.Fatal("a path was dialed although each ack arrived after two intervals")
+		}
+	}
+}
+
+// A job that no stream took must not be answered as lost.
+func TestUnsentSubmissionIsRefused(t *testing.T) {
+	e := newTestEntry("b", "a")
+	acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+	waiter := e.Submit(testStart, Job{ID: "1"})
+	e.TakeActions()
+	e.HandleNotSent(testStart, "a", "1")
+	e.HandleSessionClosed(testStart, "a", "SessionBroke")
+	for _, a := range e.TakeActions() {
+		if a.Answer != nil && a.Answer.Waiter == waiter {
+			if a.Answer.Result.Outcome != Refused {
+				t.Errorf("the job was answered %v", a.Answer.Result.Outcome)
+			}
+			return
+		}
+	}
+	t.Error("the job was not answered")
+}
+
+// A host of the version before must understand the heartbeats of this one.
+func TestOldHostsReadHeartbeats(t *testing.T) {
+	type oldMessage struct {
+		Heartbeat *heartbeat `cbor:"1,keyasint,omitempty"`
+		Ack       uint64     `cbor:"2,keyasint,omitempty"`
+		Submit    *Job       `cbor:"3,keyasint,omitempty"`
+		Cancel    string     `cbor:"4,keyasint,omitempty"`
+		Result    *Result    `cbor:"5,keyasint,omitempty"`
+	}
+	for name, m := range map[string]message{
+		"Heartbeat": {Heartbeat: &heartbeat{Number: 7, IsOwner: true}, Session: 5, Acked: 6},
+		"Attach":    {Attach: &attach{Session: 5, Number: 1, Jobs: []string{"job"}}},
+	} {
+		b, err := cbor.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var old oldMessage
+		if err := cbor.Unmarshal(b, &old); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if (old.Heartbeat != nil) != (m.Heartbeat != nil) || old.Heartbeat != nil && old.Heartbeat.Number != 7 {
+			t.Errorf("%s: the old host reads %+v", name, old)
+		}
+	}
+}
--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -24,7 +24,11 @@
 		w.after(resubmitDelay, func() { w.submit(j) })
 		return
 	}
-	h := up[w.rand.IntN(len(up))]
+	w.submitTo(up[w.rand.IntN(len(up))], j)
+}
+
+// submitTo submits a job at a host.
+func (w *simulation) submitTo(h *simHost, j *simJob) {
 	at := &simAttempt{job: j, host: h, hostGeneration: h.generation}
 	j.attempts++
 	w.tracef("job %s is submitted at host%d", j.job.ID, h.index)
@@ -149,6 +153,7 @@
 			w.tracef("host%d and host%d are partitioned", a.index, b.index)
 		}
 	})
+	w.poisson(f.Silences, end, w.silence)
 	w.poisson(f.ServerCuts, end, func() {
 		s, h := server(), host()
 		s.cutUntil[h.index] = w.now.Add(span(5000))
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -18,6 +18,7 @@
 	h.leavingSince = time.Time{}
 	h.incarnation = fmt.Sprintf("%014d-%03d", w.now.UnixMicro()-simStartUnix*1_000_000, h.index)
 	h.streams, h.sessions, h.waiting = map[string]*simStream{}, map[worker.SessionID]*simStream{}, map[worker.WaiterID]*simAttempt{}
+	h.newPaths = map[worker.PathDial]*simStream{}
 	tokens := worker.NewTokenGenerator(h.address)
 	h.host = worker.NewHost(worker.HostConfig{
 		Self:      worker.Candidate{Incarnation: h.incarnation, Address: h.address, FailureDomain: h.domain},
@@ -116,24 +117,31 @@
 	case a.Open != nil:
 		c := *a.Open
 		w.after(3*linkDelay, func() { h.open(gen, c) })
+	case a.Dial != nil:
+		d := *a.Dial
+		w.after(3*linkDelay, func() { h.openPath(gen, d) })
+	case a.Adopt != nil:
+		h.adoptPath(*a.Adopt)
 	case a.CloseTo != "":
+		h.closeNewPaths(a.CloseTo)
 		if st := h.streams[a.CloseTo]; st != nil {
 			delete(h.streams, a.CloseTo)
 			st.disconnect()
 		}
 	case a.SendTo != nil:
 		if st := h.streams[a.SendTo.To]; st != nil {
-			m := a.SendTo.Message
-			st.deliver(0, func() {
-				st.to.do(st.toGeneration, func(x *worker.Host, now time.Time) { x.HandleEntryMessage(now, st.session, m) })
-			})
+			st.sendToOwner(a.SendTo.Message)
 		}
 	case a.Reply != nil:
 		if st := h.sessions[a.Reply.Session]; st != nil {
 			m := a.Reply.Message
 			owner := h.incarnation
 			st.deliver(1, func() {
-				st.from.do(st.fromGeneration, func(x *worker.Host, now time.Time) { x.HandleOwnerMessage(now, owner, m) })
+				st.from.do(st.fromGeneration, func(x *worker.Host, now time.Time) {
+					if m.Heartbeat == nil || st.from.streams[owner] == st {
+						x.HandleOwnerMessage(now, owner, m)
+					}
+				})
 			})
 		}
 	case a.CloseSession != 0:
@@ -172,7 +180,7 @@
 	}
 	st.lastDelivery[direction] = at
 	w.after(at.Sub(w.now), func() {
-		if !st.broken {
+		if !st.broken && !st.silent[direction] {
 			f()
 		}
 	})
@@ -192,11 +200,16 @@
 	}
 	w.after(delay, func() {
 		toGeneration, fromGeneration := st.toGeneration, st.fromGeneration
-		st.to.do(toGeneration, func(x *worker.Host, now time.Time) { x.HandleIncomingSessionClosed(now, st.session) })
+		if !st.silent[0] {
+			st.to.do(toGeneration, func(x *worker.Host, now time.Time) { x.HandleIncomingSessionClosed(now, st.session) })
+		}
+		if st.silent[1] {
+			return
+		}
 		st.from.do(fromGeneration, func(x *worker.Host, now time.Time) {
 			if st.from.streams[st.ownerIncarnation] == st {
 				delete(st.from.streams, st.ownerIncarnation)
-				x.Entry().HandleSessionClosed(now, st.ownerIncarnation, "SessionBroke")
+				x.Entry().HandlePathClosed(now, st.ownerIncarnation)
 			}
 		})
 	})
@@ -213,11 +226,7 @@
 		if o.incarnation != c.Incarnation {
 			break
 		}
-		st := &simStream{from: h, to: o, fromGeneration: gen, toGeneration: o.generation, ownerIncarnation: c.Incarnation}
-		o.do(o.generation, func(x *worker.Host, now time.Time) {
-			st.session = x.OpenSession(now, h.incarnation)
-			o.sessions[st.session] = st
-		})
+		st := h.newStream(gen, o)
 		h.do(gen, func(x *worker.Host, now time.Time) {
 			h.streams[c.Incarnation] = st
 			x.Entry().HandleSessionOpened(now, c.Incarnation)
--- a/internal/worker/simulation_runs_test.go
+++ b/internal/worker/simulation_runs_test.go
@@ -42,6 +42,21 @@
 	"AllOverloaded": {faults: allFaults, rate: 120},
 }
 
+// silentCases are scenarios in which streams go silent for good while new ones work.
+var silentCases = map[string]simCase{
+	"Silences":      {faults: simFaults{Silences: 0.5}, rate: 18, minServed: 0.98},
+	"LongSilences":  {faults: simFaults{Silences: 1}, rate: 1, meanRunTime: 2 * time.Second, minServed: 0.98},
+	"SilencesKills": {faults: simFaults{Silences: 2, Kills: 0.3}, rate: 18},
+	"SilencesCuts":  {faults: simFaults{Silences: 2, HostCuts: 1, Freezes: 0.3}, rate: 18},
+	"SilencesAll":   {faults: silentAll, rate: 20, meanRunTime: time.Second},
+}
+
+var silentAll = func() simFaults {
+	f := allFaults
+	f.Silences = 1
+	return f
+}()
+
 var allFaults = simFaults{
 	Lost: 0.02, Late: 0.03, RunFails: 0.05, Kills: 0.15, Freezes: 0.15, HostCuts: 0.2, ServerCuts: 0.2, Crashes: 0.2,
 	Leaves: 0.1, CallerLeaves: 0.1,
@@ -64,8 +79,13 @@
 // TestSimulationKeepsInvariants runs scenarios with faults. It checks the invariants Room,
 // Single and Refused, that every job has an answer when the run ends (Ends), and that
 // the share of callers served is at least the minimum of the scenario.
-func TestSimulationKeepsInvariants(t *testing.T) {
-	for name, c := range simCases {
+func TestSimulationKeepsInvariants(t *testing.T) { runScenarios(t, simCases) }
+
+// TestSimulationSilentStreams does the same with streams that go silent.
+func TestSimulationSilentStreams(t *testing.T) { runScenarios(t, silentCases) }
+
+func runScenarios(t *testing.T, cases map[string]simCase) {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			seeds := uint64(simSeeds)
@@ -83,7 +103,7 @@
 	}
 }
 
-func runScenario(t *testing.T, seed uint64, c simCase) *simulation {
+func runScenario(t testingT, seed uint64, c simCase) *simulation {
 	servers := c.servers
 	if servers == 0 {
 		servers = fewServers
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/phuslu/log"
@@ -28,7 +27,7 @@
 // It does not check a fourth one, Whole: when a job is answered as completed, every task
 // of it is done. The simulation of package daemon does.
 type simulation struct {
-	t      *testing.T
+	t      testingT
 	rand   *rand.Rand
 	now    time.Time
 	events eventHeap
@@ -47,7 +46,9 @@
 	// Counts of the results that callers received.
 	completed, onTime, failed, refused, lost, answers int
 	nextJob                                           int
-	log                                               *log.Logger
+	// onOpen, if set, is called with each new stream.
+	onOpen func(*simStream)
+	log    *log.Logger
 }
 
 // simFaults says how often faults occur.
@@ -64,6 +65,8 @@
 	// Steady makes the latency of commands and replies constant, so that none overtakes
 	// another.
 	Steady bool
+	// Silences is the rate at which some of the open streams go silent for good.
+	Silences float64
 	// CallerLeaves is the share of callers that leave within 400 ms if they have no result
 	// by then.
 	CallerLeaves float64
@@ -146,6 +149,7 @@
 	frozenUntil  time.Time
 	leavingSince time.Time
 	streams      map[string]*simStream
+	newPaths     map[worker.PathDial]*simStream
 	sessions     map[worker.SessionID]*simStream
 	waiting      map[worker.WaiterID]*simAttempt
 	generation   int
@@ -161,6 +165,9 @@
 	// ownerIncarnation is the incarnation with which the stream was opened.
 	ownerIncarnation string
 	broken           bool
+	// silent says in which directions the stream delivers nothing any more: from the entry
+	// host, to it.
+	silent [2]bool
 	// lastDelivery is the time at which the last message sent in each direction arrives.
 	lastDelivery [2]time.Time
 }
@@ -224,7 +231,13 @@
 	unchecked bool
 }
 
-func newSimulation(t *testing.T, c simConfig) *simulation {
+// testingT is what a simulation uses of *testing.T and *rapid.T.
+type testingT interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+func newSimulation(t testingT, c simConfig) *simulation {
 	w := &simulation{
 		t: t, rand: rand.New(rand.NewPCG(c.seed, c.seed)), now: time.Unix(simStartUnix, 0), jobs: map[string]*simJob{},
 		hostCuts: map[[2]int]time.Time{}, byID: map[string]*simServer{}, unchecked: c.unchecked,
