--- a/internal/worker/session_attach_test.go
+++ b/internal/worker/session_attach_test.go
@@ -177,3 +177,49 @@
 		}
 	}
 }
+
+// While a path is suspect the owner must get neither submissions nor cancellations on it,
+// and the cancellations once the session is attached.
+func TestMessagesAreHeldWhilePathIsSuspect(t *testing.T) {
+	e := newTestEntry("b", "a")
+	acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+	e.handleSessionHeartbeat(testStart, "a", message{Heartbeat: &heartbeat{Number: 2, IsOwner: true, Load: Load{Servers: 1}}, Session: 1, Acked: 1})
+	waiter := e.Submit(testStart, Job{ID: "1"})
+	now := testStart.Add(pathSilence + time.Millisecond)
+	e.TakeActions()
+	e.Tick(now)
+	var dial *PathDial
+	for _, a := range e.TakeActions() {
+		if a.Dial != nil {
+			dial = a.Dial
+		}
+	}
+	if dial == nil {
+		t.Fatal("no path was dialed")
+	}
+	if m := e.HandlePathOpened("a", dial.Number); m == nil || len(m.Attach.Jobs) != 1 {
+		t.Fatalf("the attach is %+v, want one with a job", m)
+	}
+	e.CallerLeft(now, waiter)
+	e.Submit(now, Job{ID: "2"})
+	e.Tick(now.Add(tickInterval))
+	for _, a := range e.TakeActions() {
+		if a.Send != nil {
+			t.Errorf("%+v was sent on the suspect path", a.Send.Message)
+		}
+	}
+	e.handleAttached(now.Add(tickInterval), "a", attached{Number: dial.Number})
+	e.Tick(now.Add(2 * tickInterval))
+	adopted, cancelled, submitted := false, false, false
+	for _, a := range e.TakeActions() {
+		adopted = adopted || a.Adopt != nil
+		if a.Send != nil && !adopted {
+			t.Error("a message was sent before the new path was adopted")
+		}
+		cancelled = cancelled || a.Send != nil && a.Send.Message.Cancel == "1"
+		submitted = submitted || a.Send != nil && a.Send.Message.Submit != nil && a.Send.Message.Submit.ID == "2"
+	}
+	if !cancelled || !submitted {
+		t.Errorf("cancelled %v, submitted %v after the attach, want both", cancelled, submitted)
+	}
+}
