--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -171,8 +171,12 @@
 	if target != "" && l.incarnation != target {
 		return nil, s.incarnationEnded(target, l.incarnation)
 	}
+	started := time.Now()
 	r, sent, err := l.call(ctx, frame{Kind: frameCall, Target: target, Name: name, Body: body})
 	if err != nil {
+		if time.Since(started) >= ackTimeout {
+			s.retireLink(l, started)
+		}
 		v := verdict.MayHaveRun
 		if !sent {
 			v = verdict.NotRun
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -29,7 +29,9 @@
 type link struct {
 	address     string
 	incarnation string
-	conn        *websocket.Conn
+	// dialedAt is when the handshake had ended.
+	dialedAt time.Time
+	conn     *websocket.Conn
 	// out is the send queue.
 	out *ring.Queue[frame]
 	// done is closed when the link is.
@@ -72,7 +74,7 @@
 		return nil, errors.Join(err, conn.Close())
 	}
 	l := &link{
-		address: address, incarnation: incarnation, conn: conn,
+		address: address, incarnation: incarnation, dialedAt: time.Now(), conn: conn,
 		out: ring.New[frame](linkQueueFrames), done: make(chan struct{}), calls: map[uint64]chan frame{},
 	}
 	l.lastRead.Store(time.Now().UnixNano())
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -14,9 +14,11 @@
 //     over all members that are up, so that the messages that it sends do not
 //     grow with the size of the cluster.
 //  2. If a ping is not acknowledged within ackTimeout or can't be sent, the
-//     host asks two other members to ping the target (indirect pings). If no
-//     acknowledgement arrives, directly or through one of them, within PingInterval
-//     of the first ping, the target becomes suspect.
+//     host asks two other members to ping the target (indirect pings). It also sends
+//     a ping that was not acknowledged again on a fresh connection, because the one
+//     in use may have stopped delivering for good. If no acknowledgement arrives,
+//     directly or through one of them, within PingInterval of the first ping, the
+//     target becomes suspect.
 //  3. A suspect that nobody reports alive for suspectTimeout becomes
 //     unreachable. Unreachable is an opinion, not a proof that the process has
 //     ended. It costs the member its slots on backend servers, and the other hosts
@@ -160,6 +162,9 @@
 type Ping struct {
 	Address string
 	Message Message
+	// Fresh says that the ping is sent again, on a connection dialed after SentAt.
+	Fresh  bool
+	SentAt time.Time
 }
 
 // Ack requests that the ping which is being handled is acknowledged.
@@ -229,6 +234,8 @@
 	// target is the incarnation that was pinged, empty for any.
 	target string
 	sentAt time.Time
+	// freshDone is set if the ping was sent again on a fresh connection.
+	freshDone bool
 	// indirectDone is set if no further indirect pings are to be requested: they have
 	// been, or this ping is itself an indirect one.
 	indirectDone bool
@@ -316,6 +323,11 @@
 			}
 			continue
 		}
+		if e != nil && !p.freshDone && age >= ackTimeout && !p.failed {
+			p.freshDone = true
+			again := Ping{Address: e.Address, Message: m.newMessage(p.target, seq), Fresh: true, SentAt: p.sentAt}
+			actions = append(actions, Action{Ping: &again})
+		}
 		if e != nil && !p.indirectDone && (age >= ackTimeout || p.failed) {
 			p.indirectDone = true
 			for _, h := range m.randomUp(indirectPings, p.target) {
@@ -445,7 +457,7 @@
 func (m *Membership) ping(now time.Time, address, target string) Action {
 	m.pingSeq++
 	m.pings[m.pingSeq] = &ping{target: target, sentAt: now}
-	return Action{Ping: &Ping{address, m.newMessage(target, m.pingSeq)}}
+	return Action{Ping: &Ping{Address: address, Message: m.newMessage(target, m.pingSeq)}}
 }
 
 // randomUp returns up to n random members that are up, without the incarnation
--- a/internal/peer/membership_test.go
+++ b/internal/peer/membership_test.go
@@ -25,14 +25,17 @@
 	members     []*Membership
 	down        map[string]bool
 	partitioned map[string]bool
-	bytes       int
-	frames      int
+	// silent holds the pairs of members whose connection, dialed by the first, delivers
+	// nothing any more. A new connection replaces it.
+	silent map[[2]string]bool
+	bytes  int
+	frames int
 }
 
 func address(i int) string { return fmt.Sprintf("127.0.0.1:%d", i) }
 
 func newCluster(n int, seed uint64) *cluster {
-	c := &cluster{rand: rand.New(rand.NewPCG(seed, 1)), now: start, down: map[string]bool{}, partitioned: map[string]bool{}}
+	c := &cluster{rand: rand.New(rand.NewPCG(seed, 1)), now: start, down: map[string]bool{}, partitioned: map[string]bool{}, silent: map[[2]string]bool{}}
 	for i := range n {
 		c.members = append(c.members, c.newMember(i, 1))
 	}
@@ -73,6 +76,13 @@
 			if to == nil || !c.reachable(from.self.Address, a.Ping.Address) {
 				continue
 			}
+			link := [2]string{from.self.Address, a.Ping.Address}
+			if a.Ping.Fresh {
+				delete(c.silent, link)
+			}
+			if c.silent[link] {
+				continue
+			}
 			for _, r := range to.HandlePing(c.now, a.Ping.Message) {
 				if r.Ack != nil {
 					c.countFrame(len(encode(heartbeat{Message: r.Ack.Message})))
@@ -302,3 +312,26 @@
 		}
 	}
 }
+
+// Members must not be suspected because open connections have stopped delivering.
+func TestSilentConnectionsSuspectNobody(t *testing.T) {
+	for _, share := range []float64{0.7, 1} {
+		c := newCluster(9, 1)
+		c.run(10 * time.Second)
+		for range 20 {
+			for _, a := range c.members {
+				for _, b := range c.members {
+					c.silent[[2]string{a.self.Address, b.self.Address}] = c.rand.Float64() < share
+				}
+			}
+			c.run(3 * time.Second)
+			for _, m := range c.members {
+				for _, o := range m.List() {
+					if o.State != Alive || o.Seq != 1 {
+						t.Fatalf("share %.1f: %s considers %s %v, at sequence number %d", share, m.self.Name, o.Name, o.State, o.Seq)
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/peer/received.go
+++ b/internal/peer/received.go
@@ -30,7 +30,7 @@
 	if p == nil {
 		return actions
 	}
-	if e := m.members[msg.From.Incarnation]; e != nil {
+	if e := m.members[msg.From.Incarnation]; e != nil && !p.freshDone {
 		e.RTT = (3*e.RTT + now.Sub(p.sentAt)) / 4
 	}
 	if p.target != "" && p.target != msg.From.Incarnation {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -259,6 +259,8 @@
 	changed := false
 	for _, a := range actions {
 		switch {
+		case a.Ping != nil && a.Ping.Fresh:
+			s.pingAfresh(*a.Ping)
 		case a.Ping != nil:
 			s.sendPing(*a.Ping)
 		case a.Ack != nil && reply != nil:
