--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -146,10 +146,12 @@
 func (s *Service) installLink(address string, l *link) {
 	s.mu.Lock()
 	s.links[address] = l
+	s.running[l] = true
 	s.mu.Unlock()
 	go func() {
 		l.run(func(f frame) { s.handle(f, l.incarnation, func(r frame) { l.out.Offer(r) }) })
 		s.mu.Lock()
+		delete(s.running, l)
 		if s.links[address] == l {
 			delete(s.links, address)
 		}
@@ -169,8 +171,12 @@
 	if target != "" && l.incarnation != target {
 		return nil, s.incarnationEnded(target, l.incarnation)
 	}
+	started := time.Now()
 	r, sent, err := l.call(ctx, frame{Kind: frameCall, Target: target, Name: name, Body: body})
 	if err != nil {
+		if time.Since(started) >= ackTimeout {
+			s.retireLink(l, started)
+		}
 		v := verdict.MayHaveRun
 		if !sent {
 			v = verdict.NotRun
