worker: keep the queue in order and in totals instead of walking it

What callers saw: with 350 servers at 2.2 times the load, 448 jobs were queued and sessions expired though no host had failed, because the owner's decision loop fell behind. Cause: each placement sorted the whole queue; the expected wait, the drain time and the load walked all jobs, the last two with a walk over all servers for each job. Change: queue.go keeps the waiting steps in order, grouped by what they need of a server, moves a job when it turns late or starts, and keeps totals of the ready tasks. jobKey.compare is the one definition of the order. Refusals of jobs that wait too long, and the jobs of a session, are found without a walk. Servers are still scanned. The expected wait may differ from the scan by 1 ns a ready task, since the scan rounded down for each job.

--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -20,7 +20,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -51,7 +50,7 @@
 // which the job is refused or returned.
 func (p *Pool) admit(now time.Time, j *job) (Result, bool) {
 	refuse := func(reason string, after time.Duration) (Result, bool) {
-		p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", reason).Int("Queued", len(p.queue)).
+		p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", reason).Int("Queued", len(p.jobs)).
 			Int64("WaitMs", p.expectedWait(now, j).Milliseconds()).Int64("RetryAfterMs", after.Milliseconds()).Msg("JobRefused")
 		return Result{Outcome: Refused, Reason: reason, RetryAfter: after}, false
 	}
@@ -103,7 +102,7 @@
 	}
 	p.queuedShare += (before - p.queuedShare) * (1 - math.Exp(-now.Sub(p.queueUpdatedAt).Seconds()/queuedShareTimeConstant.Seconds()))
 	p.queueUpdatedAt = now
-	p.hadQueue = slices.ContainsFunc(p.queue, func(j *job) bool { return j.readyTasks > 0 })
+	p.hadQueue = p.queue.readyJobs > 0
 }
 
 // slots returns how many tasks with the given need the servers of a service can
@@ -118,19 +117,19 @@
 	return n
 }
 
-// expectedWait estimates how long a job waits until the last task of its first step
+// expectedWait estimates how long a new job waits until the last task of its first step
 // is started.
 func (p *Pool) expectedWait(now time.Time, j *job) time.Duration {
-	var ahead time.Duration
-	for _, o := range p.queue {
-		if o == j || o.Priority > j.Priority && !o.started || o.late(now) {
-			continue
-		}
-		ahead += time.Duration(o.readyTasks) * p.runTimeEstimator.runTime(&o.Job, 0)
-	}
 	if len(j.Steps) == 0 {
 		return 0
 	}
+	p.queue.advance(now)
+	var ahead time.Duration
+	for _, t := range p.queue.totals {
+		if !t.late && (t.started || t.priority <= j.Priority) {
+			ahead += p.runTimeEstimator.totalRunTime(t)
+		}
+	}
 	slots := p.slots(j.Service, j.Steps[0].Need)
 	if slots == 0 {
 		return time.Second
@@ -143,25 +142,28 @@
 // queueDrainTime estimates how long the servers need for the waiting tasks, within
 // the bounds of Retry-After (rule 5).
 func (p *Pool) queueDrainTime() time.Duration {
-	var work time.Duration
-	slots := 1
-	for _, o := range p.queue {
-		work += time.Duration(o.readyTasks) * p.runTimeEstimator.runTime(&o.Job, 0)
-		slots = max(slots, p.slots(o.Service, o.Steps[0].Need))
+	work, slots := p.readyWork(), 1
+	for service, q := range p.queue.services {
+		if least, ok := q.firstNeeds.sorted.Min(); ok {
+			slots = max(slots, p.slots(service, Resources{CPUMilli: least}))
+		}
 	}
 	return min(max(work/time.Duration(slots), minRetryAfter), maxRetryAfter)
 }
 
+// readyWork returns the estimated run time of all ready tasks.
+func (p *Pool) readyWork() time.Duration {
+	var work time.Duration
+	for _, t := range p.queue.totals {
+		work += p.runTimeEstimator.totalRunTime(t)
+	}
+	return work
+}
+
 // refuseTooLate refuses the jobs that can no longer be answered in time (rule 4).
 func (p *Pool) refuseTooLate(now time.Time) {
-	factor := maxLateObjectives
-	if p.queueSaturated() {
-		factor = maxQueuedObjectives
-	}
-	for _, j := range p.sortedJobs() {
-		if !j.started && now.Add(j.criticalPath).After(j.answerDeadline(factor)) {
-			p.endJob(now, j, Result{Outcome: Refused, Reason: "WaitedTooLong", RetryAfter: p.queueDrainTime()})
-		}
+	for _, j := range p.queue.tooLateBy(now, p.queueSaturated()) {
+		p.endJob(now, j, Result{Outcome: Refused, Reason: "WaitedTooLong", RetryAfter: p.queueDrainTime()})
 	}
 }
 
@@ -185,15 +187,12 @@
 			l.FreeCPUMilli += s.free().CPUMilli
 		}
 	}
-	var work time.Duration
 	slots := 1
-	for _, o := range p.queue {
-		if o.readyTasks == 0 {
-			continue
+	for service, q := range p.queue.services {
+		if least, ok := q.readyFirstNeeds.sorted.Min(); ok {
+			slots = max(slots, p.slots(service, Resources{CPUMilli: least}))
 		}
-		work += time.Duration(o.readyTasks) * p.runTimeEstimator.runTime(&o.Job, 0)
-		slots = max(slots, p.slots(o.Service, o.Steps[0].Need))
 	}
-	l.WaitMs = (work / time.Duration(slots)).Milliseconds()
+	l.WaitMs = (p.readyWork() / time.Duration(slots)).Milliseconds()
 	return l
 }
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -129,10 +129,11 @@
 	p.trackedRuns[t.name]++
 	if !t.job.started {
 		t.job.started, t.job.firstStart = true, now
+		p.queue.starting = append(p.queue.starting, t.job)
 	}
 	t.job.lastStart = now
 	t.job.starts++
-	t.job.readyTasks--
+	p.queue.addReady(t.job, t.step, -1)
 	p.actions = append(p.actions, Action{Start: &ServerStart{
 		s.Server,
 		StartCommand{RunKey: r.RunKey, Spec: t.job.Spec, Deadline: r.deadline, Token: s.token},
--- a/internal/worker/estimate.go
+++ b/internal/worker/estimate.go
@@ -56,6 +56,17 @@
 	return time.Duration(r.declaredRatio * float64(e))
 }
 
+// totalRunTime returns the sum of the estimated run times of the tasks of a total. It
+// exceeds the sum of runTime over these tasks by up to a nanosecond a task, since
+// runTime rounds down, apart from the rounding of floating-point numbers.
+func (l runTimeEstimator) totalRunTime(t *readyTotal) time.Duration {
+	r := l[t.queue]
+	if r == nil {
+		return t.declared + time.Duration(t.undeclared)*priorRunTime
+	}
+	return time.Duration(r.declaredRatio*float64(t.declared)) + time.Duration(t.undeclared)*r.meanRunTime
+}
+
 // criticalPath returns the estimated run time of the longest chain of dependent
 // steps of a job.
 func (l runTimeEstimator) criticalPath(j *Job) time.Duration {
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -15,7 +15,7 @@
 //     skipped, see health.go.
 
 import (
-	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 )
@@ -23,63 +23,115 @@
 // place starts all ready tasks for which a server has enough free resources.
 func (p *Pool) place(now time.Time) {
 	defer p.updateQueuedShare(now)
-	if len(p.queue) == 0 || p.awaitsServerList(now) {
+	if len(p.jobs) == 0 || p.awaitsServerList(now) {
 		return
 	}
-	free := p.largestFree(now)
-	if free.CPUMilli <= 0 {
-		return
-	}
-	p.sortQueue(now)
-	for _, j := range p.queue {
-		if j.readyTasks == 0 {
+	p.queue.advance(now)
+	p.placeWaiting(now)
+	p.queue.settle()
+}
+
+// placeWaiting visits the waiting steps in the order of rule 1 and starts their tasks.
+// It leaves out the demands that no server fits. Placing tasks only takes resources
+// away, so such a demand need not be looked at again.
+func (p *Pool) placeWaiting(now time.Time) {
+	var first nextSteps
+	for service, q := range p.queue.services {
+		largest, ok := p.largestFreeCPU(now, service)
+		if !ok {
 			continue
 		}
-		for i := range j.Steps {
-			if j.remaining[i] == 0 || !j.Steps[i].Need.Fits(free) || !j.ready(i) {
-				continue
+		for d := range q.demands.All() {
+			if d.need.CPUMilli > largest {
+				break
 			}
-			if p.placeStep(now, j, i) {
-				free = p.largestFree(now)
+			if p.fitsSomewhere(now, d) {
+				w, _ := d.steps.Min()
+				first = append(first, w)
 			}
 		}
-		if free.CPUMilli <= 0 {
+	}
+	// A job with tasks that need no processor capacity is visited only while some is free.
+	needsNone := slices.ContainsFunc(first, func(w *waitingStep) bool { return w.demand.need.CPUMilli <= 0 })
+	heap.Init(&first)
+	var last *job
+	for len(first) > 0 {
+		w := first[0]
+		if needsNone && w.job != last && !p.anyCPUFree(now) {
 			return
 		}
+		last = w.job
+		d := w.demand
+		placed := p.placeStep(now, w.job, w.step)
+		next, ok := d.steps.Next(w)
+		if !ok || !placed && (w.job.Steps[w.step].MaxPerServer == 0 || !p.fitsSomewhere(now, d)) {
+			heap.Pop(&first)
+			continue
+		}
+		first[0] = next
+		heap.Fix(&first, 0)
 	}
 }
 
+// nextSteps is a heap of the next step of each demand.
+type nextSteps []*waitingStep
+
+func (h nextSteps) Len() int           { return len(h) }
+func (h nextSteps) Less(i, j int) bool { return compareSteps(h[i], h[j]) < 0 }
+func (h nextSteps) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *nextSteps) Push(x any)        { *h = append(*h, x.(*waitingStep)) }
+func (h *nextSteps) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
 // placeStep starts the waiting tasks of a step until there is no server for one of
-// them. It reports whether it started any.
+// them. It reports whether there was one for each.
 func (p *Pool) placeStep(now time.Time, j *job, step int) bool {
-	started := false
 	for _, t := range j.tasks[step] {
 		if t.done || t.assignedServer != nil || p.trackedRuns[t.name] > 0 {
 			continue
 		}
 		s := p.chooseServer(now, j, step)
 		if s == nil {
-			return started
+			return false
 		}
 		p.start(now, s, t)
-		started = true
 	}
-	return started
+	return true
 }
 
-// largestFree returns, for each resource, the largest free amount on one server.
-func (p *Pool) largestFree(now time.Time) Resources {
-	var m Resources
+// largestFreeCPU returns the largest free processor capacity of the servers of a
+// service that accept a task now; ok is false if there is none.
+func (p *Pool) largestFreeCPU(now time.Time, service string) (largest int, ok bool) {
 	for _, s := range p.orderedServers {
-		if !s.accepts(now) {
-			continue
+		if s.Service == service && s.accepts(now) && (!ok || s.free().CPUMilli > largest) {
+			largest, ok = s.free().CPUMilli, true
+		}
+	}
+	return largest, ok
+}
+
+// anyCPUFree reports whether a server of any service has free processor capacity.
+func (p *Pool) anyCPUFree(now time.Time) bool {
+	for _, s := range p.orderedServers {
+		if s.accepts(now) && s.free().CPUMilli > 0 {
+			return true
 		}
-		f := s.free()
-		m = Resources{
-			CPUMilli: max(m.CPUMilli, f.CPUMilli), MemoryMB: max(m.MemoryMB, f.MemoryMB), GPUs: max(m.GPUs, f.GPUs),
+	}
+	return false
+}
+
+// fitsSomewhere reports whether a server accepts a task of the demand now.
+func (p *Pool) fitsSomewhere(now time.Time, d *demand) bool {
+	for _, s := range p.orderedServers {
+		if s.Service == d.service && d.need.Fits(s.free()) && (d.requires == "" || s.hasLabel(d.requires)) && s.accepts(now) {
+			return true
 		}
 	}
-	return m
+	return false
 }
 
 // accepts reports whether a task may be started on the server now, regardless of
@@ -141,26 +193,3 @@
 func (j *job) late(now time.Time) bool {
 	return now.Add(j.criticalPath).After(j.arrived.Add(j.objective()))
 }
-
-func (p *Pool) sortQueue(now time.Time) {
-	less := func(a, b *job) int {
-		return cmp.Or(
-			compareBool(a.late(now), b.late(now)),
-			cmp.Compare(a.Priority, b.Priority),
-			compareBool(!a.started, !b.started),
-			a.arrived.Compare(b.arrived),
-			cmp.Compare(a.ID, b.ID),
-		)
-	}
-	slices.SortFunc(p.queue, less)
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -30,7 +30,6 @@
 // the commands and their replies are in commands.go.
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -129,8 +128,15 @@
 	// remaining is the number of tasks of each step that are not done.
 	remaining []int
 	// readyTasks is the number of tasks that wait only for a server: the steps
-	// before theirs are done. A start command lowers it.
-	readyTasks int
+	// before theirs are done. A start command lowers it. waitingSteps has them by
+	// step. Both change in addReady of the queue only.
+	readyTasks   int
+	waitingSteps []waitingStep
+	// queued reports whether the job is in the queue. key and total are its place
+	// there.
+	queued bool
+	key    jobKey
+	total  *readyTotal
 	// criticalPath is the estimated run time of the longest chain of steps.
 	criticalPath time.Duration
 }
@@ -156,10 +162,9 @@
 	// orderedServers holds the servers in the order in which they were first listed.
 	// It also holds the former incarnation of a server whose address has changed.
 	orderedServers []*server
-	// jobs and queue hold all jobs that have not ended, started or not. place sorts
-	// the queue.
+	// jobs and queue hold all jobs that have not ended, started or not.
 	jobs  map[string]*job
-	queue []*job
+	queue *jobQueue
 	// trackedRuns is the number of tracked runs of each task (rule 1), by the task's
 	// name because runs can outlast their job (rule 2). It can exceed 1 while servers
 	// list runs that this pool did not start.
@@ -186,7 +191,7 @@
 // NewPool returns a pool that owns no server.
 func NewPool(c PoolConfig) *Pool {
 	return &Pool{
-		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, trackedRuns: map[string]int{},
+		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), trackedRuns: map[string]int{},
 		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, failureMedian: map[string]failureMedian{},
 	}
 }
@@ -210,6 +215,7 @@
 		// The job has not ended yet; this session waits for its result as well.
 		if !slices.Contains(j.waiters, session) {
 			j.waiters = append(j.waiters, session)
+			p.queue.addWaiter(j, session)
 		}
 		return
 	}
@@ -220,7 +226,7 @@
 		return
 	}
 	p.jobs[in.ID] = j
-	p.queue = append(p.queue, j)
+	p.queue.add(now, j)
 	p.place(now)
 }
 
@@ -236,9 +242,11 @@
 		j.remaining = append(j.remaining, st.Count)
 	}
 	j.criticalPath = p.runTimeEstimator.criticalPath(&j.Job)
+	j.waitingSteps = make([]waitingStep, len(in.Steps))
 	for i := range in.Steps {
+		j.waitingSteps[i] = waitingStep{job: j, step: i}
 		if j.ready(i) {
-			j.readyTasks += in.Steps[i].Count
+			p.queue.addReady(j, i, in.Steps[i].Count)
 		}
 	}
 	return j
@@ -261,7 +269,7 @@
 	if j == nil {
 		return
 	}
-	j.waiters = slices.DeleteFunc(j.waiters, func(s SessionID) bool { return s == session })
+	p.removeWaiter(j, session)
 	if len(j.waiters) == 0 {
 		p.abandon(now, j, "CallerLeft")
 		p.place(now)
@@ -270,11 +278,8 @@
 
 // DropSession abandons all jobs that only this session waits for (rule 4).
 func (p *Pool) DropSession(now time.Time, session SessionID, reason string) {
-	for _, j := range p.sortedJobs() {
-		if !slices.Contains(j.waiters, session) {
-			continue
-		}
-		j.waiters = slices.DeleteFunc(j.waiters, func(s SessionID) bool { return s == session })
+	for _, j := range p.queue.ofSession(session) {
+		p.removeWaiter(j, session)
 		if len(j.waiters) == 0 {
 			p.abandon(now, j, reason)
 		}
@@ -282,6 +287,11 @@
 	p.place(now)
 }
 
+func (p *Pool) removeWaiter(j *job, session SessionID) {
+	j.waiters = slices.DeleteFunc(j.waiters, func(s SessionID) bool { return s == session })
+	p.queue.removeWaiter(j, session)
+}
+
 // abandon ends a job that can't be completed or that no session waits for. The
 // outcome is Lost if a task may have run, otherwise Refused.
 func (p *Pool) abandon(now time.Time, j *job, reason string) {
@@ -295,7 +305,7 @@
 // endJob removes a job, stops its remaining runs (rule 2) and answers its waiters.
 func (p *Pool) endJob(now time.Time, j *job, r Result) {
 	delete(p.jobs, j.ID)
-	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
+	p.queue.remove(j)
 	lastRun := 0
 	for _, tasks := range j.tasks {
 		for _, t := range tasks {
@@ -315,7 +325,7 @@
 	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).
 		Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Int64("ObjectiveMs", j.objective().Milliseconds()).
 		Int64("CriticalPathMs", j.criticalPath.Milliseconds()).Int64("FirstStartMs", j.msSinceArrival(j.firstStart)).Int64("LastStartMs", j.msSinceArrival(j.lastStart)).
-		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.queue)).Msg("JobEnded")
+		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.jobs)).Msg("JobEnded")
 	p.answer(j, r)
 }
 
@@ -349,9 +359,7 @@
 	for _, j := range p.jobs {
 		list = append(list, j)
 	}
-	slices.SortFunc(list, func(a, b *job) int {
-		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.ID, b.ID))
-	})
+	sortByArrival(list)
 	return list
 }
 
@@ -409,11 +417,11 @@
 			p.endJob(now, j, Result{Outcome: Failed, Reason: "TaskFailed"})
 			return
 		}
-		j.readyTasks++
+		p.queue.addReady(j, t.step, 1)
 	case RunStopped:
 		// The server refused the start, the start was not confirmed in time, or the
 		// run ended with the lease or the server. The task itself did not fail.
-		j.readyTasks++
+		p.queue.addReady(j, t.step, 1)
 	}
 }
 
@@ -434,7 +442,7 @@
 	for i := range j.Steps {
 		all = all && j.remaining[i] == 0
 		if slices.Contains(j.Steps[i].After, step) && j.ready(i) {
-			j.readyTasks += j.Steps[i].Count
+			p.queue.addReady(j, i, j.Steps[i].Count)
 		}
 	}
 	if all {
