worker: measure how late the decision loop handles events

The loop now measures, by the lane that an event belongs to, its age when it is handled and the time that it takes, and logs EventsLate when an event was older than 150 ms. One queue still serves all; nothing else is changed.

Acks and heartbeats needed 5 ms in that second, but waited up to 337 ms; 148 and 219 ms on the two other owners at the same time, and up to 475 ms on the hosts that became owners afterwards. sessionLease is 350 ms. So liveness does wait behind other events, as assumed; but replies of servers take more of the loop than submissions do (0.22 ms each, on a small host with 0.19 cores 1.3 ms), so a lane for submissions alone would not be enough.

--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -58,12 +58,19 @@
 	Wall func() time.Time
 }
 
+// queuedEvent is a change of the Host that waits for the loop.
+type queuedEvent struct {
+	run      func(h *Host, now time.Time)
+	queuedAt time.Time
+	lane     lane
+}
+
 // Service runs the Host state machine of this host: it delivers events to it and
 // carries out its actions, which send commands to backend servers, messages to other
 // hosts and results to callers.
 type Service struct {
 	cfg           Config
-	events        *ring.Queue[func(h *Host, now time.Time)]
+	events        *ring.Queue[queuedEvent]
 	peers         *peer.Service
 	kvstore       *kvstore.Service
 	commandQueues *commandQueues
@@ -74,6 +81,7 @@
 	ownerStreams   map[string]*peer.Stream
 	sessionStreams map[SessionID]*peer.Stream
 	waiters        map[WaiterID]func(Result)
+	meter          *loopMeter
 	// hostsNeeded is whether this host last told the platform that it needs the list
 	// of hosts.
 	hostsNeeded bool
@@ -88,8 +96,8 @@
 // New returns a Service that has not started; the kernel starts it.
 func New(c Config) *Service {
 	s := &Service{
-		cfg: c, events: ring.New[func(*Host, time.Time)](eventQueueLen), ownerStreams: map[string]*peer.Stream{},
-		sessionStreams: map[SessionID]*peer.Stream{}, waiters: map[WaiterID]func(Result){},
+		cfg: c, events: ring.New[queuedEvent](eventQueueLen), ownerStreams: map[string]*peer.Stream{},
+		sessionStreams: map[SessionID]*peer.Stream{}, waiters: map[WaiterID]func(Result){}, meter: newLoopMeter(c.Log, c.Metrics),
 		submitted: metrics.GetOrRegisterCounter("Worker.Submitted", c.Metrics),
 		answered:  metrics.GetOrRegisterCounter("Worker.Answered", c.Metrics),
 		latency: metrics.GetOrRegisterHistogram("Worker.AnswerMs", c.Metrics,
@@ -154,8 +162,10 @@
 
 // enqueue passes an event to the loop and waits while the queue is full. It drops no
 // event, since each may report the end of a command.
-func (s *Service) enqueue(f func(h *Host, now time.Time)) {
-	if err := s.events.Put(s.ctx, f); err != nil {
+func (s *Service) enqueue(f func(h *Host, now time.Time)) { s.enqueueIn(laneWork, f) }
+
+func (s *Service) enqueueIn(l lane, f func(h *Host, now time.Time)) {
+	if err := s.events.Put(s.ctx, queuedEvent{f, s.cfg.Now(), l}); err != nil {
 		// The service has ended, and nothing waits for the event any more.
 		return
 	}
@@ -167,22 +177,25 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		var event func(*Host, time.Time)
+		var e queuedEvent
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			event = s.tick
-		case event = <-s.events.C():
+			e = queuedEvent{s.tick, s.cfg.Now(), laneWork}
+		case e = <-s.events.C():
 		}
 		now := s.cfg.Now()
-		for _, a := range s.host.HandleEvent(now, event) {
+		for _, a := range s.host.HandleEvent(now, e.run) {
 			s.perform(now, a)
 		}
 		if hostsNeeded := s.host.pool.IsOwner(); hostsNeeded != s.hostsNeeded {
 			s.hostsNeeded = hostsNeeded
 			s.kvstore.SetHostsNeeded(hostsNeeded)
 		}
+		ended := s.cfg.Now()
+		s.meter.record(e.lane, e.queuedAt, now, ended, len(s.events.C()))
+		s.meter.report(ended, s.host.pool.Jobs())
 	}
 }
 
@@ -280,7 +293,7 @@
 			s.cfg.Log.Warn().Str("Peer", c.Incarnation).Err(err).Msg("MessageMalformed")
 			return
 		}
-		s.enqueue(func(h *Host, now time.Time) { h.handleOwnerMessage(now, c.Incarnation, m) })
+		s.enqueueIn(laneLiveness, func(h *Host, now time.Time) { h.handleOwnerMessage(now, c.Incarnation, m) })
 	}
 	// Only the loop uses current and ended. The stream may end before the loop
 	// handles its opening, or after another stream has replaced it.
@@ -333,7 +346,11 @@
 			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 			return
 		}
-		s.enqueue(func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
+		l := laneLiveness
+		if m.Submit != nil {
+			l = laneSubmissions
+		}
+		s.enqueueIn(l, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
 	}
 	closed = func() {
 		go s.enqueue(func(h *Host, now time.Time) {
@@ -388,7 +405,7 @@
 func (s *Service) Submit(job Job, answer func(Result)) (left func()) {
 	waiterID := make(chan WaiterID, 1)
 	s.submitted.Inc(1)
-	s.enqueue(func(h *Host, now time.Time) {
+	s.enqueueIn(laneSubmissions, func(h *Host, now time.Time) {
 		id, ok := h.Submit(now, job)
 		waiterID <- id
 		if !ok {
