worker: submissions wait in a mailbox, liveness goes first

Events now wait in lanes. What the messages of sessions say is handled before each other event, also before sessions are judged expired, so that an acknowledgment or a heartbeat that arrived in time counts if it is handled late. It changes only Sessions and Entry: no action for an expired session precedes its end, and the lease still counts from when the heartbeat was sent (TestLeaseChain unchanged). Then come cancellations, ends of sessions, replies of servers and lists. Submissions wait in the mailbox (mailbox.go) until there is nothing else. A cancellation or the end of a session removes the submission, or runs before any that enters later. The time in the mailbox counts in the job's age.

The path before the loop: a cancellation, a submission, the end of a stream and a list of members no longer wait for room in a queue on a goroutine that reads a link; submissions leave half of a link's send queue to other messages, and count as refused beyond; a submission that is not valid is refused instead of ending the owner by an index out of range.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -12,7 +12,9 @@
 	// Peer is the incarnation at the other end.
 	Peer string
 
-	send      func(frame) bool
+	send func(frame) bool
+	// queued returns the number of frames in the send queue; nil on an accepted stream.
+	queued    func() int
 	closeLink func()
 	name      string
 	onMessage func(body []byte)
@@ -26,6 +28,15 @@
 	return s.send(frame{Kind: frameStream, Name: s.name, Body: body})
 }
 
+// SendWithReserve queues a message unless the send queue of the link is half full, so that
+// the other half is left to Send. It reports whether it queued the message.
+func (s *Stream) SendWithReserve(body []byte) bool {
+	if s.queued != nil && s.queued() >= linkQueueFrames/2 {
+		return false
+	}
+	return s.Send(body)
+}
+
 // Close ends the link that carries the stream.
 func (s *Stream) Close() { s.closeLink() }
 
@@ -59,7 +70,8 @@
 	}
 	st := &Stream{
 		Peer: target, name: name, onMessage: onMessage, onClose: onClose, closeLink: l.close,
-		send: func(f frame) bool { return s.offerAndCount(l.out.Offer, f) },
+		send:   func(f frame) bool { return s.offerAndCount(l.out.Offer, f) },
+		queued: func() int { return len(l.out.C()) },
 	}
 	l.addStream(st)
 	// The first frame opens the stream at the other host; without a body it carries
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -32,6 +32,10 @@
 	CloseSession SessionID
 	// Answer delivers a result to a caller.
 	Answer *CallerAnswer
+	// Enqueue offers a job to this host's own mailbox, as a submission of localSession;
+	// Withdraw removes the submission of that job.
+	Enqueue  *Job
+	Withdraw string
 }
 
 // SessionMessage is a message for the entry host that opened a session.
@@ -75,6 +79,8 @@
 	leaving      bool
 	leavingSince time.Time
 	actions      []HostAction
+	// submitting is the ID of the caller's job that the present event submits.
+	submitting string
 }
 
 // NewHost returns a Host that knows no other host.
@@ -90,13 +96,25 @@
 // from it. It closes expired sessions before the event runs, because all of them may
 // have expired while this host was suspended.
 func (h *Host) HandleEvent(now time.Time, event func(*Host, time.Time)) []HostAction {
+	return h.HandleEvents(now, nil, event)
+}
+
+// HandleEvents runs the liveness events that have arrived, closes the sessions that have
+// expired all the same, runs an event, which may be nil, and returns the actions that
+// follow. Liveness events come first, because an acknowledgment or a heartbeat that
+// arrived in time must count even if this host handles it late. They change only the
+// sessions and the Entry, so that nothing acts for a session that has expired.
+func (h *Host) HandleEvents(now time.Time, liveness []func(*Host, time.Time), event func(*Host, time.Time)) []HostAction {
+	for _, f := range liveness {
+		f(h, now)
+	}
 	h.tickSessions(now)
 	if event != nil {
 		event(h, now)
 	}
 	h.dispatchActions(now)
 	actions := h.actions
-	h.actions = nil
+	h.actions, h.submitting = nil, ""
 	return actions
 }
 
@@ -130,9 +148,22 @@
 	if h.leaving && now.Sub(h.leavingSince) > leaveSubmitLimit {
 		return 0, false
 	}
+	h.submitting = j.ID
 	return h.entry.Submit(now, j), true
 }
 
+// SubmitQueued submits a job that has waited in the mailbox for a session, which may
+// have ended since.
+func (h *Host) SubmitQueued(now time.Time, id SessionID, j Job) {
+	if id == localSession || h.sessions.Has(id) {
+		h.pool.Submit(now, id, j)
+	}
+}
+
+// HasJob reports whether this host has a job that has not ended, as an owner or for its
+// own callers.
+func (h *Host) HasJob(id string) bool { return h.pool.jobs[id] != nil || h.entry.jobs[id] != nil }
+
 // tickSessions sends the heartbeats that are due, and abandons the jobs of sessions
 // whose lease has expired.
 func (h *Host) tickSessions(now time.Time) {
@@ -185,9 +216,13 @@
 		h.actions = append(h.actions, HostAction{CloseTo: a.Close})
 	case a.Send != nil:
 		h.actions = append(h.actions, HostAction{SendTo: a.Send})
-	case a.Local != nil && a.Local.Submit != nil:
+	case a.Local != nil && a.Local.Submit != nil && a.Local.Submit.ID == h.submitting:
+		// The job has already waited in the mailbox, as its caller's.
 		h.pool.Submit(now, localSession, *a.Local.Submit)
+	case a.Local != nil && a.Local.Submit != nil:
+		h.actions = append(h.actions, HostAction{Enqueue: a.Local.Submit})
 	case a.Local != nil:
+		h.actions = append(h.actions, HostAction{Withdraw: a.Local.Cancel})
 		h.pool.Cancel(now, localSession, a.Local.Cancel)
 	case a.Answer != nil:
 		h.actions = append(h.actions, HostAction{Answer: a.Answer})
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// Submit accepts a caller's job and returns the WaiterID with which its result will
-// be delivered. If the host already has a job with this ID, the caller waits for
+// Submit accepts a caller's job, which arrived job.Age ago, and returns the WaiterID with
+// which its result will be delivered. If the host already has a job with this ID, the caller waits for
 // the result of that one.
 func (e *Entry) Submit(now time.Time, job Job) WaiterID {
 	e.lastWaiter++
@@ -20,7 +20,7 @@
 		j.waiters = append(j.waiters, id)
 		return id
 	}
-	j := &entryJob{job: job, waiters: []WaiterID{id}, submittedAt: now, waitUntil: now.Add(maxOwnerWait)}
+	j := &entryJob{job: job, waiters: []WaiterID{id}, submittedAt: now.Add(-job.Age), waitUntil: now.Add(maxOwnerWait)}
 	e.jobs[job.ID] = j
 	e.offerJob(now, j, noOwnerResult(j))
 	return id
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,8 +21,12 @@
 const Name = "Worker"
 
 const (
-	tickInterval  = 20 * time.Millisecond
-	eventQueueLen = 8192
+	tickInterval = 20 * time.Millisecond
+	// livenessLaneLen and workLaneLen bound the lanes. The loop empties the first one
+	// before each event; the second one holds replies, of which each server can send
+	// few at a time.
+	livenessLaneLen = 8192
+	workLaneLen     = 8192
 	// streamName is the name of the peer streams that carry sessions, ownerItem
 	// that of the membership heartbeat item by which an owner announces itself.
 	streamName = "Jobs"
@@ -31,6 +36,12 @@
 	// successorGracePeriod is how long a leaving owner stays after its last job, so
 	// that the entry hosts can open sessions with its successor.
 	successorGracePeriod = 300 * time.Millisecond
+	// stallThreshold is the time between two events after which the process must have
+	// stood still, as the loop runs every tickInterval. The loop then lets the goroutines
+	// that read the connections run for stallGracePeriod, so that they deliver the
+	// acknowledgments and heartbeats that have arrived meanwhile.
+	stallThreshold   = heartbeatInterval
+	stallGracePeriod = 2 * time.Millisecond
 	// balancerGracePeriod is how long a leaving host waits for the load balancer to
 	// stop sending requests, which it does after two failed checks, one second
 	// apart.
@@ -62,19 +73,34 @@
 type queuedEvent struct {
 	run      func(h *Host, now time.Time)
 	queuedAt time.Time
-	lane     lane
 }
 
 // Service runs the Host state machine of this host: it delivers events to it and
 // carries out its actions, which send commands to backend servers, messages to other
 // hosts and results to callers.
+//
+// Events wait in lanes. The loop empties the lane of liveness before each other event;
+// submissions wait in the mailbox until there is no other event.
 type Service struct {
 	cfg           Config
-	events        *ring.Queue[queuedEvent]
 	peers         *peer.Service
 	kvstore       *kvstore.Service
 	commandQueues *commandQueues
 	ctx           context.Context
+	// liveness has what the messages of sessions say, except submissions and
+	// cancellations; work has replies of servers and lists.
+	liveness, work *ring.Queue[queuedEvent]
+	// wake tells the loop that control or mailbox has something.
+	wake chan struct{}
+	// lastCaller numbers the submissions of own callers.
+	lastCaller atomic.Uint64
+
+	queuesMu sync.Mutex
+	mailbox  *Mailbox
+	// control has cancellations, ends of sessions and lists of members. It has no bound
+	// of its own, since those who report them must not wait for the loop; there are no
+	// more cancellations than jobs.
+	control []queuedEvent
 
 	// Only the goroutine of loop uses the fields from host to hostsNeeded.
 	host           *Host
@@ -82,6 +108,8 @@
 	sessionStreams map[SessionID]*peer.Stream
 	waiters        map[WaiterID]func(Result)
 	meter          *loopMeter
+	// followUps are events that follow from actions of the last one.
+	followUps []queuedEvent
 	// hostsNeeded is whether this host last told the platform that it needs the list
 	// of hosts.
 	hostsNeeded bool
@@ -90,16 +118,19 @@
 	status Status
 
 	submitted, answered metrics.Counter
+	mailboxRefused      metrics.Counter
 	latency             metrics.Histogram
 }
 
 // New returns a Service that has not started; the kernel starts it.
 func New(c Config) *Service {
 	s := &Service{
-		cfg: c, events: ring.New[queuedEvent](eventQueueLen), ownerStreams: map[string]*peer.Stream{},
+		cfg: c, liveness: ring.New[queuedEvent](livenessLaneLen), work: ring.New[queuedEvent](workLaneLen),
+		wake: make(chan struct{}, 1), mailbox: NewMailbox(), ownerStreams: map[string]*peer.Stream{},
 		sessionStreams: map[SessionID]*peer.Stream{}, waiters: map[WaiterID]func(Result){}, meter: newLoopMeter(c.Log, c.Metrics),
-		submitted: metrics.GetOrRegisterCounter("Worker.Submitted", c.Metrics),
-		answered:  metrics.GetOrRegisterCounter("Worker.Answered", c.Metrics),
+		submitted:      metrics.GetOrRegisterCounter("Worker.Submitted", c.Metrics),
+		answered:       metrics.GetOrRegisterCounter("Worker.Answered", c.Metrics),
+		mailboxRefused: metrics.GetOrRegisterCounter("Worker.MailboxRefused", c.Metrics),
 		latency: metrics.GetOrRegisterHistogram("Worker.AnswerMs", c.Metrics,
 			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
@@ -144,7 +175,9 @@
 	s.peers.HandleStream(streamName, s.acceptSession)
 	s.peers.Publish(ownerItem, s.publishOwner)
 	s.peers.HandleNotification(ownerItem, func(from string, _ []byte) {
-		s.enqueue(func(h *Host, now time.Time) { h.entry.HandleOwnerAnnouncement(now, from) })
+		// The announcement comes again, and this goroutine also reads the messages of
+		// sessions, so it must not wait.
+		s.work.Offer(queuedEvent{func(h *Host, now time.Time) { h.entry.HandleOwnerAnnouncement(now, from) }, s.cfg.Now()})
 	})
 	s.peers.OnChange(s.membersChanged)
 	s.kvstore.OnHosts(s.hostsChanged)
@@ -160,48 +193,182 @@
 	return done, nil
 }
 
-// enqueue passes an event to the loop and waits while the queue is full. It drops no
+// enqueue passes an event to the loop and waits while the lane is full. It drops no
 // event, since each may report the end of a command.
-func (s *Service) enqueue(f func(h *Host, now time.Time)) { s.enqueueIn(laneWork, f) }
+func (s *Service) enqueue(f func(h *Host, now time.Time)) { s.enqueueIn(s.work, f) }
 
-func (s *Service) enqueueIn(l lane, f func(h *Host, now time.Time)) {
-	if err := s.events.Put(s.ctx, queuedEvent{f, s.cfg.Now(), l}); err != nil {
+func (s *Service) enqueueIn(lane *ring.Queue[queuedEvent], f func(h *Host, now time.Time)) {
+	if err := lane.Put(s.ctx, queuedEvent{f, s.cfg.Now()}); err != nil {
 		// The service has ended, and nothing waits for the event any more.
 		return
 	}
 }
 
+// enqueueControl passes an event to the loop without waiting. The loop runs it before
+// any submission that enters the mailbox later.
+func (s *Service) enqueueControl(f func(h *Host, now time.Time)) {
+	s.queuesMu.Lock()
+	s.control = append(s.control, queuedEvent{f, s.cfg.Now()})
+	s.queuesMu.Unlock()
+	s.wakeLoop()
+}
+
+func (s *Service) wakeLoop() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// offer adds a submission to the mailbox. If it returns false, the submission did not
+// enter, and the result says what the caller is told.
+func (s *Service) offer(sub Submission) (Result, bool) {
+	now := s.cfg.Now()
+	s.queuesMu.Lock()
+	r, ok := s.mailbox.Offer(now, sub)
+	queued, wait := s.mailbox.Len(), s.mailbox.ExpectedWait(now)
+	s.queuesMu.Unlock()
+	if !ok {
+		s.mailboxRefused.Inc(1)
+		s.cfg.Log.Info().Str("Job", r.ID).Str("Queue", sub.Job.Queue).Str("Reason", r.Reason).Int("Queued", queued).
+			Int64("WaitMs", wait.Milliseconds()).Int64("RetryAfterMs", r.RetryAfter.Milliseconds()).Msg("JobRefused")
+		return r, false
+	}
+	s.wakeLoop()
+	return Result{}, true
+}
+
+// withdraw removes a submission from the mailbox and runs cancelTaken after it was taken.
+func (s *Service) withdraw(session SessionID, caller uint64, job string, cancelTaken func(h *Host, now time.Time)) {
+	s.queuesMu.Lock()
+	withdrawn := s.mailbox.Withdraw(session, caller, job)
+	s.queuesMu.Unlock()
+	if len(withdrawn) == 0 {
+		s.enqueueControl(cancelTaken)
+	}
+}
+
+// nextEvent returns the event to handle next: what follows from the last one, then
+// control, then work, then a submission. ok is false if there is none.
+func (s *Service) nextEvent() (e queuedEvent, l lane, ok bool) {
+	if len(s.followUps) > 0 {
+		e, s.followUps = s.followUps[0], s.followUps[1:]
+		return e, laneWork, true
+	}
+	s.queuesMu.Lock()
+	defer s.queuesMu.Unlock()
+	if len(s.control) > 0 {
+		e, s.control = s.control[0], s.control[1:]
+		return e, laneWork, true
+	}
+	select {
+	case e = <-s.work.C():
+		return e, laneWork, true
+	default:
+	}
+	sub, ok := s.mailbox.Take(s.cfg.Now())
+	if !ok {
+		return queuedEvent{}, laneWork, false
+	}
+	return queuedEvent{func(h *Host, now time.Time) { sub.Run(h, now, sub.Job) }, sub.EnteredAt}, laneSubmissions, true
+}
+
 // loop runs all events on the Host, one at a time, and carries out the actions that
-// follow, until ctx ends.
+// follow, until ctx ends. A tick comes before other events, but not twice in a row while
+// others wait.
 func (s *Service) loop(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
+	last, ticked := s.cfg.Now(), false
+	for ctx.Err() == nil {
 		var e queuedEvent
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			e = queuedEvent{s.tick, s.cfg.Now(), laneWork}
-		case e = <-s.events.C():
+		l, ok := laneWork, false
+		tick := func() { e, ok, ticked = queuedEvent{s.tick, s.cfg.Now()}, true, true }
+		if !ticked {
+			select {
+			case <-ticker.C:
+				tick()
+			default:
+			}
+		}
+		if !ok {
+			e, l, ok = s.nextEvent()
+			ticked = false
+		}
+		var liveness []queuedEvent
+		if !ok {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				tick()
+			case <-s.wake:
+				continue
+			case e = <-s.work.C():
+			case v := <-s.liveness.C():
+				liveness = append(liveness, v)
+			}
 		}
 		now := s.cfg.Now()
-		for _, a := range s.host.HandleEvent(now, e.run) {
-			s.perform(now, a)
+		if now.Sub(last) > stallThreshold {
+			time.Sleep(stallGracePeriod)
+			now = s.cfg.Now()
 		}
-		if hostsNeeded := s.host.pool.IsOwner(); hostsNeeded != s.hostsNeeded {
-			s.hostsNeeded = hostsNeeded
-			s.kvstore.SetHostsNeeded(hostsNeeded)
+		last = now
+		for range len(s.liveness.C()) {
+			liveness = append(liveness, <-s.liveness.C())
 		}
-		ended := s.cfg.Now()
-		s.meter.record(e.lane, e.queuedAt, now, ended, len(s.events.C()))
-		s.meter.report(ended, s.host.pool.Jobs())
+		s.handle(now, liveness, e, l)
+	}
+}
+
+// handle runs liveness events and an event of lane l, which may be empty, and carries
+// out the actions that follow.
+func (s *Service) handle(now time.Time, liveness []queuedEvent, e queuedEvent, l lane) {
+	run := make([]func(*Host, time.Time), len(liveness))
+	for i, v := range liveness {
+		run[i] = v.run
+	}
+	for _, a := range s.host.HandleEvents(now, run, e.run) {
+		s.perform(now, a)
+	}
+	if hostsNeeded := s.host.pool.IsOwner(); hostsNeeded != s.hostsNeeded {
+		s.hostsNeeded = hostsNeeded
+		s.kvstore.SetHostsNeeded(hostsNeeded)
+	}
+	ended := s.cfg.Now()
+	if l == laneSubmissions {
+		s.queuesMu.Lock()
+		s.mailbox.Done(ended)
+		s.queuesMu.Unlock()
+	}
+	for _, v := range liveness {
+		s.meter.record(laneLiveness, v.queuedAt, now, now, len(s.liveness.C()))
+	}
+	if e.run != nil {
+		s.meter.record(l, e.queuedAt, now, ended, s.queued(l))
 	}
+	s.meter.report(ended, s.host.pool.Jobs())
+}
+
+// queued returns the number of events that wait in a lane.
+func (s *Service) queued(l lane) int {
+	s.queuesMu.Lock()
+	defer s.queuesMu.Unlock()
+	if l == laneSubmissions {
+		return s.mailbox.Len()
+	}
+	return len(s.work.C()) + len(s.control)
 }
 
 func (s *Service) tick(h *Host, now time.Time) {
 	h.Tick(now)
+	s.queuesMu.Lock()
+	s.mailbox.Forget(func(id string) bool { return !h.HasJob(id) })
+	waiting := s.mailbox.Len()
+	s.queuesMu.Unlock()
 	st := h.Status()
+	st.Waiting += waiting
 	s.mu.Lock()
 	s.status = st
 	s.mu.Unlock()
@@ -249,7 +416,12 @@
 			st.Close()
 		}
 	case a.SendTo != nil:
-		if st := s.ownerStreams[a.SendTo.To]; st != nil {
+		st := s.ownerStreams[a.SendTo.To]
+		switch {
+		case st == nil:
+		case a.SendTo.Message.Submit != nil:
+			s.sendSubmission(now, st, a.SendTo)
+		default:
 			s.sendMessage(st, a.SendTo.Message)
 		}
 	case a.CloseSession != 0:
@@ -257,6 +429,7 @@
 			delete(s.sessionStreams, a.CloseSession)
 			st.Close()
 		}
+		s.dropSubmissions(a.CloseSession)
 	case a.Reply != nil:
 		if st := s.sessionStreams[a.Reply.Session]; st != nil {
 			s.sendMessage(st, a.Reply.Message)
@@ -266,7 +439,45 @@
 			delete(s.waiters, a.Answer.Waiter)
 			f(a.Answer.Result)
 		}
+	case a.Enqueue != nil:
+		sub := Submission{Session: localSession, Job: *a.Enqueue, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, localSession, j) }}
+		if r, ok := s.offer(sub); !ok {
+			s.followUp(now, func(h *Host, now time.Time) { h.entry.HandleResult(now, s.cfg.Self.Incarnation, r) })
+		}
+	case a.Withdraw != "":
+		s.queuesMu.Lock()
+		s.mailbox.Withdraw(localSession, 0, a.Withdraw)
+		s.queuesMu.Unlock()
+	}
+}
+
+func (s *Service) followUp(now time.Time, f func(h *Host, now time.Time)) {
+	s.followUps = append(s.followUps, queuedEvent{f, now})
+}
+
+// dropSubmissions removes the submissions of a session that has ended.
+func (s *Service) dropSubmissions(id SessionID) {
+	if id == localSession {
+		return // The session was never opened.
+	}
+	s.queuesMu.Lock()
+	defer s.queuesMu.Unlock()
+	s.mailbox.DropSession(id)
+}
+
+// sendSubmission sends a job to an owner. If the link has no room for it, the owner
+// counts as having refused the job: what keeps the session alive goes before new work.
+func (s *Service) sendSubmission(now time.Time, st *peer.Stream, m *OwnerMessage) {
+	b, err := cbor.Marshal(m.Message)
+	if err != nil {
+		s.cfg.Log.Error().Err(err).Msg("MessageEncodingFailed")
+		return
+	}
+	if st.SendWithReserve(b) {
+		return
 	}
+	r := Result{ID: m.Message.Submit.ID, Outcome: Refused, Reason: "LinkFull", RetryAfter: minRetryAfter}
+	s.followUp(now, func(h *Host, now time.Time) { h.entry.HandleResult(now, m.To, r) })
 }
 
 func (s *Service) sendPoll(sent time.Time, poll *ServerPoll) {
@@ -293,14 +504,14 @@
 			s.cfg.Log.Warn().Str("Peer", c.Incarnation).Err(err).Msg("MessageMalformed")
 			return
 		}
-		s.enqueueIn(laneLiveness, func(h *Host, now time.Time) { h.handleOwnerMessage(now, c.Incarnation, m) })
+		s.enqueueIn(s.liveness, func(h *Host, now time.Time) { h.handleOwnerMessage(now, c.Incarnation, m) })
 	}
 	// Only the loop uses current and ended. The stream may end before the loop
 	// handles its opening, or after another stream has replaced it.
 	var current *peer.Stream
 	ended := false
 	closed := func() {
-		go s.enqueue(func(h *Host, now time.Time) {
+		s.enqueueControl(func(h *Host, now time.Time) {
 			ended = true
 			if current != nil && s.ownerStreams[c.Incarnation] == current {
 				delete(s.ownerStreams, c.Incarnation)
@@ -318,7 +529,7 @@
 		s.enqueue(func(h *Host, now time.Time) { h.entry.HandleSessionClosed(now, c.Incarnation, reason) })
 		return
 	}
-	s.enqueue(func(h *Host, now time.Time) {
+	s.enqueueIn(s.liveness, func(h *Host, now time.Time) {
 		switch {
 		case ended && s.ownerStreams[c.Incarnation] == nil:
 			h.entry.HandleSessionClosed(now, c.Incarnation, "SessionBroke")
@@ -335,9 +546,11 @@
 // acceptSession adds a session that an entry host has opened. It returns the
 // functions that handle the messages and the end of its stream.
 func (s *Service) acceptSession(st *peer.Stream) (receive func([]byte), closed func()) {
-	var id SessionID
-	s.enqueue(func(h *Host, now time.Time) {
-		id = h.sessions.Open(now, st.Peer)
+	// The loop sets the ID before it sends the first message on the session.
+	var opened atomic.Uint64
+	s.enqueueIn(s.liveness, func(h *Host, now time.Time) {
+		id := h.sessions.Open(now, st.Peer)
+		opened.Store(uint64(id))
 		s.sessionStreams[id] = st
 	})
 	receive = func(b []byte) {
@@ -346,21 +559,44 @@
 			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 			return
 		}
-		l := laneLiveness
-		if m.Submit != nil {
-			l = laneSubmissions
-		}
-		s.enqueueIn(l, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
+		s.receiveFromEntry(st, SessionID(opened.Load()), m)
 	}
 	closed = func() {
-		go s.enqueue(func(h *Host, now time.Time) {
+		s.enqueueControl(func(h *Host, now time.Time) {
+			id := SessionID(opened.Load())
 			delete(s.sessionStreams, id)
+			s.dropSubmissions(id)
 			h.handleIncomingSessionClosed(now, id)
 		})
 	}
 	return receive, closed
 }
 
+// receiveFromEntry passes a message of an entry host on a session to the lane that it
+// belongs to. id is 0 if the loop has not opened the session yet.
+func (s *Service) receiveFromEntry(st *peer.Stream, id SessionID, m message) {
+	switch {
+	case m.Submit != nil:
+		r, ok := Result{ID: m.Submit.ID, Outcome: Returned, Reason: "NotOwner"}, false
+		if err := m.Submit.Validate(); err != nil {
+			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
+			r.Outcome, r.Reason = Refused, "Malformed"
+		} else if id != 0 {
+			r, ok = s.offer(Submission{Session: id, Job: *m.Submit, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, id, j) }})
+		}
+		if !ok {
+			s.sendMessage(st, message{Result: &r})
+		}
+	case id == 0:
+		// An entry host sends nothing else before the first heartbeat.
+		s.cfg.Log.Warn().Str("Peer", st.Peer).Msg("MessageMalformed")
+	case m.Cancel != "":
+		s.withdraw(id, 0, m.Cancel, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
+	default:
+		s.enqueueIn(s.liveness, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
+	}
+}
+
 func (s *Service) publishOwner() []byte {
 	if s.Status().Owner != s.cfg.Self.Incarnation {
 		return nil
@@ -375,7 +611,7 @@
 			up = append(up, Candidate{m.Incarnation, m.Address, m.FailureDomain, m.CPUMilli})
 		}
 	}
-	s.enqueue(func(h *Host, now time.Time) { h.entry.SetMembers(now, up) })
+	s.enqueueControl(func(h *Host, now time.Time) { h.entry.SetMembers(now, up) })
 }
 
 func (s *Service) hostsChanged(hosts []kvstore.Host) {
@@ -399,32 +635,40 @@
 	})
 }
 
-// Submit submits a caller's job. It calls answer with the result, at most once and
-// from the loop, so answer must not block. It returns the function to call when the
-// caller has left before the result.
+// Submit submits a caller's job. It calls answer with the result, at most once, either
+// before it returns or from the loop, so answer must not block. It returns the function
+// to call when the caller has left before the result.
 func (s *Service) Submit(job Job, answer func(Result)) (left func()) {
-	waiterID := make(chan WaiterID, 1)
+	arrived := s.cfg.Now()
 	s.submitted.Inc(1)
-	s.enqueueIn(laneSubmissions, func(h *Host, now time.Time) {
-		id, ok := h.Submit(now, job)
-		waiterID <- id
+	finish := func(r Result) {
+		s.answered.Inc(1)
+		s.latency.Update(s.cfg.Now().Sub(arrived).Milliseconds())
+		metrics.GetOrRegisterCounter("Worker.Outcome."+r.Outcome.String(), s.cfg.Metrics).Inc(1)
+		answer(r)
+	}
+	// Only the loop uses waiter, which stays 0 if the host refuses the job.
+	var waiter WaiterID
+	caller := s.lastCaller.Add(1)
+	cancelled := func() { finish(Result{ID: job.ID, Outcome: Refused, Reason: "Cancelled"}) }
+	r, ok := s.offer(Submission{Session: localSession, Caller: caller, Job: job, Cancelled: cancelled, Run: func(h *Host, now time.Time, j Job) {
+		id, ok := h.Submit(now, j)
 		if !ok {
-			answer(Result{ID: job.ID, Outcome: Refused, Reason: "HostLeaves", RetryAfter: time.Second})
+			answer(Result{ID: j.ID, Outcome: Refused, Reason: "HostLeaves", RetryAfter: time.Second})
 			return
 		}
-		s.waiters[id] = func(r Result) {
-			s.answered.Inc(1)
-			s.latency.Update(s.cfg.Now().Sub(now).Milliseconds())
-			metrics.GetOrRegisterCounter("Worker.Outcome."+r.Outcome.String(), s.cfg.Metrics).Inc(1)
-			answer(r)
-		}
-	})
+		waiter = id
+		s.waiters[id] = finish
+	}})
+	if !ok {
+		finish(r)
+		return func() {}
+	}
 	return func() {
-		s.enqueue(func(h *Host, now time.Time) {
-			id := <-waiterID
-			if s.waiters[id] != nil {
-				delete(s.waiters, id)
-				h.entry.CallerLeft(now, id)
+		s.withdraw(localSession, caller, job.ID, func(h *Host, now time.Time) {
+			if s.waiters[waiter] != nil {
+				delete(s.waiters, waiter)
+				h.entry.CallerLeft(now, waiter)
 			}
 		})
 	}
@@ -433,7 +677,15 @@
 // CancelJob cancels a job that callers of this host wait for, at the owner that has
 // it, and answers all of them.
 func (s *Service) CancelJob(id string) {
-	s.enqueue(func(h *Host, now time.Time) { h.entry.CancelJob(now, id) })
+	s.queuesMu.Lock()
+	withdrawn := s.mailbox.Withdraw(localSession, 0, id)
+	s.queuesMu.Unlock()
+	for _, sub := range withdrawn {
+		if sub.Cancelled != nil {
+			sub.Cancelled()
+		}
+	}
+	s.enqueueControl(func(h *Host, now time.Time) { h.entry.CancelJob(now, id) })
 }
 
 // Ready reports whether the load balancer should send callers here: the host isn't
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -141,6 +141,8 @@
 			delete(h.sessions, a.CloseSession)
 			st.disconnect()
 		}
+	case a.Enqueue != nil:
+		h.do(gen, func(x *worker.Host, now time.Time) { x.SubmitQueued(now, 0, *a.Enqueue) })
 	case a.Answer != nil:
 		if at := h.waiting[a.Answer.Waiter]; at != nil {
 			delete(h.waiting, a.Answer.Waiter)
