worker: tests of the lanes and of an overloaded loop

lanes_test.go: submissions that are overtaken, malformed messages, acknowledgments and heartbeats handled after a stall.

--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -44,6 +44,9 @@
 	// running maps each running incarnation to the time of its start. falselyDead
 	// describes each case in which a host declared one of them dead.
 	running, falselyDead sync.Map
+	// eventCost returns the processor time that the event of a log line costs the
+	// goroutine that logs it; nil means none. Virtual time charges none by itself.
+	eventCost func(line []byte) time.Duration
 }
 
 // simHost is one entry host. Each start of its process is a new incarnation, and the
@@ -193,6 +196,11 @@
 			l.falselyDead.Store(fmt.Sprintf("%s declared %s dead, which has been running since %v", l.name, m[1], at), true)
 		}
 	}
+	if l.eventCost != nil {
+		if d := l.eventCost(b); d > 0 {
+			time.Sleep(d)
+		}
+	}
 	if _, err := fmt.Fprint(l.log, l.name, " "); err != nil {
 		return 0, err
 	}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -23,6 +23,12 @@
 	endOnce sync.Once
 }
 
+// NewStream returns a stream without a link, which passes its messages to send, for tests
+// of packages that use streams.
+func NewStream(peer string, send func(body []byte) bool, closeLink func()) *Stream {
+	return &Stream{Peer: peer, send: func(f frame) bool { return send(f.Body) }, closeLink: closeLink}
+}
+
 // Send queues a message. It reports false if the send queue of the link is full.
 func (s *Stream) Send(body []byte) bool {
 	return s.send(frame{Kind: frameStream, Name: s.name, Body: body})
