--- a/internal/worker/lease_test.go
+++ b/internal/worker/lease_test.go
@@ -19,10 +19,11 @@
 // again too early. It adds up the longest time from the last message of an entry
 // host to the end of the runs of its jobs: the session lease expires, a stop command
 // stays unacknowledged, and the lease of the server expires by the server's slow
-// clock. Each step is noticed up to one tick late.
+// clock. Each step is noticed up to one tick late, the first one stallGracePeriod later if
+// the owner stood still.
 func TestLeaseChain(t *testing.T) {
 	lease := leaseDuration * 100 / (100 - maxClockDriftPercent)
-	if chain := sessionLease + stopAckTimeout + lease + 3*tickInterval; chain >= callerResubmitDelay {
+	if chain := sessionLease + stopAckTimeout + lease + 3*tickInterval + stallGracePeriod; chain >= callerResubmitDelay {
 		t.Errorf("runs may last for %v after the loss of their caller's host; the caller submits the job again after %v", chain, callerResubmitDelay)
 	}
 }
