--- a/internal/worker/lanes_test.go
+++ b/internal/worker/lanes_test.go
@@ -289,3 +289,28 @@
 		t.Error("the owner was declared silent")
 	}
 }
+
+// TestFullLinkRefusesSubmission guards against the loss of a session, and of all its jobs,
+// because its link has no room for one more submission.
+func TestFullLinkRefusesSubmission(t *testing.T) {
+	now := testStart
+	s := newLanesService(t.Context(), &now)
+	owner := Candidate{Incarnation: "owner", Address: "owner:1", FailureDomain: "domain1"}
+	closed := false
+	s.enqueue(func(h *Host, now time.Time) {
+		h.entry.isOwner = false
+		h.entry.domains = []string{"domain1"}
+		h.entry.views = map[string]*ownerView{"domain1": {
+			domain: "domain1", candidate: owner, open: true, lastContact: now,
+			heartbeat: heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}},
+		}}
+		s.ownerStreams["owner"] = peer.NewStream("owner", func([]byte) bool { return false }, func() { closed = true })
+	})
+	s.runUntilIdle()
+	var got Result
+	s.Submit(lanesJob("job"), func(r Result) { got = r })
+	s.runUntilIdle()
+	if got.Outcome != Refused || got.Reason != "LinkFull" || got.RetryAfter <= 0 || closed {
+		t.Errorf("answered %+v; the stream was closed: %v", got, closed)
+	}
+}
