--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -12,7 +12,9 @@
 	// Peer is the incarnation at the other end.
 	Peer string
 
-	send      func(frame) bool
+	send func(frame) bool
+	// queued returns the number of frames in the send queue; nil on an accepted stream.
+	queued    func() int
 	closeLink func()
 	name      string
 	onMessage func(body []byte)
@@ -21,11 +23,26 @@
 	endOnce sync.Once
 }
 
+// NewStream returns a stream without a link, which passes its messages to send, for tests
+// of packages that use streams.
+func NewStream(peer string, send func(body []byte) bool, closeLink func()) *Stream {
+	return &Stream{Peer: peer, send: func(f frame) bool { return send(f.Body) }, closeLink: closeLink}
+}
+
 // Send queues a message. It reports false if the send queue of the link is full.
 func (s *Stream) Send(body []byte) bool {
 	return s.send(frame{Kind: frameStream, Name: s.name, Body: body})
 }
 
+// SendWithReserve queues a message unless the send queue of the link is half full, so that
+// the other half is left to Send. It reports whether it queued the message.
+func (s *Stream) SendWithReserve(body []byte) bool {
+	if s.queued != nil && s.queued() >= linkQueueFrames/2 {
+		return false
+	}
+	return s.Send(body)
+}
+
 // Close ends the link that carries the stream.
 func (s *Stream) Close() { s.closeLink() }
 
@@ -64,7 +81,8 @@
 func (s *Service) addStream(l *link, name string, onMessage func([]byte), onClose func()) *Stream {
 	st := &Stream{
 		Peer: l.incarnation, name: name, onMessage: onMessage, onClose: onClose, closeLink: l.close,
-		send: func(f frame) bool { return s.offerAndCount(l.out.Offer, f) },
+		send:   func(f frame) bool { return s.offerAndCount(l.out.Offer, f) },
+		queued: func() int { return len(l.out.C()) },
 	}
 	l.addStream(st)
 	// The first frame opens the stream at the other host; without a body it carries
--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -42,8 +42,12 @@
 	// maxQueuedObjectives is the maximum expected age at its answer, in multiples of
 	// the latency objective, of a job that waits in a saturated queue.
 	maxQueuedObjectives = 1.2
-	minRetryAfter       = 500 * time.Millisecond
-	maxRetryAfter       = 5 * time.Second
+	// maxRefusalsPerTick bounds the waiting jobs that one tick refuses, so that a tick
+	// takes no longer than a heartbeat may: the end of a job took up to 1.3 ms on the
+	// smallest hosts.
+	maxRefusalsPerTick = 10
+	minRetryAfter      = 500 * time.Millisecond
+	maxRetryAfter      = 5 * time.Second
 )
 
 // admit reports whether a new job is accepted. If not, it returns the result with
@@ -164,7 +168,10 @@
 
 // refuseTooLate refuses the jobs that can no longer be answered in time (rule 4).
 func (p *Pool) refuseTooLate(now time.Time) {
-	for _, j := range p.queue.tooLateBy(now, p.queueSaturated()) {
+	for n, j := range p.queue.tooLateBy(now, p.queueSaturated()) {
+		if n >= maxRefusalsPerTick {
+			return
+		}
 		p.endJob(now, j, Result{Outcome: Refused, Reason: "WaitedTooLong", RetryAfter: p.queueDrainTime()})
 	}
 }
--- a/internal/worker/service_path.go
+++ b/internal/worker/service_path.go
@@ -17,9 +17,6 @@
 	number uint64
 }
 
-// unsent is a submission that could not be queued for sending.
-type unsent struct{ owner, id string }
-
 // openPath opens another stream to an owner, on a new connection, and sends the attach on
 // it.
 func (s *Service) openPath(d PathDial) {
@@ -37,7 +34,7 @@
 	closed := func() {
 		go func() {
 			<-opened
-			s.enqueue(func(h *Host, now time.Time) {
+			s.enqueueControl(func(h *Host, now time.Time) {
 				ended = true
 				delete(s.newPaths, key)
 				s.ownerStreamEnded(h, now, st)
@@ -50,12 +47,12 @@
 	if err != nil {
 		var other *peer.IncarnationError
 		incarnationEnded := errors.As(err, &other)
-		s.enqueue(func(h *Host, now time.Time) {
+		s.enqueueControl(func(h *Host, now time.Time) {
 			h.entry.HandlePathFailed(now, d.Candidate.Incarnation, d.Number, incarnationEnded)
 		})
 		return
 	}
-	s.enqueue(func(h *Host, now time.Time) {
+	s.enqueueIn(s.liveness, func(h *Host, now time.Time) {
 		if ended {
 			return
 		}
@@ -77,7 +74,7 @@
 		s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 		return
 	}
-	s.enqueue(func(h *Host, now time.Time) {
+	s.enqueueIn(s.liveness, func(h *Host, now time.Time) {
 		if m.Heartbeat == nil || s.ownerStreams[st.Peer] == st {
 			h.handleOwnerMessage(now, st.Peer, m)
 		}
@@ -99,7 +96,7 @@
 	delete(s.newPaths, key)
 	if st == nil {
 		// The new path has ended since, and the session ends with it.
-		go s.enqueue(func(h *Host, now time.Time) { h.entry.HandlePathClosed(now, key.owner) })
+		s.enqueueControl(func(h *Host, now time.Time) { h.entry.HandlePathClosed(now, key.owner) })
 		return
 	}
 	s.ownerStreams[key.owner] = st
@@ -124,26 +121,29 @@
 	}
 }
 
-// sendToOwner sends a message on the session with an owner. A submission that can't be
-// queued is reported to the entry, since the owner will never see it.
-func (s *Service) sendToOwner(m *OwnerMessage) {
+// sendToOwner sends a message on the session with an owner. A submission that the link has
+// no room for is reported to the entry, since the owner will never see it: what keeps the
+// session alive goes before new work.
+func (s *Service) sendToOwner(now time.Time, m *OwnerMessage) {
 	st := s.ownerStreams[m.To]
-	if st != nil && s.sendMessage(st, m.Message) {
+	if m.Message.Submit == nil {
+		if st != nil {
+			s.sendMessage(st, m.Message)
+		}
 		return
 	}
-	if m.Message.Submit != nil {
-		s.unsent = append(s.unsent, unsent{m.To, m.Message.Submit.ID})
-	}
-}
-
-// reportUnsent tells the host which submissions were not sent, before it learns that the
-// streams have ended.
-func (s *Service) reportUnsent(now time.Time) {
-	for len(s.unsent) > 0 {
-		u := s.unsent[0]
-		s.unsent = s.unsent[1:]
-		for _, a := range s.host.HandleEvent(now, func(h *Host, now time.Time) { h.entry.HandleNotSent(now, u.owner, u.id) }) {
-			s.perform(now, a)
-		}
+	reason := ""
+	b, err := cbor.Marshal(m.Message)
+	switch {
+	case err != nil:
+		s.cfg.Log.Error().Err(err).Msg("MessageEncodingFailed")
+		reason = "Malformed"
+	case st == nil:
+		reason = "SessionBroke"
+	case !st.SendWithReserve(b):
+		reason = "LinkFull"
+	default:
+		return
 	}
+	s.followUp(now, func(h *Host, now time.Time) { h.entry.HandleNotSent(now, m.To, m.Message.Submit.ID, reason) })
 }
--- a/internal/worker/session_attach_test.go
+++ b/internal/worker/session_attach_test.go
@@ -138,7 +138,7 @@
 	acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
 	waiter := e.Submit(testStart, Job{ID: "1"})
 	e.TakeActions()
-	e.HandleNotSent(testStart, "a", "1")
+	e.HandleNotSent(testStart, "a", "1", "LinkFull")
 	e.HandleSessionClosed(testStart, "a", "SessionBroke")
 	for _, a := range e.TakeActions() {
 		if a.Answer != nil && a.Answer.Waiter == waiter {
--- a/internal/worker/session_path.go
+++ b/internal/worker/session_path.go
@@ -217,10 +217,10 @@
 	e.offerJob(now, j, Result{ID: j.job.ID, Outcome: Refused, Reason: reason, RetryAfter: noOwnerRetry})
 }
 
-// HandleNotSent handles a submission that the path to an owner did not take.
-func (e *Entry) HandleNotSent(now time.Time, owner, id string) {
+// HandleNotSent handles a submission that was not sent to an owner. reason says why.
+func (e *Entry) HandleNotSent(now time.Time, owner, id, reason string) {
 	if j := e.jobs[id]; j != nil && j.owner == owner {
 		j.owner = ""
-		e.offerJob(now, j, Result{ID: id, Outcome: Refused, Reason: "NotSent", RetryAfter: noOwnerRetry})
+		e.offerJob(now, j, Result{ID: id, Outcome: Refused, Reason: reason, RetryAfter: noOwnerRetry})
 	}
 }
