worker: the comparison with the scans covers silent servers, renewals and changed labels

The property test now fails also on late due times of lease renewal, unconfirmed starts, lease expiry and polls, and on labels that change alone.

--- a/internal/worker/pool_bench_test.go
+++ b/internal/worker/pool_bench_test.go
@@ -67,6 +67,7 @@
 	if len(p.running) != 2*servers || p.pool.Jobs() != servers+queued {
 		b.Fatalf("%d runs and %d jobs, want %d and %d", len(p.running), p.pool.Jobs(), 2*servers, servers+queued)
 	}
+	p.pool.Tick(p.now)
 	return p
 }
 
--- a/internal/worker/pool_reference_test.go
+++ b/internal/worker/pool_reference_test.go
@@ -387,6 +387,60 @@
 			}
 		}
 	},
+	// Silence leaves commands to a server unanswered, so that its lease may expire.
+	"Silence": func(r *randomPool) {
+		s := r.anyServer()
+		if s == nil {
+			return
+		}
+		for _, x := range s.sortedRuns() {
+			r.p.HandleStartReply(r.now, s.ID, s.token, x.RunKey, Reply{})
+		}
+		for range r.number("ticks", 0, 14) {
+			r.p.HandlePollReply(r.now, s.ID, s.token, true, r.now, Reply{})
+			r.p.HandlePollReply(r.now, s.ID, s.token, false, r.now, Reply{})
+			r.now = r.now.Add(time.Duration(r.number("ms", 1, 8)) * 10 * time.Millisecond)
+			r.tick()
+		}
+	},
+	// Renewals lets time pass while a server answers everything and lists its runs.
+	"Renewals": func(r *randomPool) {
+		s := r.anyServer()
+		if s == nil {
+			return
+		}
+		for _, x := range s.sortedRuns() {
+			r.p.HandleStartReply(r.now, s.ID, s.token, x.RunKey, r.reply(Accepted))
+		}
+		for range r.number("ticks", 0, 14) {
+			reply := r.reply(Accepted)
+			for _, x := range s.sortedRuns() {
+				reply.Running = append(reply.Running, x.RunKey)
+			}
+			r.p.HandlePollReply(r.now, s.ID, s.token, true, r.now, reply)
+			for range r.number("pauses", 1, 3) {
+				r.now = r.now.Add(time.Duration(r.number("ms", 1, 8)) * 10 * time.Millisecond)
+				r.tick()
+			}
+		}
+	},
+	// Relabel changes one property of a listed server.
+	"Relabel": func(r *randomPool) {
+		if len(r.list) == 0 {
+			return
+		}
+		r.list = slices.Clone(r.list)
+		s := &r.list[r.number("server", 0, len(r.list)-1)]
+		switch r.number("property", 0, 4) {
+		case 0:
+			s.Capacity.MemoryMB++
+		case 1:
+			s.Leaving = !s.Leaving
+		default:
+			s.Labels = []string{rapid.SampledFrom(randomRacks).Draw(r.T, "rack"), rapid.SampledFrom(randomKinds).Draw(r.T, "kind")}
+		}
+		r.p.SetServers(r.now, r.list)
+	},
 	"SetServers": func(r *randomPool) {
 		for range r.number("changes", 0, 2) {
 			i := r.number("server", 0, 11)
@@ -400,6 +454,7 @@
 	},
 	"Wait": func(r *randomPool) {
 		r.now = r.now.Add(time.Duration(10*r.number("ms", 1, 40)) * time.Millisecond)
+		r.tick()
 	},
 	"WaitLong": func(r *randomPool) {
 		if r.number("rarely", 0, 4) == 0 {
