--- a/internal/worker/evacuation.go
+++ b/internal/worker/evacuation.go
@@ -221,7 +221,10 @@
 		usable = rampedServers(now.Sub(e.releasedAt), len(p.orderedServers))
 	}
 	for i, s := range p.orderedServers {
-		s.heldBack = !e.active && i >= usable
+		if heldBack := !e.active && i >= usable; heldBack != s.heldBack {
+			s.heldBack = heldBack
+			p.fleet.serverChanged(s)
+		}
 	}
 	if !e.active && now.Sub(e.releasedAt) >= releaseRamp {
 		e.releasedAt = time.Time{}
--- a/internal/worker/pool_reference_test.go
+++ b/internal/worker/pool_reference_test.go
@@ -387,6 +387,60 @@
 			}
 		}
 	},
+	// Silence leaves commands to a server unanswered, so that its lease may expire.
+	"Silence": func(r *randomPool) {
+		s := r.anyServer()
+		if s == nil {
+			return
+		}
+		for _, x := range s.sortedRuns() {
+			r.p.HandleStartReply(r.now, s.ID, s.token, x.RunKey, Reply{})
+		}
+		for range r.number("ticks", 0, 14) {
+			r.p.HandlePollReply(r.now, s.ID, s.token, true, r.now, Reply{})
+			r.p.HandlePollReply(r.now, s.ID, s.token, false, r.now, Reply{})
+			r.now = r.now.Add(time.Duration(r.number("ms", 1, 8)) * 10 * time.Millisecond)
+			r.tick()
+		}
+	},
+	// Renewals lets time pass while a server answers everything and lists its runs.
+	"Renewals": func(r *randomPool) {
+		s := r.anyServer()
+		if s == nil {
+			return
+		}
+		for _, x := range s.sortedRuns() {
+			r.p.HandleStartReply(r.now, s.ID, s.token, x.RunKey, r.reply(Accepted))
+		}
+		for range r.number("ticks", 0, 14) {
+			reply := r.reply(Accepted)
+			for _, x := range s.sortedRuns() {
+				reply.Running = append(reply.Running, x.RunKey)
+			}
+			r.p.HandlePollReply(r.now, s.ID, s.token, true, r.now, reply)
+			for range r.number("pauses", 1, 3) {
+				r.now = r.now.Add(time.Duration(r.number("ms", 1, 8)) * 10 * time.Millisecond)
+				r.tick()
+			}
+		}
+	},
+	// Relabel changes one property of a listed server.
+	"Relabel": func(r *randomPool) {
+		if len(r.list) == 0 {
+			return
+		}
+		r.list = slices.Clone(r.list)
+		s := &r.list[r.number("server", 0, len(r.list)-1)]
+		switch r.number("property", 0, 4) {
+		case 0:
+			s.Capacity.MemoryMB++
+		case 1:
+			s.Leaving = !s.Leaving
+		default:
+			s.Labels = []string{rapid.SampledFrom(randomRacks).Draw(r.T, "rack"), rapid.SampledFrom(randomKinds).Draw(r.T, "kind")}
+		}
+		r.p.SetServers(r.now, r.list)
+	},
 	"SetServers": func(r *randomPool) {
 		for range r.number("changes", 0, 2) {
 			i := r.number("server", 0, 11)
@@ -400,6 +454,7 @@
 	},
 	"Wait": func(r *randomPool) {
 		r.now = r.now.Add(time.Duration(10*r.number("ms", 1, 40)) * time.Millisecond)
+		r.tick()
 	},
 	"WaitLong": func(r *randomPool) {
 		if r.number("rarely", 0, 4) == 0 {
@@ -407,7 +462,7 @@
 		}
 	},
 	"Saturation": func(r *randomPool) { r.p.queuedShare = float64(r.number("share", 0, 1)) },
-	"Tick":       func(r *randomPool) { r.p.Tick(r.now) },
+	"Tick":       (*randomPool).tick,
 	"Ownership": func(r *randomPool) {
 		switch r.number("rarely", 0, 30) {
 		case 0:
@@ -423,6 +478,19 @@
 	},
 }
 
+// tick checks that Tick leaves nothing to do for any server.
+func (r *randomPool) tick() {
+	r.p.Tick(r.now)
+	r.p.TakeActions()
+	for _, s := range r.p.orderedServers {
+		runs := len(s.runs)
+		r.p.tickServer(r.now, s)
+		if rest := r.p.TakeActions(); len(rest) > 0 || len(s.runs) != runs {
+			r.Fatalf("Tick left %d actions and %d runs of %s", len(rest), runs-len(s.runs), s.Address)
+		}
+	}
+}
+
 // within reports whether two durations differ at most by what rounding the run times of
 // all ready tasks explains: a nanosecond each, and the precision of a float64.
 func (r *randomPool) within(a, b time.Duration) bool {
@@ -494,6 +562,11 @@
 	if got := time.Duration(load.WaitMs) * time.Millisecond; !r.within(got, wait) && (got > wait+time.Microsecond || got < wait-time.Millisecond-time.Microsecond) {
 		r.Fatalf("the load's wait is %v, want %v", got, wait)
 	}
+	for _, s := range p.orderedServers {
+		if idle := s.state != stateNotOwned && len(s.runs) == 0; p.fleet.idle[s] != idle {
+			r.Fatalf("%s counts as idle: %v, want %v", s.Address, !idle, idle)
+		}
+	}
 	for _, j := range order {
 		for i := range j.Steps {
 			if got, want := p.chooseServer(now, j, i), newReferencePlacement(p, now).chooseServer(j, i); got != want {
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -159,6 +159,7 @@
 	heldBack bool
 	// health tracks how runs ended on this server, see health.go.
 	health health
+	indexedServer
 }
 
 // free returns the resources that no tracked run takes up.
