--- a/internal/daemon/virtual_evacuation_test.go
+++ b/internal/daemon/virtual_evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,3 +148,43 @@
 		})
 	}
 }
+
+// Evacuations must reach all hosts in time although all of them read the store at once, and
+// more calls than it allows may come of that.
+func TestVirtualEvacuationThunderingHerd(t *testing.T) {
+	simulateWith(t, herdDomainCount, herdHostsPerDomain, 4, withEvacuations, func(s *simulation) {
+		calls := &storeCallTimes{}
+		s.store.Observe(calls.record)
+		share := float64(len(s.hosts)) / targetHosts
+		s.store.SetRateLimits(standin.StoreLoad{Reads: share * storeReadsPerSecond, Writes: share * storeWritesPerSecond})
+		sc := newConfigurationTest(s)
+		time.Sleep(maxRecoveryTime)
+		steadyFrom := time.Now()
+		time.Sleep(maxRecoveryTime)
+		calls.checkNoneRefused(t, "before", steadyFrom)
+		learned := func() int64 {
+			n, ok := s.eventCounts.Load("EvacuationApplied")
+			if !ok {
+				return 0
+			}
+			return n.(*atomic.Int64).Load()
+		}
+		for n, evacuated := range []bool{true, false} {
+			before, changedAt := learned(), time.Now()
+			sc.servers.SetEvacuated(sc.store, "domain0", evacuated)
+			for learned()-before < int64(len(s.hosts)) && time.Since(changedAt) < maxEvacuateTime {
+				time.Sleep(10 * time.Millisecond)
+			}
+			took := time.Since(changedAt)
+			reads, _, refused := calls.maxRates(changedAt)
+			t.Logf("change %d: known on all hosts after %v; %d reads in the worst second, %d refused", n, took, reads, refused)
+			if took > time.Duration(maxLearnShare*float64(maxEvacuateTime)) {
+				t.Errorf("%d of %d hosts know the change after %v", learned()-before, len(s.hosts), took)
+			}
+			time.Sleep(maxRecoveryTime)
+		}
+		steadyFrom = time.Now()
+		time.Sleep(maxRecoveryTime)
+		calls.checkNoneRefused(t, "after", steadyFrom)
+	})
+}
--- a/internal/worker/evacuation.go
+++ b/internal/worker/evacuation.go
@@ -208,10 +208,10 @@
 			}
 		}
 		e.lost += lost
-		if !e.startsEnded {
-			e.startsEnded = true
+		if !e.startsEnded && (p.owner || p.draining) {
 			p.cfg.Log.Info().Int("Lost", lost).Int("Running", p.running()).Msg("EvacuationStartsEnded")
 		}
+		e.startsEnded = true
 	}
 	if !e.active && e.releasedAt.IsZero() {
 		return
