--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -120,6 +120,27 @@
 	}
 }
 
+// SilenceSome calls choose for each open connection, with the hosts that have dialed and
+// accepted it. In the directions for which choose returns true, to the listener and back,
+// the connection delivers nothing any more, and the other side does not see it close. New
+// connections work.
+func (n *MemoryNetwork) SilenceSome(choose func(dialer, listener string) (forth, back bool)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if !c.dialed {
+			continue
+		}
+		forth, back := choose(c.from, c.to)
+		if forth {
+			c.silent.Store(true)
+		}
+		if back {
+			c.peer.silent.Store(true)
+		}
+	}
+}
+
 // Close ends all connections; their reads and writes fail from then on.
 func (n *MemoryNetwork) Close() {
 	n.mu.Lock()
@@ -189,7 +210,7 @@
 			return nil, &net.OpError{Op: "dial", Net: "memory", Addr: memoryAddress(address), Err: syscall.ECONNREFUSED}
 		}
 		if open {
-			local := &memoryConn{network: n, from: host, to: to, remote: memoryAddress(address), incoming: newMemoryQueue()}
+			local := &memoryConn{network: n, from: host, to: to, remote: memoryAddress(address), incoming: newMemoryQueue(), dialed: true}
 			accepted := &memoryConn{network: n, from: to, to: host, remote: memoryAddress(host + ":0"), incoming: newMemoryQueue()}
 			local.peer, accepted.peer = accepted, local
 			n.conns[local], n.conns[accepted] = true, true
@@ -334,8 +355,10 @@
 	// powerLost is set when this side's host has lost power: the other side then never
 	// sees the connection close.
 	powerLost atomic.Bool
-	// silent is set on both sides when the connection no longer delivers anything.
+	// silent is set when the connection no longer delivers what this side sends.
 	silent atomic.Bool
+	// dialed is set on the side that has dialed the connection.
+	dialed bool
 }
 
 // Read implements net.Conn.
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -222,6 +222,9 @@
 	case a.Start != nil:
 		cmd := a.Start
 		s.commandQueues.runCommand(cmd.Server, func(ctx context.Context) {
+			// A reply after the end of the lease that the command grants is of no use.
+			ctx, cancel := context.WithTimeout(ctx, leaseDuration-s.cfg.Now().Sub(now))
+			defer cancel()
 			r := s.cfg.Commands.Start(ctx, cmd.Server, cmd.Command)
 			s.enqueue(func(h *Host, now time.Time) {
 				h.pool.HandleStartReply(now, cmd.Server.ID, cmd.Command.Token, cmd.Command.RunKey, r)
