--- a/internal/worker/service_path.go
+++ b/internal/worker/service_path.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
 
 	"guavayoke/internal/peer"
 )
@@ -23,6 +24,7 @@
 // openPath opens another stream to an owner, on a new connection, and sends the attach on
 // it.
 func (s *Service) openPath(d PathDial) {
+	metrics.GetOrRegisterCounter("Worker.PathsSuspect", s.cfg.Metrics).Inc(1)
 	ctx, cancel := context.WithTimeout(s.ctx, sessionLease)
 	defer cancel()
 	key := pathKey{d.Candidate.Incarnation, d.Number}
@@ -103,6 +105,7 @@
 		return
 	}
 	s.ownerStreams[key.owner] = st
+	metrics.GetOrRegisterCounter("Worker.SessionsAttached", s.cfg.Metrics).Inc(1)
 	if former != nil {
 		former.Close()
 	}
@@ -132,6 +135,7 @@
 		return
 	}
 	if m.Message.Submit != nil {
+		metrics.GetOrRegisterCounter("Worker.Unsent", s.cfg.Metrics).Inc(1)
 		s.unsent = append(s.unsent, unsent{m.To, m.Message.Submit.ID})
 	}
 }
