worker: log the inputs of offers, refusals and ends of jobs

Operators couldn't see from the log why a job was refused: QueueFull stands for a saturated queue and for an answer deadline that can't be met. They couldn't see by what view of the owners a job was offered, nor on which server a late job ended.

JobRefused has MaxWaitMs, Saturated and AgeMs; JobAnswered has OfferMs, LoadWaitMs, LoadAgeMs (the age of the heartbeat whose load chose the owner) and Owners; JobEnded has Saturated and Server, of the run that ended last. No new line: about 45, 50 and 35 bytes more on lines that each request has at most once per host.

Ruled out: a line for each offer, as it would double the lines of a refused job.

--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -52,7 +52,9 @@
 func (p *Pool) admit(now time.Time, j *job) (Result, bool) {
 	refuse := func(reason string, after time.Duration) (Result, bool) {
 		p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", reason).Int("Queued", len(p.queue)).
-			Int64("WaitMs", p.expectedWait(now, j).Milliseconds()).Int64("RetryAfterMs", after.Milliseconds()).Msg("JobRefused")
+			Int64("WaitMs", p.expectedWait(now, j).Milliseconds()).Int64("RetryAfterMs", after.Milliseconds()).
+			Int64("MaxWaitMs", j.maxAdmissionWait().Milliseconds()).Bool("Saturated", p.queueSaturated()).
+			Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Msg("JobRefused")
 		return Result{Outcome: Refused, Reason: reason, RetryAfter: after}, false
 	}
 	switch {
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -155,6 +155,21 @@
 	waitUntil time.Time
 	// returned is set once a leaving owner has returned the job.
 	returned bool
+	// lastOffer is the latest offer; usableOwners is the number of owners that were
+	// known when an owner was last looked for. They are logged with the answer.
+	lastOffer    offer
+	usableOwners int
+}
+
+// offer is what an entry host knew when it chose the owner to send a job to.
+type offer struct {
+	at time.Time
+	// loadWaitMs is the wait that the owner's last heartbeat stated, loadAge the age of
+	// that heartbeat; 0 for the load of this host itself.
+	loadWaitMs int64
+	loadAge    time.Duration
+	// owners is the number of owners with an open session.
+	owners int
 }
 
 // EntryConfig configures an Entry.
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -45,14 +45,17 @@
 // the callers with otherwise.
 func (e *Entry) offerJob(now time.Time, j *entryJob, otherwise Result) {
 	best, bestCost := "", time.Duration(0)
-	consider := func(incarnation string, l Load, cost time.Duration) {
+	last := offer{at: now}
+	consider := func(incarnation string, l Load, confirmedAt time.Time, cost time.Duration) {
 		cost += time.Duration(l.WaitMs) * time.Millisecond
+		last.owners++
 		if l.Servers > 0 && !slices.Contains(j.tried, incarnation) && (best == "" || cost < bestCost) {
 			best, bestCost = incarnation, cost
+			last.loadWaitMs, last.loadAge = l.WaitMs, now.Sub(confirmedAt)
 		}
 	}
 	if e.isOwner {
-		consider(e.cfg.Self.Incarnation, e.localLoad, 0)
+		consider(e.cfg.Self.Incarnation, e.localLoad, now, 0)
 	}
 	for _, d := range e.domains {
 		v := e.views[d]
@@ -63,8 +66,9 @@
 		if d == e.cfg.Self.FailureDomain {
 			cost = 0
 		}
-		consider(v.candidate.Incarnation, v.heartbeat.Load, cost)
+		consider(v.candidate.Incarnation, v.heartbeat.Load, v.lastContact, cost)
 	}
+	j.usableOwners = last.owners
 	if best == "" {
 		if now.Before(j.waitUntil) {
 			j.owner = "" // The next tick offers the job again.
@@ -73,7 +77,7 @@
 		e.answer(now, j, otherwise)
 		return
 	}
-	j.owner = best
+	j.owner, j.lastOffer = best, last
 	j.tried = append(j.tried, best)
 	if !j.returned {
 		j.waitUntil = time.Time{}
@@ -159,13 +163,24 @@
 func (e *Entry) answer(now time.Time, j *entryJob, r Result) {
 	delete(e.jobs, j.job.ID)
 	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Str("Owner", j.owner).Stringer("Outcome", r.Outcome).
-		Str("Reason", r.Reason).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Int("Offers", len(j.tried)).Msg("JobAnswered")
+		Str("Reason", r.Reason).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Int("Offers", len(j.tried)).
+		Int64("OfferMs", j.offerMs()).Int64("LoadWaitMs", j.lastOffer.loadWaitMs).Int64("LoadAgeMs", j.lastOffer.loadAge.Milliseconds()).
+		Int("Owners", j.usableOwners).Msg("JobAnswered")
 	for _, id := range j.waiters {
 		delete(e.waiters, id)
 		e.actions = append(e.actions, EntryAction{Answer: &CallerAnswer{id, r}})
 	}
 }
 
+// offerMs returns the time from the submission to the last offer in milliseconds, or
+// -1 if the job was offered to no owner.
+func (j *entryJob) offerMs() int64 {
+	if len(j.tried) == 0 {
+		return -1
+	}
+	return j.lastOffer.at.Sub(j.submittedAt).Milliseconds()
+}
+
 // loseJobs answers Lost to the callers of all jobs that an owner had.
 func (e *Entry) loseJobs(now time.Time, owner, reason string) {
 	for _, j := range e.sortedJobs() {
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -124,6 +124,8 @@
 	// command, and starts is their number. They are logged when the job ends.
 	firstStart, lastStart time.Time
 	starts                int
+	// lastServer is the server of the run that ended last. It is logged when the job ends.
+	lastServer string
 	// tasks holds the tasks of each step.
 	tasks [][]*task
 	// remaining is the number of tasks of each step that are not done.
@@ -315,7 +317,8 @@
 	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).
 		Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Int64("ObjectiveMs", j.objective().Milliseconds()).
 		Int64("CriticalPathMs", j.criticalPath.Milliseconds()).Int64("FirstStartMs", j.msSinceArrival(j.firstStart)).Int64("LastStartMs", j.msSinceArrival(j.lastStart)).
-		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.queue)).Msg("JobEnded")
+		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.queue)).
+		Bool("Saturated", p.queueSaturated()).Str("Server", j.lastServer).Msg("JobEnded")
 	p.answer(j, r)
 }
 
@@ -384,6 +387,7 @@
 	}
 	t.assignedServer, t.currentRun = nil, nil
 	j := t.job
+	j.lastServer = s.ID
 	switch outcome {
 	case RunDone:
 		s.health.done()
