cli: guavayoke explain, from the log to the cause of each lost request

Operators couldn't see how many requests were lost for which cause: they counted reasons with grep, one second and one host at a time, and joined the lines of a request by hand. The reason QueueFull stood for four situations, and a late job had none.

explain ID shows the way of a request over all hosts with the inputs of each decision and says the cause in a sentence. explain -losses counts every refused, failed and late request by cause and second, queue, width, failure domain and entry host, as text, JSON or a page with a chart. internal/explain has no I/O; causes and dimensions are tables from which help and reference are made. Memory is bounded by -max-requests, about 1 kB each; requests that were answered in time are counted and dropped at once.

From the lines of entry hosts and owners together follows a time that neither of them knows: the transit, from the submission until the owner handles it, less the age that the owner logs.

Each cause has an example in the tests; the account doesn't depend on the order of lines; damaged lines change nothing.

Ruled out: lateness by the run times that were measured, as the lines lack the stretch; late jobs whose runs took longer than declared are counted as such (RanLong) and left out of the share of losses.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -63,6 +63,7 @@
 var Commands = []Command{
 	validateCommand, diffCommand, proposeCommand, reviewCommand, acceptCommand,
 	promoteCommand, historyCommand, statusCommand, reportCommand, submitCommand,
+	explainCommand,
 }
 
 // Settings holds the settings of the command line.
--- a/internal/cli/page.go
+++ b/internal/cli/page.go
@@ -105,7 +105,12 @@
 		}
 		p.Add(plotter.NewGrid(), line, dots)
 	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
+	return drawSVG(p, plotHeight)
+}
+
+// drawSVG returns a plot as an SVG element of an HTML page.
+func drawSVG(p *plot.Plot, height vg.Length) (template.HTML, error) {
+	canvas := vgsvg.New(plotWidth, height)
 	p.Draw(draw.New(canvas))
 	var b bytes.Buffer
 	if _, err := canvas.WriteTo(&b); err != nil {
