explain: lost entry hosts, domains of unknown owners; docs use the tool

The failure domain of an owner whose log is missing is taken from OwnerLost.

The test of the order of lines failed on OwnerLost without an owner before that was left out.

--- a/internal/cli/doc.go
+++ b/internal/cli/doc.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 
+	"guavayoke/internal/explain"
 	"guavayoke/internal/settings"
 	"guavayoke/pkg/document"
 )
@@ -34,6 +35,10 @@
 	for _, c := range Commands {
 		fmt.Fprintf(w, "\n## guavayoke %s %s\n\n%s\n\n    %s\n", c.Name, c.Args, c.Doc, c.Example)
 	}
+	fmt.Fprint(w, "\n## Causes of lost requests\n\nWhat `guavayoke explain` tells apart; of the causes of a kind, the first that applies is named.\n\n| cause | kind | meaning | look at |\n|---|---|---|---|\n")
+	for _, c := range explain.Causes {
+		fmt.Fprintf(w, "| %s | %v | %s | %s |\n", c.Name, c.Kind, c.Doc, c.Look)
+	}
 	fmt.Fprint(w, "\n## Exit codes\n\n| code | meaning |\n|---|---|\n")
 	for _, e := range exitCodes {
 		fmt.Fprintf(w, "| %d | %s |\n", e.Code, e.Doc)
--- a/internal/explain/account.go
+++ b/internal/explain/account.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -29,7 +30,17 @@
 	{Name: "EntryDomain", Doc: "failure domain of the entry host", from: "EntryHost"},
 	{Name: "OwnerDomain", Doc: "failure domain of the last owner that the job was offered to", from: "Owner"},
 	{Name: "EntryHost", Doc: "host that holds the caller", key: func(s *Submission) string { return s.Entry }},
-	{Name: "Owner", key: func(s *Submission) string { return s.Owner }, hidden: true},
+	{Name: "Owner", key: ownerKey, hidden: true},
+}
+
+// domainPrefix begins the rows of owners of which only the failure domain is known.
+const domainPrefix = "="
+
+func ownerKey(s *Submission) string {
+	if s.Owner == "" && s.OwnerDomain != "" {
+		return domainPrefix + s.OwnerDomain
+	}
+	return s.Owner
 }
 
 // widthRange returns the range of powers of two that a number of tasks is in.
@@ -299,7 +310,11 @@
 	for _, d := range Dimensions {
 		if d.from != "" {
 			for host, r := range rows[d.from] {
-				merge(d.Name, c.log.domain(host), r)
+				domain, known := strings.CutPrefix(host, domainPrefix)
+				if !known {
+					domain = c.log.domain(host)
+				}
+				merge(d.Name, domain, r)
 			}
 		}
 		if d.hidden {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -126,13 +126,6 @@
 		"the owner's log, or a newer version's", func(c Case) bool { return c.Reason == "QueueFull" },
 	},
 
-	{
-		"EntryHostLost", Failed, "the entry host ended or stopped writing before it answered", "DaemonStarted, SessionExpired; JobEnded Reason=EntryHostGone",
-		func(c Case) bool {
-			return !c.answered && (anyOf(c.ownerReason(), "EntryHostGone", "EntryHostSilent") ||
-				len(c.Log.seen(c.Entry, "DaemonStarted", c.ReceivedAt, c.Log.lastAt)) > 0 || c.Log.lastAt.Sub(c.Log.lastLine[c.Entry]) > openLimit)
-		},
-	},
 	{
 		"RefusedUnlogged", Failed, "it came to a host that had been leaving for longer than it accepts requests; the refusal has no line",
 		"HostLeaving", func(c Case) bool {
@@ -140,6 +133,12 @@
 			return !c.answered && len(leaving) > 0 && c.ReceivedAt.Sub(leaving[0].at) > leaveAcceptLimit
 		},
 	},
+	{
+		"EntryHostLost", Failed, "the entry host ended before it answered: its log has no answer, and says of no dropped lines",
+		"DaemonStarted, SessionExpired; JobEnded Reason=EntryHostGone", func(c Case) bool {
+			return !c.answered && !c.Log.around(c.Entry, "LogDropped", c.ReceivedAt, 0, time.Minute)
+		},
+	},
 	{
 		"HostOverloaded", Failed, "the owner or the entry host handled messages so late, by 50 ms or more in the mean, that it was taken for lost, or took others for lost",
 		"the load of that host's process; JobReceived to JobRefused, less AgeMs", func(c Case) bool {
@@ -272,14 +271,6 @@
 	return &c.Refusals[len(c.Refusals)-1]
 }
 
-// ownerReason returns the reason of the owner's last JobEnded.
-func (c Case) ownerReason() string {
-	if len(c.Ends) == 0 {
-		return ""
-	}
-	return c.Ends[len(c.Ends)-1].Reason
-}
-
 // ownerLost reports whether the entry host answered because it had lost the owner.
 func (c Case) ownerLost() bool {
 	return anyOf(c.Reason, "SessionSilent", "Unreachable", "SessionBroke", "IncarnationEnded", "Done")
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -262,6 +262,16 @@
 	}
 }
 
+// TestDomainOfUnknownOwner checks that the failure domain of an owner whose log is
+// missing is taken from the line that says that it was lost.
+func TestDomainOfUnknownOwner(t *testing.T) {
+	lost := strings.ReplaceAll(answered("Lost", "SessionSilent"), "ib1", "ic1")
+	a := collect(Config{}, slices.Concat(hosts, []string{received, lost, "0.5 a1 OwnerLost FailureDomain=C Owner=ic1"})...).Account()
+	if a.Tables[3].Dimension != "OwnerDomain" || a.Tables[3].Rows[0].Name != "C" {
+		t.Errorf("got %+v", a.Tables[3])
+	}
+}
+
 // TestFailedRequests follows the three kinds of failed request of docs/OPERATIONS.md.
 func TestFailedRequests(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -83,6 +83,7 @@
 	// refused start.
 	RunsFailed, StartsRefused []string
 	answered                  bool
+	ownerIncarnation          string
 }
 
 // Refusal is the refusal of a job by an owner.
@@ -254,6 +255,9 @@
 			s.Owner = s.Ends[len(s.Ends)-1].Owner
 		}
 		s.EntryDomain, s.OwnerDomain = log.domain(s.Entry), log.domain(s.Owner)
+		if s.OwnerDomain == "" {
+			s.OwnerDomain = log.lostDomains[s.ownerIncarnation]
+		}
 	}
 	return list
 }
@@ -278,7 +282,7 @@
 		s.Outcome, s.Reason, s.AgeMs = "Left", "CallerDisconnected", int64(f.numbers[0])
 	case "JobAnswered":
 		n := f.numbers
-		s.Outcome, s.Owner = f.outcome, log.hostOf(f.owner)
+		s.Outcome, s.Owner, s.ownerIncarnation = f.outcome, log.hostOf(f.owner), f.owner
 		s.AgeMs, s.Offers, s.OfferMs = int64(n[0]), int64(n[1]), int64(n[2])
 		s.LoadWaitMs, s.LoadAgeMs, s.Owners = int64(n[3]), int64(n[4]), int64(n[5])
 	}
--- a/internal/explain/surroundings.go
+++ b/internal/explain/surroundings.go
@@ -40,6 +40,8 @@
 	names        map[string][]string
 	domains      map[string]string
 	incarnations map[string]string
+	// lostDomains holds the failure domain of each incarnation that was lost as an owner.
+	lostDomains  map[string]string
 	lastLine     map[string]time.Time
 	notes        map[string][]note
 	noteCount    int
@@ -71,7 +73,7 @@
 	return &Surroundings{
 		names: map[string][]string{}, domains: map[string]string{}, incarnations: map[string]string{}, lastLine: map[string]time.Time{},
 		notes: map[string][]note{}, acquired: map[string]int{}, servers: map[string]*serverRuns{},
-		transits: map[string]map[int64]*transit{},
+		lostDomains: map[string]string{}, transits: map[string]map[int64]*transit{},
 	}
 }
 
@@ -91,6 +93,10 @@
 		}
 		s.domains[name] = l.Value("FailureDomain")
 		s.incarnations[l.Value("Incarnation")] = name
+	case "OwnerLost":
+		if owner := l.Value("Owner"); owner != "" {
+			s.lostDomains[owner] = l.Value("FailureDomain")
+		}
 	case "OwnershipAssumed":
 		if s.domains[host] == "" {
 			s.domains[host] = l.Value("FailureDomain")
