explain: count by queue and width together

The width of a job goes with its queue, so that the tables of each alone couldn't say whether wide jobs lose more.

--- a/internal/explain/account.go
+++ b/internal/explain/account.go
@@ -30,6 +30,7 @@
 	{Name: "EntryDomain", Doc: "failure domain of the entry host", from: "EntryHost"},
 	{Name: "OwnerDomain", Doc: "failure domain of the last owner that the job was offered to", from: "Owner"},
 	{Name: "EntryHost", Doc: "host that holds the caller", key: func(s *Submission) string { return s.Entry }},
+	{Name: "QueueTasks", Doc: "queue and width", key: func(s *Submission) string { return s.Queue + " " + widthRange(s.Tasks) }},
 	{Name: "Owner", key: ownerKey, hidden: true},
 }
 
