explain: state the memory of a kept request as measured

At 61893 requests, 40913 of them lost, the command takes 162 MB, with -max-requests 1000 40 MB: about 3 kB for each, not 1 kB as was written.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -40,7 +40,7 @@
 		"each decision with its inputs, and the cause in one sentence. With -losses, counts every refused, failed or late request by cause and second, " +
 		"and by " + dimensionDocs() + ". Reads the files, or the standard input if there is none or for -: lines of any number of hosts in any order; " +
 		"a line without its host's name is counted for its DaemonStarted, or for the file. Skips and counts other lines. " +
-		"Keeps about 1 kB for each lost request and each with missing lines, up to -max-requests, beside counters for hosts, servers and queues; " +
+		"Keeps about 3 kB for each lost request and each with missing lines, up to -max-requests, beside counters for hosts, servers and queues; " +
 		"a large log needs a higher -timeout.",
 	Example: "guavayoke explain -losses -html losses.html edge-1.log edge-2.log",
 	Flags: func(fs *flag.FlagSet) func(*invocation) error {
@@ -240,7 +240,7 @@
 		}
 	}
 	add(n.LogDropped, "lines that daemons dropped (LogDropped)")
-	add(n.Forgotten, "requests beyond -max-requests were forgotten")
+	add(n.Forgotten, "records of requests beyond -max-requests were forgotten, some of them before the end of the request")
 	add(n.DroppedNotes, "lines about hosts and servers were too many to keep")
 	add(n.Fragments, "requests have lines of owners only: the entry host's log is missing, or a line came after the answer")
 	return list
--- a/internal/explain/collector.go
+++ b/internal/explain/collector.go
@@ -12,7 +12,7 @@
 	// ID is a request whose lines are all kept, for Way.
 	ID string
 	// MaxRequests limits the requests that are kept at a time: those that were lost and
-	// those of which lines are still missing, about 1 kB each. Requests beyond it are
+	// those of which lines are still missing, about 3 kB each. Requests beyond it are
 	// forgotten, oldest first, and counted. 0 means DefaultMaxRequests.
 	MaxRequests int
 }
@@ -51,7 +51,8 @@
 // Counts says what was read and what is missing.
 type Counts struct {
 	Lines, Events, Foreign, Malformed int
-	// Forgotten is the number of requests beyond MaxRequests, and DroppedNotes that of
+	// Forgotten is the number of records beyond MaxRequests, which for one request may be
+	// several if its lines are far apart, and DroppedNotes that of
 	// lines on hosts and servers beyond the limit.
 	Forgotten, DroppedNotes int
 	// Fragments is the number of requests of which only lines of owners were found.
