worker: use a path that was slow to dial or attach

An attach in progress was given up for the next one each 70 ms, also if the next was not sent yet. With round trips above some 12 ms no attach would have ended in time. Now the newest that was sent counts, and a slow dial is used unless a later one was sent on. TestSlowAttachIsAdopted and TestSlowDialIsUsed; found by reading, not by a run.

--- a/internal/worker/session_attach_test.go
+++ b/internal/worker/session_attach_test.go
@@ -223,3 +223,56 @@
 		t.Errorf("cancelled %v, submitted %v after the attach, want both", cancelled, submitted)
 	}
 }
+
+// An attach that takes longer than the retry interval must not be passed over for one that
+// has not been sent yet.
+func TestSlowAttachIsAdopted(t *testing.T) {
+	e := newTestEntry("b", "a")
+	acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+	e.handleSessionHeartbeat(testStart, "a", message{Heartbeat: &heartbeat{Number: 2, IsOwner: true}, Session: 1, Acked: 1})
+	now := testStart.Add(pathSilence + time.Millisecond)
+	e.Tick(now)
+	if e.HandlePathOpened("a", 1) == nil {
+		t.Fatal("the first path is not wanted")
+	}
+	now = now.Add(attachRetryInterval)
+	e.Tick(now)
+	e.TakeActions()
+	e.handleAttached(now, "a", attached{Number: 1})
+	adopted := false
+	for _, a := range e.TakeActions() {
+		adopted = adopted || a.Adopt != nil && a.Adopt.Number == 1
+	}
+	if !adopted {
+		t.Error("the path whose attach was answered is not used")
+	}
+	if e.HandlePathOpened("a", 2) != nil {
+		t.Error("another attach was sent after the answer")
+	}
+}
+
+// Paths that take longer to dial than the retry interval must not be passed over either, and
+// of two the one that was dialed later counts.
+func TestSlowDialIsUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		opened []uint64
+		want   []bool
+	}{
+		"InOrder":   {[]uint64{1, 2}, []bool{true, true}},
+		"Overtaken": {[]uint64{2, 1}, []bool{true, false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEntry("b", "a")
+			acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+			e.handleSessionHeartbeat(testStart, "a", message{Heartbeat: &heartbeat{Number: 2, IsOwner: true}, Session: 1, Acked: 1})
+			now := testStart.Add(pathSilence + time.Millisecond)
+			e.Tick(now)
+			e.Tick(now.Add(attachRetryInterval))
+			for n, number := range c.opened {
+				if got := e.HandlePathOpened("a", number) != nil; got != c.want[n] {
+					t.Errorf("path %d is wanted: %v, want %v", number, got, c.want[n])
+				}
+			}
+		})
+	}
+}
--- a/internal/worker/session_path.go
+++ b/internal/worker/session_path.go
@@ -19,7 +19,7 @@
 //  5. If the owner refuses, the session had ended. Its jobs are lost, and the new path
 //     carries a new session.
 //  6. While the lease lasts, further paths are dialed. Each attach has a higher number
-//     than the ones before, and only the newest counts on either side.
+//     than the ones before, and only the newest that was sent counts on either side.
 //  7. An owner that does not name the session in its heartbeats can't attach. Its sessions
 //     end with their connection.
 
@@ -74,11 +74,14 @@
 	// acksTimely is set once a heartbeat has said that the ack of the one before had
 	// arrived. It stays unset where a round trip exceeds heartbeatInterval.
 	acksTimely bool
-	// number is that of the attach in progress, 0 if there is none.
+	// number is that of the last path dialed, 0 if the path is not suspect.
 	number   uint64
 	dialedAt time.Time
-	// sent is set once an attach was sent. The owner may then use the new path already.
-	sent bool
+	// sent is the number of the last attach that was sent, 0 if none was. The owner may then
+	// use the new path already. It is lower than number while a further path is dialed.
+	sent uint64
+	// adopted is the number of the attach by which the present path carries the session.
+	adopted uint64
 	// held are the messages to be sent when the attach has been answered (rule 3).
 	held []message
 }
@@ -102,7 +105,7 @@
 	if v := e.viewOf(owner); v != nil && v.open {
 		v.path.session, v.path.acked = m.Session, m.Acked
 		v.path.acksTimely = v.path.acksTimely || m.Heartbeat.Number == m.Acked+1
-		if v.path.suspect() && !v.path.sent && !v.path.ackMissing(m.Heartbeat.Number) {
+		if v.path.suspect() && v.path.sent == 0 && !v.path.ackMissing(m.Heartbeat.Number) {
 			// The path only was slow.
 			e.resumePath(v)
 		}
@@ -124,7 +127,7 @@
 		return
 	}
 	silent := now.Sub(v.lastContact) > pathSilence
-	if !silent && !p.sent && !p.ackMissing(v.heartbeat.Number) {
+	if !silent && p.sent == 0 && !p.ackMissing(v.heartbeat.Number) {
 		return
 	}
 	if p.suspect() && now.Sub(p.dialedAt) < attachRetryInterval {
@@ -140,7 +143,7 @@
 // resumePath ends an attempt to replace the path and sends what was held back.
 func (e *Entry) resumePath(v *ownerView) {
 	held := v.path.held
-	v.path.number, v.path.sent, v.path.held = 0, false, nil
+	v.path.number, v.path.sent, v.path.held = 0, 0, nil
 	for _, m := range held {
 		e.send(v.candidate.Incarnation, m)
 	}
@@ -150,10 +153,10 @@
 // it, or nil if the path is no longer wanted.
 func (e *Entry) HandlePathOpened(owner string, number uint64) *message {
 	v := e.viewOf(owner)
-	if v == nil || v.path.number != number {
+	if v == nil || !v.path.suspect() || number <= max(v.path.sent, v.path.adopted) {
 		return nil
 	}
-	v.path.sent = true
+	v.path.sent = number
 	a := &attach{Session: v.path.session, Number: number, Ack: v.heartbeat.Number}
 	for _, j := range e.sortedJobs() {
 		if j.owner == owner {
@@ -166,7 +169,7 @@
 // HandlePathClosed handles the end of the path of the session with an owner. The session
 // goes on while an attach is in progress.
 func (e *Entry) HandlePathClosed(now time.Time, owner string) {
-	if v := e.viewOf(owner); v != nil && v.path.sent {
+	if v := e.viewOf(owner); v != nil && v.path.sent != 0 {
 		return
 	}
 	e.HandleSessionClosed(now, owner, "SessionBroke")
@@ -183,7 +186,7 @@
 // handleAttached handles the answer to an attach (rules 4 and 5).
 func (e *Entry) handleAttached(now time.Time, owner string, a attached) {
 	v := e.viewOf(owner)
-	if v == nil || v.path.number != a.Number {
+	if v == nil || v.path.sent != a.Number {
 		return
 	}
 	e.cfg.Log.Info().Str("Owner", owner).Uint64("Attach", a.Number).Bool("Refused", a.Refused).Int("Missing", len(a.Missing)).
@@ -198,7 +201,7 @@
 		e.loseJobs(now, owner, "SessionExpired")
 		return
 	}
-	v.lastContact, v.path.acked, v.path.acksTimely = now, v.heartbeat.Number, false
+	v.lastContact, v.path.acked, v.path.acksTimely, v.path.adopted = now, v.heartbeat.Number, false, a.Number
 	e.actions = append(e.actions, EntryAction{Adopt: &PathDial{v.candidate, a.Number}})
 	e.resumePath(v)
 	for _, id := range a.Missing {
