explain: tell jobs that were started partly and left

Of 253 callers that left at twice the load, 243 had a job of which some tasks had been started, at a median of 80 to 101 ms, and the others never: CallerLeft didn't show it.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -196,6 +196,12 @@
 		"CallerLeftWaiting", Left, "the caller closed its connection before any task had started", "the callers' timeouts against FirstStartMs",
 		func(c Case) bool { return c.Starts() == 0 },
 	},
+	{
+		"CallerLeftStartedPartly", Left, "some of its tasks were started, others still waited when the caller closed its connection",
+		"JobEnded: Starts, Tasks; the load at that second", func(c Case) bool {
+			return slices.ContainsFunc(c.Ends, func(e End) bool { return e.Starts > 0 && e.Starts < e.Tasks })
+		},
+	},
 	{
 		"CallerLeft", Left, "the caller closed its connection while tasks ran", "the callers' timeouts against AgeMs",
 		func(Case) bool { return true },
