--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -193,10 +193,11 @@
 			l.falselyDead.Store(fmt.Sprintf("%s declared %s dead, which has been running since %v", l.name, m[1], at), true)
 		}
 	}
-	if _, err := fmt.Fprint(l.log, l.name, " "); err != nil {
+	// One call, so that lines of hosts that write at the same time stay whole.
+	if _, err := l.log.Write(append([]byte(l.name+" "), b...)); err != nil {
 		return 0, err
 	}
-	return l.log.Write(b)
+	return len(b), nil
 }
 
 // eventCount returns how often the hosts have logged an event.
