--- a/internal/explain/collector.go
+++ b/internal/explain/collector.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -25,8 +26,8 @@
 )
 
 // Collector reads lines in any order and keeps what an account or the way of a request
-// needs. Its memory is bounded by MaxRequests, maxNotes, and the numbers of hosts,
-// servers, queues and widths. A Collector is not safe for concurrent use.
+// needs. Its memory is bounded by MaxRequests, maxNotes, and the numbers of hosts and
+// their incarnations, servers, queues and widths, and of seconds for each owner. A Collector is not safe for concurrent use.
 type Collector struct {
 	cfg      Config
 	log      *Surroundings
@@ -103,7 +104,7 @@
 	if c.early.IsZero() || l.At.Before(c.early) {
 		c.early = l.At
 	}
-	c.log.add(&l, host)
+	c.log.add(&l, host, c.intern)
 	if slices.Contains(notJobEvents, l.Event) {
 		c.counts.NotJobs[l.Event]++
 	}
@@ -130,6 +131,8 @@
 	if t, ok := c.strings[s]; ok {
 		return t
 	}
+	// Strings of a line are parts of it: a copy doesn't keep the rest of the line.
+	s = strings.Clone(s)
 	if len(c.strings) < maxNotes {
 		c.strings[s] = s
 	}
@@ -139,6 +142,7 @@
 func (c *Collector) addFact(id string, f fact) {
 	facts, ok := c.requests[id]
 	if !ok {
+		id = strings.Clone(id)
 		c.order = append(c.order, id)
 	}
 	if len(facts) >= maxFacts {
--- a/internal/explain/surroundings.go
+++ b/internal/explain/surroundings.go
@@ -78,7 +78,7 @@
 }
 
 // add records what a line says of its host, of servers and of owners.
-func (s *Surroundings) add(l *Line, host string) {
+func (s *Surroundings) add(l *Line, host string, intern func(string) string) {
 	if l.At.After(s.lastAt) || s.lastAt.IsZero() {
 		s.lastAt = l.At
 	}
@@ -87,24 +87,24 @@
 	}
 	switch l.Event {
 	case "DaemonStarted":
-		name := l.Value("Name")
+		name := intern(l.Value("Name"))
 		if !slices.Contains(s.names[host], name) {
 			s.names[host] = append(s.names[host], name)
 		}
-		s.domains[name] = l.Value("FailureDomain")
-		s.incarnations[l.Value("Incarnation")] = name
+		s.domains[name] = intern(l.Value("FailureDomain"))
+		s.incarnations[intern(l.Value("Incarnation"))] = name
 	case "OwnerLost":
-		if owner := l.Value("Owner"); owner != "" {
-			s.lostDomains[owner] = l.Value("FailureDomain")
+		if owner := intern(l.Value("Owner")); owner != "" {
+			s.lostDomains[owner] = intern(l.Value("FailureDomain"))
 		}
 	case "OwnershipAssumed":
 		if s.domains[host] == "" {
-			s.domains[host] = l.Value("FailureDomain")
+			s.domains[host] = intern(l.Value("FailureDomain"))
 		}
 	case "ServerAcquired":
 		s.acquired[host]++
 	case "RunFailed":
-		s.server(l.Value("Server")).failed++
+		s.server(intern(l.Value("Server"))).failed++
 		s.all.failed++
 	case "JobEnded":
 		s.addRunTime(l)
@@ -117,7 +117,7 @@
 		s.droppedNotes++
 		return
 	}
-	s.notes[host] = append(s.notes[host], note{l.At, host, l.Event, l.Value(key), l.Value("Owner")})
+	s.notes[host] = append(s.notes[host], note{l.At, host, intern(l.Event), intern(l.Value(key)), intern(l.Value("Owner"))})
 }
 
 func (s *Surroundings) server(id string) *serverRuns {
@@ -129,7 +129,7 @@
 
 // addRunTime counts the last run of a completed job for its server.
 func (s *Surroundings) addRunTime(l *Line) {
-	id, age, last, estimate := l.Value("Server"), l.number("AgeMs"), l.number("LastStartMs"), l.number("CriticalPathMs")
+	id, age, last, estimate := strings.Clone(l.Value("Server")), l.number("AgeMs"), l.number("LastStartMs"), l.number("CriticalPathMs")
 	if id == "" || l.Value("Outcome") != "Completed" || age < 0 || last < 0 || estimate <= 0 {
 		return
 	}
