--- a/internal/cli/explain_page.go
+++ b/internal/cli/explain_page.go
@@ -14,8 +14,8 @@
 	"guavayoke/internal/explain"
 )
 
-// maxCharted limits the causes that have a color of their own in the chart.
-const maxCharted = 8
+// maxCharted limits the causes that have a color of their own in the chart; there are seven colors.
+const maxCharted = 7
 
 var lossesTemplate = template.Must(template.New("losses").Funcs(template.FuncMap{
 	"clock":   formatLogTime,
