worker: the comparison with the scans covers the groups of servers

Each group (service, label, kind) must have the candidates of the scan, in the order of best fit. Seen to fail on kinds named by their first label only.

--- a/internal/worker/pool_reference_test.go
+++ b/internal/worker/pool_reference_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,6 +86,20 @@
 	return l, work / time.Duration(slots)
 }
 
+// referenceCandidates returns the servers of a group that accept a task without needs, in
+// the order of best fit.
+func referenceCandidates(p *Pool, now time.Time, key groupKey) []*server {
+	var list []*server
+	for _, s := range p.orderedServers {
+		if s.Service == key.service && (key.label == "" || s.hasLabel(key.label)) && (key.kind == "" || strings.Join(s.Labels, " ") == key.kind) &&
+			(Resources{}).Fits(s.free()) && s.accepts(now) {
+			list = append(list, s)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *server) int { return cmp.Compare(a.free().CPUMilli, b.free().CPUMilli) })
+	return list
+}
+
 // referenceTooLate returns the jobs that refuseTooLate refuses, in this order.
 func referenceTooLate(p *Pool, now time.Time) []string {
 	factor := maxLateObjectives
@@ -567,6 +582,13 @@
 			r.Fatalf("%s counts as idle: %v, want %v", s.Address, !idle, idle)
 		}
 	}
+	p.fleet.advance(now)
+	for key := range p.fleet.groups {
+		got := slices.Collect(p.fleet.candidates(now, key, Resources{}))
+		if want := referenceCandidates(p, now, key); !slices.Equal(got, want) {
+			r.Fatalf("group %v has %d candidates, want %d, or in another order", key, len(got), len(want))
+		}
+	}
 	for _, j := range order {
 		for i := range j.Steps {
 			if got, want := p.chooseServer(now, j, i), newReferencePlacement(p, now).chooseServer(j, i); got != want {
