worker: count failures that a server lists after its lease has expired

Cause: a run fails on a server whose replies get lost, and the owner stops renewing the lease. In the traces of ServerMute that is because the start command stayed unanswered too, so that the stop of the run is requested and not acknowledged (rule 5 of server.go). The traces of ServerCut don't show why; the replies to the last start commands before the cut are likely to have been lost. At leaseUntil it resolves all runs of the server as stopped, which counts no failure, and starts the tasks elsewhere. If the server answers again, it lists the failed run, but the owner no longer tracks it, skips the entry and acknowledges it with its next poll. Three more runs fail, and the owner, which has counted three failures of four, starts the task once more.

Ruled out by the traces: another resolution than LeaseExpired (isGone with the clock past the deadline, another acquisition of the server, another submission of the job), and a command executed late; none occurs to the runs of these tasks. Replies that overtake each other play no part, since an end that was listed once and is tracked counts whichever reply brings it.

Change: the owner remembers the runs that an expired lease resolved until a poll sent afterwards is answered (rule 8). A failure listed by then counts. If the task has no attempt left, the job fails at once, or as soon as a later run in progress ends without completing the task; that run isn't stopped.

The check was partly at fault. An end that is acknowledged only after the lease has expired doesn't count by the rule, since the owner must assume that the lease ended the run. The check excused unacknowledged ends for ServerCut alone, there all of them, and none for ServerMute. Now one rule holds for all four cases: a failed run doesn't count while its end is unacknowledged, if the lease has expired since the end. Ends that the lease doesn't excuse now count in ServerCut as well; and an excused one counts as soon as it is acknowledged, which is stricter than the rule.

--- a/internal/daemon/virtual_attempts_test.go
+++ b/internal/daemon/virtual_attempts_test.go
@@ -63,10 +63,7 @@
 					t.Error("no job was answered as failed")
 				}
 				for _, o := range s.servers.ExcessStarts() {
-					// While the link is cut, the owner isn't told that a run has ended.
-					if name != "ServerCut" || !o.Unacknowledged {
-						t.Errorf("%s was started on %s after %d failed runs", o.Task, o.Server, o.FailedRuns)
-					}
+					t.Errorf("%s was started on %s after %d failed runs", o.Task, o.Server, o.FailedRuns)
 				}
 			})
 		})
--- a/internal/standin/leased.go
+++ b/internal/standin/leased.go
@@ -40,6 +40,8 @@
 	// ended lists the ends that no poll has acknowledged, by increasing number.
 	ended         []worker.EndedRun
 	lastEndNumber uint64
+	// lastExpiredEnd is the number of the last end before the lease last expired.
+	lastExpiredEnd uint64
 	// highestRun holds, by task, the highest number of a run that was stopped or has
 	// ended.
 	highestRun map[string]int
@@ -73,7 +75,7 @@
 // Boot starts the server, or restarts it as a new incarnation without any state.
 func (s *LeasedServer) Boot(now time.Time) {
 	s.startedAt = now
-	s.token, s.leaseDeadline, s.lastEndNumber = 0, 0, 0
+	s.token, s.leaseDeadline, s.lastEndNumber, s.lastExpiredEnd = 0, 0, 0, 0
 	s.running = map[worker.RunKey]*leasedRun{}
 	s.highestRun = map[string]int{}
 	s.ended = nil
@@ -102,6 +104,9 @@
 			s.endRun(r, worker.RunStopped)
 		}
 	}
+	if !leaseEnd.After(now) {
+		s.lastExpiredEnd = s.lastEndNumber
+	}
 }
 
 // sortedRuns returns the runs in progress in the order of their ends.
@@ -151,10 +156,17 @@
 // UnacknowledgedEnds returns the number of ended runs that no poll has acknowledged.
 func (s *LeasedServer) UnacknowledgedEnds() int { return len(s.ended) }
 
-// HasEndOf reports whether a run of the task has ended and no poll has acknowledged
-// its end.
-func (s *LeasedServer) HasEndOf(task string) bool {
-	return slices.ContainsFunc(s.ended, func(e worker.EndedRun) bool { return e.Task == task })
+// ExpiredFailures returns the number of failed runs of the task that ended before the
+// lease last expired and whose ends no poll has acknowledged since.
+func (s *LeasedServer) ExpiredFailures(now time.Time, task string) int {
+	s.Advance(now)
+	n := 0
+	for _, e := range s.ended {
+		if e.Task == task && e.Outcome == worker.RunFailed && e.Number <= s.lastExpiredEnd {
+			n++
+		}
+	}
+	return n
 }
 
 // HasEndsAfter reports whether a run has ended with an end number above the given
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -57,6 +57,7 @@
 	}
 	if s.unresponsive && len(s.runs) > 0 && now.After(s.leaseUntil) {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int("Runs", len(s.runs)).Msg("LeaseExpired")
+		s.keepExpired(now)
 		p.expireRuns(now, s)
 	}
 	for _, r := range s.sortedRuns() {
@@ -87,6 +88,20 @@
 	}
 }
 
+// keepExpired notes the runs that the expiry of the lease is about to resolve, since
+// the server may list their ends later (rule 8).
+func (s *server) keepExpired(now time.Time) {
+	if s.expired == nil {
+		s.expired = map[RunKey]*run{}
+	}
+	s.expiredAt = now
+	for k, r := range s.runs {
+		if r.task != nil {
+			s.expired[k] = r
+		}
+	}
+}
+
 func (s *server) sortedRuns() []*run {
 	if len(s.runs) == 0 {
 		return nil
@@ -294,7 +309,13 @@
 		s.lastSeen = e.Number
 		if r := s.runs[e.RunKey]; r != nil {
 			p.runEnded(now, s, r, e.Outcome)
+		} else if r := s.expired[e.RunKey]; r != nil && e.Outcome == RunFailed {
+			p.expiredRunFailed(now, s, r)
 		}
+		delete(s.expired, e.RunKey)
+	}
+	if !sent.Before(s.expiredAt) {
+		s.expired = nil // The reply lists the ends of all of them that have one.
 	}
 	running := map[RunKey]bool{}
 	for _, k := range reply.Running {
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -394,26 +394,54 @@
 		t.done = true
 		p.taskDone(now, j, t.step)
 	case RunFailed:
-		if t.failures == 0 {
-			s.health.recordFirstRun(true)
-		}
-		medianFailureShare, before := p.medianFailureShare(now, s.Service), s.health.ejectedUntil
-		s.health.failed(now, j.ID, failureStreakLimit(medianFailureShare))
-		if s.health.ejectedUntil != before {
-			p.cfg.Log.Warn().Str("Server", s.ID).Str("Reason", "RunsFail").Int("Failures", s.health.failures).
-				Float64("MedianFailureShare", medianFailureShare).Int64("EjectionMs", s.health.ejectedUntil.Sub(now).Milliseconds()).Msg("ServerEjected")
-		}
-		t.failures++
-		p.cfg.Log.Info().Str("Task", t.name).Int("Run", r.Run).Str("Server", s.ID).Int("Failures", t.failures).Msg("RunFailed")
-		if t.failures >= j.MaxFailures {
-			p.endJob(now, j, Result{Outcome: Failed, Reason: "TaskFailed"})
-			return
-		}
-		j.readyTasks++
+		p.countFailure(now, s, r)
+		p.retryOrFail(now, t)
 	case RunStopped:
 		// The server refused the start, the start was not confirmed in time, or the
 		// run ended with the lease or the server. The task itself did not fail.
-		j.readyTasks++
+		p.retryOrFail(now, t)
+	}
+}
+
+// countFailure counts a failed run for its task and for the server.
+func (p *Pool) countFailure(now time.Time, s *server, r *run) {
+	t := r.task
+	if t.failures == 0 {
+		s.health.recordFirstRun(true)
+	}
+	medianFailureShare, before := p.medianFailureShare(now, s.Service), s.health.ejectedUntil
+	s.health.failed(now, t.job.ID, failureStreakLimit(medianFailureShare))
+	if s.health.ejectedUntil != before {
+		p.cfg.Log.Warn().Str("Server", s.ID).Str("Reason", "RunsFail").Int("Failures", s.health.failures).
+			Float64("MedianFailureShare", medianFailureShare).Int64("EjectionMs", s.health.ejectedUntil.Sub(now).Milliseconds()).Msg("ServerEjected")
+	}
+	t.failures++
+	p.cfg.Log.Info().Str("Task", t.name).Int("Run", r.Run).Str("Server", s.ID).Int("Failures", t.failures).Msg("RunFailed")
+}
+
+// retryOrFail makes a task whose run has ended wait for its next run, or fails the job.
+func (p *Pool) retryOrFail(now time.Time, t *task) {
+	if t.outOfAttempts() {
+		p.endJob(now, t.job, Result{Outcome: Failed, Reason: "TaskFailed"})
+		return
+	}
+	t.job.readyTasks++
+}
+
+// outOfAttempts reports whether as many runs of the task have failed as its job allows.
+func (t *task) outOfAttempts() bool { return t.failures >= max(t.job.MaxFailures, 1) }
+
+// expiredRunFailed counts the failure of a run that was resolved before the server
+// listed its end (server.go, rule 8). A later run of the task that is in progress
+// continues, since it may still complete the task.
+func (p *Pool) expiredRunFailed(now time.Time, s *server, r *run) {
+	t := r.task
+	if t.done || p.jobs[t.job.ID] != t.job {
+		return
+	}
+	p.countFailure(now, s, r)
+	if t.outOfAttempts() && t.assignedServer == nil {
+		p.endJob(now, t.job, Result{Outcome: Failed, Reason: "TaskFailed"})
 	}
 }
 
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +17,9 @@
 	starts []ServerStart
 	// running holds the runs that the server at each address lists.
 	running map[string][]RunKey
+	// ended holds the ended runs that the server at each address lists.
+	ended   map[string][]EndedRun
+	answers []Result
 	// loseStarts is the number of further start commands that get lost.
 	loseStarts int
 }
@@ -23,7 +27,7 @@
 func newPoolTester(t *testing.T) *poolTester {
 	tokens := NewTokenGenerator("10.1.0.1:1")
 	return &poolTester{
-		t: t, now: testStart, running: map[string][]RunKey{},
+		t: t, now: testStart, running: map[string][]RunKey{}, ended: map[string][]EndedRun{},
 		pool: NewPool(PoolConfig{
 			NextToken: func(now time.Time, refused uint64) uint64 { return tokens.Next(now, refused) },
 			Log:       event.New(io.Discard, "error"),
@@ -43,11 +47,18 @@
 	p.now = p.now.Add(d)
 }
 
+// advanceFor calls advance at intervals of a tick for the duration d.
+func (p *poolTester) advanceFor(d time.Duration, answering ...string) {
+	for until := p.now.Add(d); p.now.Before(until); {
+		p.advance(tickInterval, answering...)
+	}
+}
+
 func (p *poolTester) perform(a Action, answering []string) {
 	reply := func(address string) Reply {
 		for _, o := range answering {
 			if o == address {
-				return Reply{Verdict: Accepted, Clock: p.now.Sub(testStart) + time.Second, StartedAtMs: 1, Running: p.running[address]}
+				return Reply{Verdict: Accepted, Clock: p.now.Sub(testStart) + time.Second, StartedAtMs: 1, Running: p.running[address], EndedRuns: p.ended[address]}
 			}
 		}
 		return Reply{}
@@ -59,10 +70,13 @@
 			p.loseStarts--
 			return
 		}
-		if r := reply(a.Start.Server.Address); r.Verdict == Accepted {
+		r := reply(a.Start.Server.Address)
+		if r.Verdict == Accepted {
 			p.running[a.Start.Server.Address] = append(p.running[a.Start.Server.Address], a.Start.Command.RunKey)
-			p.pool.HandleStartReply(p.now, a.Start.Server.ID, a.Start.Command.Token, a.Start.Command.RunKey, r)
 		}
+		p.pool.HandleStartReply(p.now, a.Start.Server.ID, a.Start.Command.Token, a.Start.Command.RunKey, r)
+	case a.Answer != nil:
+		p.answers = append(p.answers, a.Answer.Result)
 	case a.Stop != nil:
 		p.pool.HandleStopReply(p.now, a.Stop.Server.ID, a.Stop.Command.Token, a.Stop.Command.RunKey, reply(a.Stop.Server.Address))
 	case a.Poll != nil:
@@ -70,6 +84,13 @@
 	}
 }
 
+// endRun makes the server at an address list the run that was started last as ended.
+func (p *poolTester) endRun(address string, outcome RunOutcome) {
+	key := p.starts[len(p.starts)-1].Command.RunKey
+	p.running[address] = slices.DeleteFunc(p.running[address], func(k RunKey) bool { return k == key })
+	p.ended[address] = append(p.ended[address], EndedRun{Number: uint64(len(p.ended[address]) + 1), RunKey: key, Outcome: outcome})
+}
+
 func testServer(address string, leaving bool) Server {
 	return Server{ID: "server", Address: address, Service: "booking", Leaving: leaving, Capacity: Resources{CPUMilli: 32000}}
 }
@@ -194,3 +215,57 @@
 		})
 	}
 }
+
+// TestFailureListedAfterLeaseExpiry guards against a start beyond the attempts of a task
+// of which a run failed on a server whose replies got lost until its lease had expired.
+func TestFailureListedAfterLeaseExpiry(t *testing.T) {
+	failed, completed := Result{ID: "1", Outcome: Failed, Reason: "TaskFailed"}, Result{ID: "1", Outcome: Completed}
+	for name, tc := range map[string]struct {
+		maxFailures int
+		// later is what happens to the second run, which is on another server; nil if
+		// there is no other server.
+		later  func(p *poolTester)
+		starts int
+		want   []Result
+	}{
+		"NoAttemptLeft":      {1, nil, 1, []Result{failed}},
+		"AttemptLeft":        {2, nil, 2, nil},
+		"LaterRunInProgress": {1, func(*poolTester) {}, 2, nil},
+		"LaterRunDone":       {1, func(p *poolTester) { p.endRun("b", RunDone) }, 2, []Result{completed}},
+		"LaterRunFails":      {2, func(p *poolTester) { p.endRun("b", RunFailed) }, 2, []Result{failed}},
+		"LaterRunStopped":    {1, func(p *poolTester) { p.endRun("b", RunStopped) }, 2, []Result{failed}},
+		"LaterRunsFail": {3, func(p *poolTester) {
+			p.endRun("b", RunFailed)
+			p.advanceFor(200*time.Millisecond, "a", "b")
+			p.endRun(p.starts[len(p.starts)-1].Server.Address, RunFailed)
+		}, 3, []Result{failed}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPoolTester(t)
+			p.pool.AssumeOwnership(p.now, nil)
+			servers := []Server{testServer("a", false)}
+			p.pool.SetServers(p.now, servers)
+			p.advance(time.Millisecond, "a")
+			job := testJob("1")
+			job.MaxFailures = tc.maxFailures
+			p.pool.Submit(p.now, 1, job)
+			p.advance(time.Millisecond)
+			p.endRun("a", RunFailed)
+			if tc.later != nil {
+				other := testServer("b", false)
+				other.ID = "other"
+				p.pool.SetServers(p.now, append(servers, other))
+			}
+			// The owner stops the unanswered run, then lets the lease expire.
+			p.advanceFor(unconfirmedStartTimeout+stopAckTimeout+2*leaseDuration, "b")
+			p.advanceFor(2*maxPollRetryDelay, "a", "b")
+			if tc.later != nil {
+				tc.later(p)
+			}
+			p.advanceFor(200*time.Millisecond, "a", "b")
+			if len(p.starts) != tc.starts || !slices.Equal(p.answers, tc.want) {
+				t.Errorf("got %d starts and the answers %+v, want %d and %+v", len(p.starts), p.answers, tc.starts, tc.want)
+			}
+		})
+	}
+}
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -30,6 +30,9 @@
 //     for its predecessor, so the owner acquires it again with a new token. A run
 //     that the first reply under this token does not list is gone, because from
 //     then on the server refuses the commands with the old token.
+//  8. A run that is resolved because the lease has expired may have ended before
+//     that, while the server's replies got lost. If the server lists later that the
+//     run failed, the failure counts for its task as any other.
 
 import (
 	"time"
@@ -143,6 +146,10 @@
 	extendedAt time.Time
 	runs       map[RunKey]*run
 	used       Resources
+	// expired holds the runs of unfinished tasks that were resolved when the lease
+	// last expired, at expiredAt, and whose ends the server may still list (rule 8).
+	expired   map[RunKey]*run
+	expiredAt time.Time
 	// polling and immediatePolling report whether a long poll and an immediate poll
 	// are in flight; there is at most one of each.
 	polling, immediatePolling bool
@@ -261,5 +268,6 @@
 	s.state = stateNotOwned
 	s.token, s.startedAtMs, s.lastSeen = 0, 0, 0
 	s.clock, s.clockReadAt = 0, time.Time{}
+	s.expired = nil
 	s.pollRetryDelay = 0
 }
