worker: stop renewing the lease of a server that stays unresponsive

Callers saw: jobs with confirmed runs on a server that the owner can't reach wait until it is back.

Cause: each renewal raises leaseUntil (rule 6), also one that gets no answer, and the owner renewed every 230 ms as long as no stop was overdue. So leaseUntil was never reached, although the lease on the server had expired. removeIfGone waits for leaseUntil too, so that a server that crashed and is no longer listed kept its jobs as well. Under load it was hidden: a start command that was on its way when the server was lost has its stop requested, and that ended the renewals.

Change: the lease is not renewed once the server has been unresponsive for unresponsiveRenewLimit, one lease (rule 5). An answered poll ends that. The limit lets runs survive lost replies; a shorter one was not tried.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -175,7 +175,7 @@
 		r.state, r.sent = runRunning, now
 	case Unanswered:
 		r.state = runUnconfirmed
-		s.unresponsive = true
+		s.setUnresponsive(now)
 	case RefusedToken:
 		p.handleFenced(now, s)
 	case RefusedOldRun:
@@ -236,7 +236,7 @@
 	case RefusedToken:
 		p.handleFenced(now, s)
 	default:
-		s.unresponsive = true
+		s.setUnresponsive(now)
 	}
 }
 
@@ -276,7 +276,7 @@
 		}
 		// The first failed poll is repeated immediately, the next ones with a backoff.
 		s.nextPollAt = now.Add(s.pollRetryDelay)
-		s.unresponsive = true
+		s.setUnresponsive(now)
 		s.pollRetryDelay = min(max(2*s.pollRetryDelay, minPollRetryDelay), maxPollRetryDelay)
 	}
 	p.sendPoll(now, s)
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -269,3 +269,22 @@
 		})
 	}
 }
+
+// TestUnresponsiveServerKeepsNoRun guards against a task that waits on a server that is cut
+// off until it is back, because each unanswered renewal postponed the end of the lease.
+func TestUnresponsiveServerKeepsNoRun(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.AssumeOwnership(p.now, nil)
+	servers := []Server{testServer("a", false)}
+	p.pool.SetServers(p.now, servers)
+	p.advance(time.Millisecond, "a")
+	p.pool.Submit(p.now, 1, testJob("1"))
+	p.advance(time.Millisecond, "a")
+	other := testServer("b", false)
+	other.ID = "other"
+	p.pool.SetServers(p.now, append(servers, other))
+	p.advanceFor(unresponsiveRenewLimit+2*leaseDuration, "b")
+	if len(p.starts) != 2 || p.starts[1].Server.Address != "b" {
+		t.Errorf("the task was not started at b while a was cut off: %+v", p.starts)
+	}
+}
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -19,7 +19,9 @@
 //     was sent after a stop command for the run had been acknowledged, or the
 //     server's clock in the reply is past the deadline of the start command.
 //  5. The lease covers all runs of the server. It is therefore not renewed while
-//     any run there has been due to stop for longer than stopAckTimeout.
+//     any run there has been due to stop for longer than stopAckTimeout, or while
+//     the server has been unresponsive for longer than unresponsiveRenewLimit: each
+//     renewal raises leaseUntil, also one that never arrives.
 //  6. Every command that extends the lease raises leaseUntil. This is the time, by
 //     this host's clock, at which the lease has certainly expired unless another
 //     command extends it. The server's clock may run slow by
@@ -50,6 +52,10 @@
 	// stopAckTimeout is how long a run that is to be stopped may remain before its
 	// server's lease is no longer renewed (rule 5).
 	stopAckTimeout = 200 * time.Millisecond
+	// unresponsiveRenewLimit is how long the lease of an unresponsive server is still
+	// renewed, so that its runs survive lost replies (rule 5). It takes another lease
+	// until the tasks are started elsewhere.
+	unresponsiveRenewLimit = leaseDuration
 	// stopRetryInterval is the interval between stop commands for the same run.
 	stopRetryInterval = 80 * time.Millisecond
 	// startPollDelay is how long a start command may stay unanswered before the
@@ -158,6 +164,8 @@
 	pollRetryDelay            time.Duration
 	// unresponsive is true from an unanswered command until the next answered poll.
 	unresponsive bool
+	// unresponsiveSince is when unresponsive last became true.
+	unresponsiveSince time.Time
 	// listed reports whether the platform lists the server.
 	listed bool
 	// lastRunEndedAt is when a tracked run last ended.
@@ -173,6 +181,13 @@
 // its health and its free resources.
 func (s *server) usable() bool { return s.state == stateReady && !s.Leaving && !s.unresponsive }
 
+// setUnresponsive notes that the server didn't answer a command.
+func (s *server) setUnresponsive(now time.Time) {
+	if !s.unresponsive {
+		s.unresponsive, s.unresponsiveSince = true, now
+	}
+}
+
 // hasLabel reports whether the server has the label.
 func (s *server) hasLabel(label string) bool {
 	for _, l := range s.Labels {
@@ -207,6 +222,9 @@
 
 // mayRenewLease reports whether rule 5 permits renewing the lease.
 func (s *server) mayRenewLease(now time.Time) bool {
+	if s.unresponsive && now.Sub(s.unresponsiveSince) > unresponsiveRenewLimit {
+		return false
+	}
 	for _, r := range s.runs {
 		if !r.stopRequestedAt.IsZero() && now.Sub(r.stopRequestedAt) > stopAckTimeout {
 			return false
