--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -58,6 +58,7 @@
 	}
 	if s.unresponsive && len(s.runs) > 0 && now.After(s.leaseUntil) {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int("Runs", len(s.runs)).Msg("LeaseExpired")
+		s.keepExpired(now)
 		p.expireRuns(now, s)
 	}
 	for _, r := range s.sortedRuns() {
@@ -88,6 +89,20 @@
 	}
 }
 
+// keepExpired notes the runs that the expiry of the lease is about to resolve, since
+// the server may list their ends later (rule 8).
+func (s *server) keepExpired(now time.Time) {
+	if s.expired == nil {
+		s.expired = map[RunKey]*run{}
+	}
+	s.expiredAt = now
+	for k, r := range s.runs {
+		if r.task != nil {
+			s.expired[k] = r
+		}
+	}
+}
+
 func (s *server) sortedRuns() []*run {
 	if len(s.runs) == 0 {
 		return nil
@@ -165,7 +180,7 @@
 		r.state, r.sent = runRunning, now
 	case Unanswered:
 		r.state = runUnconfirmed
-		s.unresponsive = true
+		s.setUnresponsive(now)
 	case RefusedToken:
 		p.handleFenced(now, s)
 	case RefusedOldRun:
@@ -227,7 +242,7 @@
 	case RefusedToken:
 		p.handleFenced(now, s)
 	default:
-		s.unresponsive = true
+		s.setUnresponsive(now)
 	}
 }
 
@@ -268,7 +283,7 @@
 		}
 		// The first failed poll is repeated immediately, the next ones with a backoff.
 		s.nextPollAt = now.Add(s.pollRetryDelay)
-		s.unresponsive = true
+		s.setUnresponsive(now)
 		s.pollRetryDelay = min(max(2*s.pollRetryDelay, minPollRetryDelay), maxPollRetryDelay)
 	}
 	p.sendPoll(now, s)
@@ -301,7 +316,13 @@
 		s.lastSeen = e.Number
 		if r := s.runs[e.RunKey]; r != nil {
 			p.runEnded(now, s, r, e.Outcome)
+		} else if r := s.expired[e.RunKey]; r != nil && e.Outcome == RunFailed {
+			p.expiredRunFailed(now, s, r)
 		}
+		delete(s.expired, e.RunKey)
+	}
+	if !sent.Before(s.expiredAt) {
+		s.expired = nil // The reply lists the ends of all of them that have one.
 	}
 	running := map[RunKey]bool{}
 	for _, k := range reply.Running {
