worker: place by learned speeds of servers

Cause: a task takes 0.7 times its work on two thirds of the servers and 1.7 times on the others, and placing knew free capacity only. Shown by a scratch copy that logged each run: the means of single servers lie around two values, by the first label; the sizes of servers and single ones of a kind don't differ beyond chance.

Owners learn how long runs take by kind of server and for each server, and give a task a server of a class of speed that ends it in time: the fastest while half of that class is free, else the slowest. Where all servers are of one class, choices are those of best fit, and the comparison with the scans still holds.

Ruled out: averages for each server alone (alike servers then differ by chance), classes without the room that is free (short tasks fill the fast servers).

--- a/internal/standin/leased.go
+++ b/internal/standin/leased.go
@@ -26,6 +26,9 @@
 	ClockDrift float64
 	// RunTime returns how long a run takes and whether it then fails.
 	RunTime func(k worker.RunKey, spec string) (time.Duration, bool)
+	// RunTimeFactor multiplies what RunTime returns; 0 means 1. It is above 1 on a slow
+	// server.
+	RunTimeFactor float64
 	// Need returns the resources that a run occupies, to check the capacity.
 	Need func(k worker.RunKey) worker.Resources
 	// OnEnd, if not nil, is called at the end of each run.
@@ -188,6 +191,9 @@
 		return s.reply(now, worker.RefusedOldRun)
 	}
 	runTime, fails := s.RunTime(cmd.RunKey, cmd.Spec)
+	if s.RunTimeFactor > 0 {
+		runTime = time.Duration(s.RunTimeFactor * float64(runTime))
+	}
 	s.running[cmd.RunKey] = &leasedRun{key: cmd.RunKey, endsAt: now.Add(runTime), failed: fails}
 	s.checkCapacity()
 	return s.reply(now, worker.Accepted)
--- a/internal/worker/fleet.go
+++ b/internal/worker/fleet.go
@@ -22,9 +22,14 @@
 	"guavayoke/internal/sortedset"
 )
 
-// groupKey names a group of servers of a service: all of them, those with one label, or
-// those with the same labels, joined by spaces, which makes a kind of server.
-type groupKey struct{ service, label, kind string }
+// groupKey names a group of servers of a service: all of them, those with one label, those
+// with the same labels, joined by spaces, which makes a kind of server, or those of one
+// class of speed.
+type groupKey struct {
+	service, label, kind string
+	ofClass              bool
+	class                int
+}
 
 // serverGroup has the servers of one group.
 type serverGroup struct {
@@ -36,6 +41,9 @@
 	// capacity.
 	capacities map[Resources]int
 	usable     map[int]int
+	// freeCPU and totalCPU are the free and the whole processor capacity of the usable
+	// servers.
+	freeCPU, totalCPU int
 }
 
 // freeServer is a server with its free resources.
@@ -86,10 +94,12 @@
 	usable, freeCPU int
 	// idle has the owned servers without runs.
 	idle map[*server]bool
+	// classRooms caches the results of rooms, by service.
+	classRooms map[string][]speedClassRoom
 }
 
 func newFleet() *fleet {
-	return &fleet{groups: map[groupKey]*serverGroup{}, due: newTimedServers(), ejected: newTimedServers(), idle: map[*server]bool{}}
+	return &fleet{groups: map[groupKey]*serverGroup{}, classRooms: map[string][]speedClassRoom{}, due: newTimedServers(), ejected: newTimedServers(), idle: map[*server]bool{}}
 }
 
 // indexedServer is what the indexes hold of a server.
@@ -102,6 +112,7 @@
 	groups           []*serverGroup
 	service          string
 	labels           []string
+	class            int
 	capacity, free   Resources
 	isFree, usable   bool
 	ejectedUntil     time.Time
@@ -192,7 +203,7 @@
 
 // isIn reports whether the groups are those of the server.
 func (x *indexedServer) isIn(s *server) bool {
-	return x.service == s.Service && x.capacity == s.Capacity && slices.Equal(x.labels, s.Labels)
+	return x.service == s.Service && x.class == s.speedClass && x.capacity == s.Capacity && slices.Equal(x.labels, s.Labels)
 }
 
 // leave takes a server out of the groups and totals that join put it into, except that
@@ -212,8 +223,11 @@
 		}
 		if x.usable {
 			addCount(g.usable, x.capacity.CPUMilli, -1)
+			g.freeCPU -= x.free.CPUMilli
+			g.totalCPU -= x.capacity.CPUMilli
 		}
 	}
+	delete(f.classRooms, x.service)
 	x.usable, x.isFree, x.ejectedUntil = false, false, time.Time{}
 	if s.gone || !x.isIn(s) {
 		f.leaveGroups(s)
@@ -226,7 +240,7 @@
 		addCount(g.capacities, x.capacity, -1)
 		g.servers--
 	}
-	for _, key := range groupKeys(x.service, x.labels) {
+	for _, key := range groupKeys(x.service, x.labels, x.class) {
 		if g := f.groups[key]; g != nil && g.servers == 0 {
 			delete(f.groups, key)
 		}
@@ -238,8 +252,8 @@
 func (f *fleet) join(s *server) {
 	x := &s.indexedServer
 	if x.groups == nil {
-		x.service, x.labels, x.capacity = s.Service, s.Labels, s.Capacity
-		for _, key := range groupKeys(x.service, x.labels) {
+		x.service, x.labels, x.class, x.capacity = s.Service, s.Labels, s.speedClass, s.Capacity
+		for _, key := range groupKeys(x.service, x.labels, x.class) {
 			g := f.groups[key]
 			if g == nil {
 				g = &serverGroup{free: sortedset.New(compareFree, func(m Resources, x freeServer) Resources { return m.largest(x.free) }), capacities: map[Resources]int{}, usable: map[int]int{}}
@@ -265,8 +279,11 @@
 		}
 		if x.usable {
 			addCount(g.usable, x.capacity.CPUMilli, 1)
+			g.freeCPU += x.free.CPUMilli
+			g.totalCPU += x.capacity.CPUMilli
 		}
 	}
+	delete(f.classRooms, x.service)
 }
 
 func addCount[K comparable](counts map[K]int, key K, n int) {
@@ -276,8 +293,8 @@
 }
 
 // groupKeys returns the groups of a server.
-func groupKeys(service string, labels []string) []groupKey {
-	keys := []groupKey{{service: service}}
+func groupKeys(service string, labels []string, class int) []groupKey {
+	keys := []groupKey{{service: service}, {service: service, ofClass: true, class: class}}
 	if kind := strings.Join(labels, " "); kind != "" {
 		keys = append(keys, groupKey{service: service, kind: kind})
 	}
@@ -319,11 +336,28 @@
 }
 
 // slots returns how many tasks with the given need the usable servers of a service can
-// run at a time, counting processor capacity only.
+// run at a time, counting processor capacity only. A server on which a run takes twice as
+// long as at the reference speed counts half.
 func (f *fleet) slots(service string, need Resources) int {
 	f.indexChanged()
-	g := f.groups[groupKey{service: service}]
-	if g == nil || need.CPUMilli <= 0 {
+	if need.CPUMilli <= 0 {
+		return 0
+	}
+	rooms := f.rooms(service)
+	if len(rooms) <= 1 {
+		return f.groups[groupKey{service: service}].slots(need)
+	}
+	n := 0.0
+	for _, r := range rooms {
+		n += float64(f.groups[groupKey{service: service, ofClass: true, class: r.Class}].slots(need)) / classFactor(r.Class)
+	}
+	return int(n)
+}
+
+// slots returns how many tasks with the given need, which is above 0, the usable servers of
+// the group can run at a time.
+func (g *serverGroup) slots(need Resources) int {
+	if g == nil {
 		return 0
 	}
 	n := 0
@@ -335,6 +369,22 @@
 	return n
 }
 
+// rooms returns the room of the usable servers of a service by their class of speed, the
+// fastest class first. advance or indexChanged must have been called.
+func (f *fleet) rooms(service string) []speedClassRoom {
+	rooms, ok := f.classRooms[service]
+	if ok {
+		return rooms
+	}
+	for class := -maxSpeedClass; class <= maxSpeedClass; class++ {
+		if g := f.groups[groupKey{service: service, ofClass: true, class: class}]; g != nil && g.totalCPU > 0 {
+			rooms = append(rooms, speedClassRoom{Class: class, FreeCPU: g.freeCPU, TotalCPU: g.totalCPU})
+		}
+	}
+	f.classRooms[service] = rooms
+	return rooms
+}
+
 // known reports whether a server of the service is listed.
 func (f *fleet) known(service string) bool {
 	f.indexChanged()
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -48,6 +48,7 @@
 		p.removeIfGone(now, s)
 	}
 	p.orderedServers = slices.DeleteFunc(p.orderedServers, func(s *server) bool { return s.gone })
+	p.countKinds()
 	p.acquireServers(now)
 	p.place(now)
 }
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -11,7 +11,9 @@
 //     capacity (best fit), so that whole servers stay free for large tasks. A
 //     server in the preferred rack of the task's step comes before any other.
 //  3. A task that fits on no server does not block smaller tasks behind it.
-//  4. Servers whose runs fail, that refuse starts, or that don't answer are
+//  4. Where servers differ in speed, rule 2 holds within a class of speed, and
+//     speed_choice.go says which class a task gets.
+//  5. Servers whose runs fail, that refuse starts, or that don't answer are
 //     skipped, see health.go.
 
 import (
@@ -65,7 +67,8 @@
 		d := w.demand
 		placed := p.placeStep(now, w.job, w.step)
 		next, ok := d.steps.Next(w)
-		if !ok || !placed && (w.job.Steps[w.step].MaxPerServer == 0 || !p.fitsSomewhere(now, d)) {
+		othersMayFit := w.job.Steps[w.step].MaxPerServer > 0 || len(p.fleet.rooms(w.job.Service)) > 1
+		if !ok || !placed && (!othersMayFit || !p.fitsSomewhere(now, d)) {
 			heap.Pop(&first)
 			continue
 		}
@@ -108,7 +111,7 @@
 func (p *Pool) anyCPUFree(now time.Time) bool {
 	p.fleet.advance(now)
 	for key := range p.fleet.groups {
-		if key.label == "" && key.kind == "" {
+		if key == (groupKey{service: key.service}) {
 			if largest, ok := p.fleet.largestFreeCPU(now, key.service); ok && largest > 0 {
 				return true
 			}
@@ -138,6 +141,9 @@
 func (p *Pool) chooseServer(now time.Time, j *job, step int) *server {
 	p.fleet.advance(now)
 	st := &j.Steps[step]
+	if rooms := p.fleet.rooms(j.Service); len(rooms) > 1 {
+		return p.chooseServerBySpeed(now, j, step, rooms)
+	}
 	if st.Rack != "" {
 		if s := p.bestFit(now, groupKey{service: j.Service, label: st.Rack}, j, step); s != nil {
 			return s
@@ -150,13 +156,19 @@
 func (p *Pool) bestFit(now time.Time, group groupKey, j *job, step int) *server {
 	st := &j.Steps[step]
 	for s := range p.fleet.candidates(now, group, st.Need) {
-		if (st.Requires == "" || s.hasLabel(st.Requires)) && (st.MaxPerServer <= 0 || s.runsOfStep(j, step) < st.MaxPerServer) {
+		if s.mayRun(j, step) {
 			return s
 		}
 	}
 	return nil
 }
 
+// mayRun reports whether the label and the limit of the step permit a task on the server.
+func (s *server) mayRun(j *job, step int) bool {
+	st := &j.Steps[step]
+	return (st.Requires == "" || s.hasLabel(st.Requires)) && (st.MaxPerServer <= 0 || s.runsOfStep(j, step) < st.MaxPerServer)
+}
+
 // runsOfStep returns the number of runs of a step on the server.
 func (s *server) runsOfStep(j *job, step int) int {
 	n := 0
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -180,6 +180,7 @@
 	recentlyEnded    map[string]endedJob
 	endedOrder       []endedID
 	runTimeEstimator runTimeEstimator
+	speeds           *speedModel
 	// failureMedian caches the result of medianFailureShare for each service.
 	failureMedian map[string]failureMedian
 	// hadQueue reports whether a task waited for a server at queueUpdatedAt, the
@@ -208,7 +209,7 @@
 func NewPool(c PoolConfig) *Pool {
 	return &Pool{
 		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), fleet: newFleet(), trackedRuns: map[string]int{},
-		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, failureMedian: map[string]failureMedian{},
+		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, speeds: newSpeedModel(), failureMedian: map[string]failureMedian{},
 	}
 }
 
@@ -429,7 +430,7 @@
 		if t.failures == 0 {
 			s.health.recordFirstRun(false)
 		}
-		p.runTimeEstimator.done(&j.Job, t.step, now.Sub(r.sent))
+		p.learnRunTime(&j.Job, t.step, s, now.Sub(r.sent))
 		t.done = true
 		p.taskDone(now, j, t.step)
 	case RunFailed:
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -159,6 +159,11 @@
 	heldBack bool
 	// health tracks how runs ended on this server, see health.go.
 	health health
+	// speed tracks how long runs take on this server and speedClass is its class of speed,
+	// see speed.go. speedKind is the result of kind.
+	speed      serverSpeed
+	speedClass int
+	speedKind  string
 	indexedServer
 }
 
--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -68,6 +68,7 @@
 	switch r.Outcome {
 	case worker.Completed:
 		w.completed++
+		j.completedAt = w.now
 		if objective := time.Duration(j.job.Stretch*float64(j.runTime)) + j.job.Target; w.now.Sub(j.at) <= objective {
 			w.onTime++
 		}
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -203,8 +203,9 @@
 	finished    bool
 	onlyRefused bool
 	attempts    int
-	// firstStart is the time at which the first task was started.
-	firstStart time.Time
+	// firstStart is the time at which the first task was started, completedAt that at
+	// which the caller received the result of the completed job.
+	firstStart, completedAt time.Time
 	// runs has the run times of the tasks; if nil, they are random, around runTime.
 	runs []time.Duration
 }
