--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -92,7 +92,7 @@
 	// applied is the configuration in force, which passOn takes from the syncer.
 	applied latest.Value[*AppliedConfiguration]
 	hosts   latest.Value[[]Host]
-	// evacuations is the newest set, which passOnEvacuations takes from the register.
+	// evacuations is the newest set, which learnEvacuations takes from the register.
 	evacuations latest.Value[Evacuations]
 	// hostsVersion is the version of the last list of hosts. Only hostsLoop uses it.
 	hostsVersion uint64
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,7 +28,7 @@
 	StopLimitMs          int      `validate:"min=100,max=600000" doc:"maximum duration of a graceful stop, in milliseconds"`
 	StopKillSeconds      float64  `validate:"min=0,max=600" doc:"seconds between the request to stop the process and the time when it is killed; if set, the graceful stop ends before that time even if StopLimitMs is longer"`
 	ConfigurationApplyMs int      `validate:"omitempty,min=1000,max=600000" doc:"time within which an accepted configuration must be in force on every host, in milliseconds, from which the intervals of the calls to the platform follow; 0 means 2000 with an Adapter and 11000 without"`
-	EvacuationApplyMs    int      `validate:"omitempty,min=2000,max=600000" doc:"time within which no task may be started any more in a failure domain that the platform's operator evacuates, in milliseconds; 0 means that there are no evacuations"`
+	EvacuationApplyMs    int      `validate:"omitempty,min=2000,max=600000" doc:"time within which no task may be started any more in a failure domain that the platform's operator evacuates, in milliseconds; used with an Adapter; 0 means that there are no evacuations"`
 	MetricsAddress       string   `validate:"omitempty,ip_port" doc:"additional address at which metrics are served, as at OperatorAddress"`
 	Adapter              string   `validate:"omitempty,oneof=Users" doc:"Users: callers, backend servers and the platform's service use the protocol of the users' platform; empty: they use the product's own protocol"`
 	LogLevel             string   `validate:"oneof=debug info warn error" doc:"minimum level of events that are logged"`
