--- a/internal/worker/session_attach_test.go
+++ b/internal/worker/session_attach_test.go
@@ -276,3 +276,26 @@
 		})
 	}
 }
+
+// Only the proof that the owner has ended may lose a job before the lease is over.
+func TestFailedDialKeepsSession(t *testing.T) {
+	for name, ended := range map[string]bool{"Unreachable": false, "IncarnationEnded": true} {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEntry("b", "a")
+			acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+			e.handleSessionHeartbeat(testStart, "a", message{Heartbeat: &heartbeat{Number: 2, IsOwner: true, Load: Load{Servers: 1}}, Session: 1, Acked: 1})
+			e.Submit(testStart, Job{ID: "1"})
+			now := testStart.Add(pathSilence + time.Millisecond)
+			e.Tick(now)
+			e.TakeActions()
+			e.HandlePathFailed(now, "a", 1, ended)
+			lost := false
+			for _, a := range e.TakeActions() {
+				lost = lost || a.Answer != nil && a.Answer.Result.Outcome == Lost
+			}
+			if lost != ended {
+				t.Errorf("the job is lost: %v, want %v", lost, ended)
+			}
+		})
+	}
+}
