worker: refuse an invalid job from another host

An owner took a job from a session as it was decoded. A step after one that doesn't exist, index 7 or -1 of one step, ended the process: "index out of range" in the owner's loop, with every job of the failure domain. A step after itself and a negative number of tasks made a job that never ended. Entry hosts check the jobs of their callers (Job.Validate); the owner now makes the same check and refuses the job, which is logged as JobInvalid.

Evidence: the new test on the code before: panic in two of the five cases that were run there, a job left in two; no steps was refused before as well. The huge count was not run there, it would exhaust the memory. Now all six pass; all tests of internal/worker pass without the race detector, scripts/check.sh is clean.

--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -213,6 +213,12 @@
 		}
 		return
 	}
+	if err := in.Validate(); err != nil {
+		// The entry host has checked the job, but the message may be malformed.
+		p.cfg.Log.Warn().Str("Job", in.ID).Err(err).Msg("JobInvalid")
+		p.answer(&job{waiters: []SessionID{session}}, Result{ID: in.ID, Outcome: Refused, Reason: "JobInvalid", RetryAfter: maxRetryAfter})
+		return
+	}
 	j := p.newJob(now, session, in)
 	if r, ok := p.admit(now, j); !ok {
 		r.ID = in.ID
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -270,6 +270,32 @@
 	}
 }
 
+// TestInvalidJobFromPeerIsRefused guards against a malformed message that takes the owner down.
+func TestInvalidJobFromPeerIsRefused(t *testing.T) {
+	for name, change := range map[string]func(j *Job){
+		"AfterMissingStep":  func(j *Job) { j.Steps[0].After = []int{7} },
+		"AfterNegativeStep": func(j *Job) { j.Steps[0].After = []int{-1} },
+		"AfterItself":       func(j *Job) { j.Steps[0].After = []int{0} },
+		"HugeCount":         func(j *Job) { j.Steps[0].Count = 1 << 40 },
+		"NegativeCount":     func(j *Job) { j.Steps[0].Count = -1 },
+		"NoSteps":           func(j *Job) { j.Steps = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPoolTester(t)
+			p.pool.AssumeOwnership(p.now, nil)
+			p.pool.SetServers(p.now, []Server{testServer("a", false)})
+			p.advance(time.Millisecond, "a")
+			job := testJob("1")
+			change(&job)
+			p.pool.Submit(p.now, 1, job)
+			p.advance(time.Millisecond, "a")
+			if len(p.answers) != 1 || p.answers[0].Outcome != Refused || p.pool.Jobs() != 0 {
+				t.Errorf("got the answers %+v and %d jobs, want a refusal and no job", p.answers, p.pool.Jobs())
+			}
+		})
+	}
+}
+
 // TestUnresponsiveServerKeepsNoRun guards against a task that waits on a server that is cut
 // off until it is back, because each unanswered renewal postponed the end of the lease.
 func TestUnresponsiveServerKeepsNoRun(t *testing.T) {
