worker: don't resolve a run by a reply that doesn't list all ends

A server lists at most 500 ended runs in a reply. If more ended since the last answered poll, the end of a run may be left out. The owner took a run that is in neither list for one that doesn't run and never will (rule 4 of server.go) and started its task again, also if the run was done, and acknowledged its end with the next poll but one without processing it. Small tasks reach that on one large server within a few lost replies. It was not seen in a deployment; it was found by reading, while the attempt limit was traced.

Change: the adapter says whether a reply may have left out ends. Such a reply resolves no run by absence, and the runs of an expired lease stay noted (rule 8) until a complete one. The poll that follows acknowledges what was processed and gets the rest. The stand-ins list no more than 500 ends either.

No test of the adapter's decoding was added.

--- a/internal/standin/leased.go
+++ b/internal/standin/leased.go
@@ -9,6 +9,9 @@
 	"guavayoke/internal/worker"
 )
 
+// maxListedEnds is how many ended runs a reply to a poll lists at most.
+const maxListedEnds = 500
+
 // LeasedServer simulates a backend server that runs tasks under one lease, which
 // the owner of the server's failure domain grants and renews. It accepts every start whose
 // fencing token, deadline and run number are valid, even without the capacity for
@@ -252,6 +255,7 @@
 	s.Advance(now)
 	r := s.reply(now, worker.Accepted)
 	r.Running = s.Running()
-	r.EndedRuns = slices.Clone(s.ended)
+	r.EndedRunsTruncated = len(s.ended) >= maxListedEnds
+	r.EndedRuns = slices.Clone(s.ended[:min(len(s.ended), maxListedEnds)])
 	return r
 }
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -314,7 +314,7 @@
 		}
 		delete(s.expired, e.RunKey)
 	}
-	if !sent.Before(s.expiredAt) {
+	if !sent.Before(s.expiredAt) && !reply.EndedRunsTruncated {
 		s.expired = nil // The reply lists the ends of all of them that have one.
 	}
 	running := map[RunKey]bool{}
@@ -326,7 +326,8 @@
 		if r.state == runStarting && !running[r.RunKey] && !r.listRequestedAt.IsZero() && !sent.Before(r.listRequestedAt) {
 			p.requestStop(now, s, r)
 		}
-		if s.runs[r.RunKey] == r && !running[r.RunKey] && (r.token < s.token || r.isGone(sent, reply.Clock)) {
+		// A run that neither list contains may be among the ends that were left out.
+		if s.runs[r.RunKey] == r && !running[r.RunKey] && !reply.EndedRunsTruncated && (r.token < s.token || r.isGone(sent, reply.Clock)) {
 			p.runEnded(now, s, r, RunStopped)
 		}
 	}
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -18,7 +18,9 @@
 	// running holds the runs that the server at each address lists.
 	running map[string][]RunKey
 	// ended holds the ended runs that the server at each address lists.
-	ended   map[string][]EndedRun
+	ended map[string][]EndedRun
+	// maxEnds limits the ended runs that a reply lists; 0 means no limit.
+	maxEnds int
 	answers []Result
 	// loseStarts is the number of further start commands that get lost.
 	loseStarts int
@@ -80,7 +82,12 @@
 	case a.Stop != nil:
 		p.pool.HandleStopReply(p.now, a.Stop.Server.ID, a.Stop.Command.Token, a.Stop.Command.RunKey, reply(a.Stop.Server.Address))
 	case a.Poll != nil:
-		p.pool.HandlePollReply(p.now, a.Poll.Server.ID, a.Poll.Command.Token, a.Poll.Immediate, p.now, reply(a.Poll.Server.Address))
+		r := reply(a.Poll.Server.Address)
+		r.EndedRuns = slices.DeleteFunc(slices.Clone(r.EndedRuns), func(e EndedRun) bool { return e.Number <= a.Poll.Command.LastSeen })
+		if p.maxEnds > 0 && len(r.EndedRuns) >= p.maxEnds {
+			r.EndedRuns, r.EndedRunsTruncated = r.EndedRuns[:p.maxEnds], true
+		}
+		p.pool.HandlePollReply(p.now, a.Poll.Server.ID, a.Poll.Command.Token, a.Poll.Immediate, p.now, r)
 	}
 }
 
@@ -314,3 +321,21 @@
 		t.Errorf("the task was not started at b while a was cut off: %+v", p.starts)
 	}
 }
+
+// TestEndBeyondListedOnes guards against a second start of a task that is done, because the
+// reply to a poll had no room for the end of its run.
+func TestEndBeyondListedOnes(t *testing.T) {
+	p := newPoolTester(t)
+	p.maxEnds = 1
+	p.pool.AssumeOwnership(p.now, nil)
+	p.pool.SetServers(p.now, []Server{testServer("a", false)})
+	p.advance(time.Millisecond, "a")
+	p.pool.Submit(p.now, 1, testJob("1"))
+	p.advance(time.Millisecond, "a")
+	p.ended["a"] = []EndedRun{{Number: 1, RunKey: RunKey{"other.0.0.0", 1}, Outcome: RunDone}}
+	p.endRun("a", RunDone)
+	p.advanceFor(200*time.Millisecond, "a")
+	if want := []Result{{ID: "1", Outcome: Completed}}; len(p.starts) != 1 || !slices.Equal(p.answers, want) {
+		t.Errorf("got %d starts and the answers %+v, want 1 and %+v", len(p.starts), p.answers, want)
+	}
+}
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -17,7 +17,8 @@
 //  4. A run whose start command was not answered is running if the server lists
 //     it. It is gone if the reply to a poll does not list it and either the poll
 //     was sent after a stop command for the run had been acknowledged, or the
-//     server's clock in the reply is past the deadline of the start command.
+//     server's clock in the reply is past the deadline of the start command. A
+//     reply that doesn't list all ended runs resolves none by their absence.
 //  5. The lease covers all runs of the server. It is therefore not renewed while
 //     any run there has been due to stop for longer than stopAckTimeout, or while
 //     the server has been unresponsive for longer than unresponsiveRenewLimit: each
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -205,6 +205,9 @@
 	// Running and EndedRuns are the server's run lists, set in replies to polls.
 	Running   []RunKey
 	EndedRuns []EndedRun
+	// EndedRunsTruncated reports whether the server may have further ended runs, with
+	// higher numbers than those in EndedRuns.
+	EndedRunsTruncated bool
 }
 
 // StartCommand tells a backend server to start a run.
