worker: queues share the room while callers compete for too little

Cause: strict priorities; a burst was detected after 1.8 s, and until then jobs were accepted that the saturated queue refused later; callers that came back were taken for new ones and displaced jobs that would have been on time; tasks of wide jobs started one by one. Change: shares.go weighs queues by their usual demand. A queue below its share goes first, borrowed room goes by priority, and what is used above the share counts for half a second. Admission uses the rate at which a queue is served; sources of a queue are alike; what could start now is accepted; returned callers keep their age; Retry-After follows the drain with jitter.

--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -4,19 +4,23 @@
 // until its answer is worthless is refused on arrival, not after the wait.
 //
 //  1. A job with a task that fits on no server, even an empty one, is refused.
-//  2. While the queue is saturated, a job is refused if its expected wait takes up
-//     too much of its slack. The expected wait is the run time of the tasks ahead
-//     of it, divided by the number of tasks that the servers run at a time. The
-//     slack is the time that the latency objective leaves beyond the critical
-//     path. Jobs that finish late would only keep others from finishing on time.
+//  2. A job all of whose ready tasks can start at once is accepted. Otherwise, while
+//     the queue is saturated, a job is refused if its expected wait takes up too much
+//     of its slack. The expected wait follows from its queue's share of the room
+//     (shares.go, rule 5). The slack is the time that the latency objective leaves
+//     beyond the critical path. Jobs that finish late would only keep others from
+//     finishing on time.
 //  3. While the queue is not saturated, a backlog is short and soon processed. A
 //     job is then accepted if its answer is expected before its answer deadline.
 //     Retrying after Retry-After would delay the job more than waiting does, and a
-//     job that is late is placed behind the others (place.go, rule 1).
+//     job that is late is placed behind the others (place.go, rule 1). Once the recent
+//     demand is clearly above the room, the burst isn't short: a job is accepted only
+//     if it can be on time.
 //  4. A job none of whose tasks has started is refused as soon as it is expected
 //     to end too late under rule 2 or 3: after maxQueuedObjectives while the queue
 //     is saturated, after maxLateObjectives otherwise.
-//  5. Retry-After is the time that the tasks in the queue need.
+//  5. Retry-After follows from the rate at which the share of the job's queue drains
+//     (shares.go, rule 7). A caller that returns is as old as at its first refusal.
 
 import (
 	"math"
@@ -27,9 +31,12 @@
 const (
 	// maxWaitSlackShare is the share of a job's slack that its expected wait may take
 	// up while the queue is saturated. The rest covers the error of declared run
-	// times, which is about as large. minSlackShare is the minimum slack as a share
-	// of the critical path, for objectives that are shorter than the critical path.
+	// times, which is about as large. burstSlackShare is the share while the job's queue
+	// asks for no more than its share of the room, and with the time in which its own
+	// tasks get room. minSlackShare is the minimum slack as a share of the critical path,
+	// for objectives that are shorter than the critical path.
 	maxWaitSlackShare = 0.3
+	burstSlackShare   = 0.8
 	minSlackShare     = 0.25
 	// queuedShareTimeConstant is the time constant of the moving average of the
 	// share of time during which a task waited. From queuedShareLimit on, the queue
@@ -49,10 +56,10 @@
 
 // admit reports whether a new job is accepted. If not, it returns the result with
 // which the job is refused or returned.
-func (p *Pool) admit(now time.Time, j *job) (Result, bool) {
+func (p *Pool) admit(now time.Time, source SessionID, j *job) (Result, bool) {
 	refuse := func(reason string, after time.Duration) (Result, bool) {
 		p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", reason).Int("Queued", len(p.queue)).
-			Int64("WaitMs", p.expectedWait(now, j).Milliseconds()).Int64("RetryAfterMs", after.Milliseconds()).Msg("JobRefused")
+			Int64("RetryAfterMs", after.Milliseconds()).Msg("JobRefused")
 		return Result{Outcome: Refused, Reason: reason, RetryAfter: after}, false
 	}
 	switch {
@@ -77,11 +84,102 @@
 	if known == 0 {
 		return refuse("NoServer", minRetryAfter)
 	}
-	wait := p.expectedWait(now, j)
-	if now.Add(wait+j.criticalPath).After(j.answerDeadline(maxLateObjectives)) || p.queueSaturated() && wait > j.maxAdmissionWait() {
-		return refuse("QueueFull", p.queueDrainTime())
+	if !j.returned {
+		p.shares.Demand(now, j.share, j.Priority, j.work)
 	}
-	return Result{}, true
+	p.updateShares(now)
+	if p.startsNow(now, j) {
+		return Result{}, true
+	}
+	q := j.share
+	wait, own := p.shares.Wait(q, j.firstCores())
+	limit := j.answerDeadline(maxLateObjectives).Sub(now) - j.criticalPath
+	sourceFactor := 1.0
+	switch {
+	case p.shares.overloaded:
+		sourceFactor = p.shares.SourceLimitFactor(now, q, source)
+		full := time.Duration(burstSlackShare * float64(j.objective()-j.criticalPath))
+		limit = min(limit, time.Duration(sourceFactor*float64(j.maxAdmissionWait(q.withinShare(now)))), j.latestStart().Sub(now))
+		if wait+own <= full {
+			own = 0
+		}
+	case p.shares.exceeded:
+		own = 0
+		limit = min(limit, max(j.latestStart().Sub(now), j.maxAdmissionWait(true)))
+	}
+	if wait+own <= limit {
+		return Result{}, true
+	}
+	p.refusedJobs.add(now, j.ID, j.arrived)
+	after := p.shares.Refused(now, q, j.ID, j.work, wait+own-limit)
+	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", "QueueFull").Int("Queued", len(p.queue)).
+		Int64("WaitMs", wait.Milliseconds()).Int64("OwnMs", own.Milliseconds()).Int64("LimitMs", limit.Milliseconds()).
+		Int64("RetryAfterMs", after.Milliseconds()).Float64("ShareCores", q.share).Float64("GrantCores", q.grant).
+		Float64("InUseCores", q.inUse).Float64("WaitingCoreSeconds", q.waiting).Float64("RoomCores", p.shares.room).
+		Float64("SourceFactor", sourceFactor).Bool("Overloaded", p.shares.overloaded).Msg("JobRefused")
+	return Result{Outcome: Refused, Reason: "QueueFull", RetryAfter: after}, false
+}
+
+// firstCores returns the cores that the job's first tasks need together.
+func (j *job) firstCores() float64 {
+	n := 0.0
+	for i, st := range j.Steps {
+		if j.ready(i) {
+			n += float64(st.Count*st.Need.CPUMilli) / 1000
+		}
+	}
+	return n
+}
+
+// startsNow reports whether all tasks of a new job that are ready can be started at once.
+// Tasks that wait are no obstacle: they fit nowhere.
+func (p *Pool) startsNow(now time.Time, j *job) bool {
+	for i, st := range j.Steps {
+		if !j.ready(i) {
+			continue
+		}
+		n := 0
+		for _, s := range p.orderedServers {
+			if n >= st.Count {
+				break
+			}
+			if s.Service != j.Service || !st.Need.Fits(s.free()) || !s.accepts(now) || st.Requires != "" && !s.hasLabel(st.Requires) {
+				continue
+			}
+			free, k := s.free(), 0
+			for st.Need.Fits(free) && n+k < st.Count && (st.MaxPerServer == 0 || k < st.MaxPerServer) {
+				free = free.Sub(st.Need)
+				k++
+			}
+			n += k
+		}
+		if n < st.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// updateCapacity counts the capacity of the usable servers, at each tick.
+func (p *Pool) updateCapacity() {
+	milli := 0
+	for _, s := range p.orderedServers {
+		if s.usable() {
+			milli += s.Capacity.CPUMilli
+		}
+	}
+	p.capacity = float64(milli) / 1000
+}
+
+// updateShares recomputes the shares of the queues.
+func (p *Pool) updateShares(now time.Time) {
+	p.shares.Update(now, p.capacity, p.hadQueue, p.queueSaturated())
+}
+
+// addWaiting adds to the core-seconds of a job's tasks that wait.
+func (p *Pool) addWaiting(j *job, work float64) {
+	j.waitingWork += work
+	j.share.waiting += work
 }
 
 // queueSaturated reports whether tasks have waited for most of the last seconds.
@@ -89,8 +187,11 @@
 
 // maxAdmissionWait returns the longest expected wait with which a job is accepted
 // into a saturated queue (rule 2).
-func (j *job) maxAdmissionWait() time.Duration {
+func (j *job) maxAdmissionWait(withinShare bool) time.Duration {
 	slack := max(j.objective()-j.criticalPath, time.Duration(minSlackShare*float64(j.criticalPath)))
+	if withinShare {
+		return time.Duration(burstSlackShare * float64(slack))
+	}
 	return time.Duration(maxWaitSlackShare * float64(slack))
 }
 
@@ -118,28 +219,6 @@
 	return n
 }
 
-// expectedWait estimates how long a job waits until the last task of its first step
-// is started.
-func (p *Pool) expectedWait(now time.Time, j *job) time.Duration {
-	var ahead time.Duration
-	for _, o := range p.queue {
-		if o == j || o.Priority > j.Priority && !o.started || o.late(now) {
-			continue
-		}
-		ahead += time.Duration(o.readyTasks) * p.runTimeEstimator.runTime(&o.Job, 0)
-	}
-	if len(j.Steps) == 0 {
-		return 0
-	}
-	slots := p.slots(j.Service, j.Steps[0].Need)
-	if slots == 0 {
-		return time.Second
-	}
-	width := j.Steps[0].Count
-	own := time.Duration(max(0, width-slots)) * p.runTimeEstimator.runTime(&j.Job, 0)
-	return (ahead + own) / time.Duration(slots)
-}
-
 // queueDrainTime estimates how long the servers need for the waiting tasks, within
 // the bounds of Retry-After (rule 5).
 func (p *Pool) queueDrainTime() time.Duration {
--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -126,6 +126,9 @@
 	}
 	t.assignedServer, t.currentRun = s, r
 	s.addRun(r)
+	r.share, r.runTime = t.job.share, max(p.runTimeEstimator.runTime(&t.job.Job, t.step), minCountedRunTime).Seconds()
+	p.shares.Started(r.share, r.cores(), r.runTime)
+	p.addWaiting(t.job, -t.job.taskWork[t.step])
 	p.trackedRuns[t.name]++
 	if !t.job.started {
 		t.job.started, t.job.firstStart = true, now
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -3,10 +3,11 @@
 // Placement of tasks on servers. It is designed for many jobs whose tasks each
 // need a large part of a server, where fragmentation wastes resources.
 //
-//  1. Jobs that can still meet their latency objective come before jobs that
-//     can't. Within each of the two groups, jobs are ordered by priority; then
-//     started jobs come before others, since their callers wait only for the
-//     rest; then jobs are ordered by arrival.
+//  1. Jobs that can still meet their latency objective, and started jobs whose
+//     answer is still worth something, come before all others. Within each of the
+//     two groups, the shares of the queues decide whose job is next (shares.go).
+//     Within a queue, started jobs come first, since their callers wait only for
+//     the rest; then the job with the least slack.
 //  2. A task is placed on the server that it leaves with the least free processor
 //     capacity (best fit), so that whole servers stay free for large tasks. A
 //     server in the preferred rack of the task's step comes before any other.
@@ -31,10 +32,8 @@
 		return
 	}
 	p.sortQueue(now)
-	for _, j := range p.queue {
-		if j.readyTasks == 0 {
-			continue
-		}
+	order := newPlaceOrder(now, p.queue)
+	for j := order.next(); j != nil; j = order.next() {
 		for i := range j.Steps {
 			if j.remaining[i] == 0 || !j.Steps[i].Need.Fits(free) || !j.ready(i) {
 				continue
@@ -142,19 +141,89 @@
 	return now.Add(j.criticalPath).After(j.arrived.Add(j.objective()))
 }
 
+// latestStart returns when the job must start to meet its latency objective.
+func (j *job) latestStart() time.Time { return j.arrived.Add(j.objective() - j.criticalPath) }
+
+// lastGroup reports whether the job comes after those that can be on time (rule 1).
+func (j *job) lastGroup(now time.Time) bool {
+	if j.started {
+		return now.After(j.answerDeadline(maxLateObjectives))
+	}
+	return j.late(now)
+}
+
 func (p *Pool) sortQueue(now time.Time) {
 	less := func(a, b *job) int {
 		return cmp.Or(
-			compareBool(a.late(now), b.late(now)),
-			cmp.Compare(a.Priority, b.Priority),
+			compareBool(a.lastGroup(now), b.lastGroup(now)),
 			compareBool(!a.started, !b.started),
-			a.arrived.Compare(b.arrived),
+			a.latestStart().Compare(b.latestStart()),
+			cmp.Compare(a.Priority, b.Priority),
 			cmp.Compare(a.ID, b.ID),
 		)
 	}
 	slices.SortFunc(p.queue, less)
 }
 
+// placeOrder returns jobs in the order in which they are placed (rule 1).
+type placeOrder struct {
+	// groups holds the jobs of each queue in order: those that can be on time, and the rest.
+	groups [2][]*placeQueue
+}
+
+// placeQueue holds the jobs of one queue that have ready tasks and were not tried yet.
+type placeQueue struct {
+	share *queueShare
+	jobs  []*job
+}
+
+// before reports whether the next job of q is placed before that of o: first the rest of a
+// started job, as long as its queue isn't far above its share, then by the shares.
+func (q *placeQueue) before(o *placeQueue) bool {
+	a, b := q.jobs[0].started && q.share.mayFinish(), o.jobs[0].started && o.share.mayFinish()
+	return cmp.Or(compareBool(!a, !b), q.share.compare(o.share)) < 0
+}
+
+// newPlaceOrder returns the order of a sorted queue.
+func newPlaceOrder(now time.Time, queue []*job) *placeOrder {
+	o := &placeOrder{}
+	for _, j := range queue {
+		if j.readyTasks == 0 {
+			continue
+		}
+		g := &o.groups[0]
+		if j.lastGroup(now) {
+			g = &o.groups[1]
+		}
+		i := slices.IndexFunc(*g, func(q *placeQueue) bool { return q.share == j.share })
+		if i < 0 {
+			i = len(*g)
+			*g = append(*g, &placeQueue{share: j.share})
+		}
+		(*g)[i].jobs = append((*g)[i].jobs, j)
+	}
+	return o
+}
+
+// next returns the next job to try, or nil if there is none. What was started since the
+// last call counts.
+func (o *placeOrder) next() *job {
+	for _, group := range o.groups {
+		var best *placeQueue
+		for _, q := range group {
+			if len(q.jobs) > 0 && (best == nil || q.before(best)) {
+				best = q
+			}
+		}
+		if best != nil {
+			j := best.jobs[0]
+			best.jobs = best.jobs[1:]
+			return j
+		}
+	}
+	return nil
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -118,6 +118,8 @@
 	Job
 	waiters []SessionID
 	arrived time.Time
+	// returned reports whether the job was refused before. arrived is that of the first time.
+	returned bool
 	// started reports whether a start command was sent for any task (rule 3).
 	started bool
 	// firstStart and lastStart are the times of the first and the latest start
@@ -133,6 +135,11 @@
 	readyTasks int
 	// criticalPath is the estimated run time of the longest chain of steps.
 	criticalPath time.Duration
+	// share is the share of the job's queue. taskWork has the core-seconds of a task of each
+	// step, work those of the whole job, and waitingWork those of the tasks not started.
+	share             *queueShare
+	taskWork          []float64
+	work, waitingWork float64
 }
 
 // Pool holds the jobs and the backend servers of one owner. It performs no I/O:
@@ -174,7 +181,11 @@
 	hadQueue       bool
 	queueUpdatedAt time.Time
 	queuedShare    float64
-	actions        []Action
+	shares         *Shares
+	// capacity is the cores of the usable servers at the last tick.
+	capacity    float64
+	refusedJobs refusedJobs
+	actions     []Action
 }
 
 // endedJob holds the highest run number of a job that has ended.
@@ -188,6 +199,7 @@
 	return &Pool{
 		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, trackedRuns: map[string]int{},
 		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, failureMedian: map[string]failureMedian{},
+		shares: NewShares(),
 	}
 }
 
@@ -214,18 +226,23 @@
 		return
 	}
 	j := p.newJob(now, session, in)
-	if r, ok := p.admit(now, j); !ok {
+	if r, ok := p.admit(now, session, j); !ok {
 		r.ID = in.ID
 		p.answer(j, r)
 		return
 	}
 	p.jobs[in.ID] = j
 	p.queue = append(p.queue, j)
+	p.shares.Admitted(now, j.share, session, j.work)
+	p.addWaiting(j, j.work)
 	p.place(now)
 }
 
 func (p *Pool) newJob(now time.Time, session SessionID, in Job) *job {
 	j := &job{Job: in, waiters: []SessionID{session}, arrived: now.Add(-in.Age)}
+	if at, ok := p.refusedJobs.arrived(in.ID); ok && at.Before(j.arrived) {
+		j.arrived, j.returned = at, true
+	}
 	base := p.recentlyEnded[in.ID].lastRun
 	for i, st := range in.Steps {
 		var tasks []*task
@@ -236,6 +253,12 @@
 		j.remaining = append(j.remaining, st.Count)
 	}
 	j.criticalPath = p.runTimeEstimator.criticalPath(&j.Job)
+	j.share = p.shares.queue(in.Queue)
+	for i, st := range in.Steps {
+		work := float64(st.Need.CPUMilli) / 1000 * p.runTimeEstimator.runTime(&j.Job, i).Seconds()
+		j.taskWork = append(j.taskWork, work)
+		j.work += float64(st.Count) * work
+	}
 	for i := range in.Steps {
 		if j.ready(i) {
 			j.readyTasks += in.Steps[i].Count
@@ -296,6 +319,7 @@
 func (p *Pool) endJob(now time.Time, j *job, r Result) {
 	delete(p.jobs, j.ID)
 	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
+	p.addWaiting(j, -j.waitingWork)
 	lastRun := 0
 	for _, tasks := range j.tasks {
 		for _, t := range tasks {
@@ -365,6 +389,8 @@
 			delete(p.recentlyEnded, id)
 		}
 	}
+	p.updateCapacity()
+	p.updateShares(now)
 	p.refuseTooLate(now)
 	p.place(now)
 	p.releaseServers()
@@ -376,6 +402,9 @@
 // server's share of failed runs (health.go, rule 3).
 func (p *Pool) runEnded(now time.Time, s *server, r *run, outcome RunOutcome) {
 	s.removeRun(r)
+	if r.share != nil {
+		p.shares.Started(r.share, -r.cores(), r.runTime)
+	}
 	s.lastRunEndedAt = now
 	p.untrackRun(r.Task)
 	t := r.task
@@ -410,10 +439,12 @@
 			return
 		}
 		j.readyTasks++
+		p.addWaiting(j, j.taskWork[t.step])
 	case RunStopped:
 		// The server refused the start, the start was not confirmed in time, or the
 		// run ended with the lease or the server. The task itself did not fail.
 		j.readyTasks++
+		p.addWaiting(j, j.taskWork[t.step])
 	}
 }
 
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -107,6 +107,10 @@
 	RunKey
 	need  Resources
 	state runState
+	// share is the share of the queue whose job started the run, nil if this owner did not
+	// start it; runTime is the expected run time in seconds.
+	share   *queueShare
+	runTime float64
 	// task is nil if no job needs the run: it belongs to another owner, or its job
 	// has ended.
 	task *task
@@ -126,6 +130,9 @@
 	listRequestedAt time.Time
 }
 
+// cores returns the cores that the run takes up.
+func (r *run) cores() float64 { return float64(r.need.CPUMilli) / 1000 }
+
 // server is what a pool knows about one backend server.
 type server struct {
 	Server
--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -25,6 +25,9 @@
 		return
 	}
 	h := up[w.rand.IntN(len(up))]
+	if j.fixedHost {
+		h = w.hosts[j.entryHost]
+	}
 	at := &simAttempt{job: j, host: h, hostGeneration: h.generation}
 	j.attempts++
 	w.tracef("job %s is submitted at host%d", j.job.ID, h.index)
@@ -60,6 +63,9 @@
 	at.finished = true
 	j := at.job
 	w.answers++
+	if j.answered != nil {
+		j.answered(r)
+	}
 	w.tracef("job %s is answered %v %s", j.job.ID, r.Outcome, r.Reason)
 	switch r.Outcome {
 	case worker.Completed:
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -200,6 +200,14 @@
 	firstStart time.Time
 	// runs has the run times of the tasks; if nil, they are random, around runTime.
 	runs []time.Duration
+	// entryHost is the index of the host at which the caller submits the job, if fixedHost
+	// is set; otherwise each attempt goes to a random one.
+	entryHost int
+	fixedHost bool
+	// answered, if set, is called with each result that the caller receives.
+	answered func(worker.Result)
+	// startedWork is the sum of the run times of all runs that were started.
+	startedWork time.Duration
 }
 
 // simAttempt is one submission of a job at a host.
@@ -265,6 +273,7 @@
 				if err != nil {
 					w.failf("task %s has no index: %v", k.Task, err)
 				}
+				j.startedWork += j.runs[n]
 				return j.runs[n], false
 			}
 			return time.Duration(float64(j.runTime) * (0.8 + 0.4*w.rand.Float64())), w.rand.Float64() < w.faults.RunFails
