--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -24,7 +24,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -58,7 +57,7 @@
 // which the job is refused or returned.
 func (p *Pool) admit(now time.Time, source SessionID, j *job) (Result, bool) {
 	refuse := func(reason string, after time.Duration) (Result, bool) {
-		p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", reason).Int("Queued", len(p.queue)).
+		p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", reason).Int("Queued", len(p.jobs)).
 			Int64("RetryAfterMs", after.Milliseconds()).Msg("JobRefused")
 		return Result{Outcome: Refused, Reason: reason, RetryAfter: after}, false
 	}
@@ -68,56 +67,63 @@
 	case !p.owner:
 		return Result{Outcome: Returned, Reason: "NotOwner"}, false
 	}
-	known := 0
+	if len(j.Steps) == 0 || !p.fleet.known(j.Service) {
+		return refuse("NoServer", minRetryAfter)
+	}
 	for i := range j.Steps {
-		fits := false
-		for _, s := range p.orderedServers {
-			if s.Service == j.Service {
-				known++
-				fits = fits || j.Steps[i].Need.Fits(s.Capacity) && (j.Steps[i].Requires == "" || s.hasLabel(j.Steps[i].Requires))
-			}
-		}
-		if !fits && known > 0 {
+		if !p.fleet.fitsEmpty(j.Service, &j.Steps[i]) {
 			return refuse("FitsNowhere", maxRetryAfter)
 		}
 	}
-	if known == 0 {
-		return refuse("NoServer", minRetryAfter)
-	}
 	if !j.returned {
 		p.shares.Demand(now, j.share, j.Priority, j.work)
 	}
 	p.updateShares(now)
-	if p.startsNow(now, j) {
+	d := p.decideAdmission(now, source, j)
+	if d.accepted {
 		return Result{}, true
 	}
+	p.refusedJobs.add(now, j.ID, j.arrived)
 	q := j.share
-	wait, own := p.shares.Wait(q, j.firstCores())
-	limit := j.answerDeadline(maxLateObjectives).Sub(now) - j.criticalPath
-	sourceFactor := 1.0
+	after := p.shares.Refused(now, q, j.ID, j.work, d.wait+d.own-d.limit)
+	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", "QueueFull").Int("Queued", len(p.jobs)).
+		Int64("WaitMs", d.wait.Milliseconds()).Int64("OwnMs", d.own.Milliseconds()).Int64("LimitMs", d.limit.Milliseconds()).
+		Int64("RetryAfterMs", after.Milliseconds()).Float64("ShareCores", q.share).Float64("GrantCores", q.grant).
+		Float64("InUseCores", q.inUse).Float64("WaitingCoreSeconds", q.waiting).Float64("RoomCores", p.shares.room).
+		Float64("SourceFactor", d.sourceFactor).Bool("Saturated", p.shares.overloaded).Bool("Exceeded", p.shares.exceeded).Msg("JobRefused")
+	return Result{Outcome: Refused, Reason: "QueueFull", RetryAfter: after}, false
+}
+
+// admission is a decision on a new job, with the numbers that it depends on: the expected
+// wait, the time in which the tasks of the job itself get room, and the limit of the sum.
+// The numbers are zero if the job can start at once.
+type admission struct {
+	accepted         bool
+	wait, own, limit time.Duration
+	sourceFactor     float64
+}
+
+// decideAdmission decides on a new job that servers exist for (rules 2 and 3).
+func (p *Pool) decideAdmission(now time.Time, source SessionID, j *job) admission {
+	if p.startsNow(now, j) {
+		return admission{accepted: true}
+	}
+	d := admission{limit: j.answerDeadline(maxLateObjectives).Sub(now) - j.criticalPath, sourceFactor: 1}
+	d.wait, d.own = p.shares.Wait(j.share, j.firstCores())
+	slack := j.latestStart().Sub(now)
 	switch {
 	case p.shares.overloaded:
-		sourceFactor = p.shares.SourceLimitFactor(now, q, source)
-		full := time.Duration(burstSlackShare * float64(j.objective()-j.criticalPath))
-		limit = min(limit, time.Duration(sourceFactor*float64(j.maxAdmissionWait(q.withinShare(now)))), j.latestStart().Sub(now))
-		if wait+own <= full {
-			own = 0
+		d.sourceFactor = p.shares.SourceLimitFactor(now, j.share, source)
+		d.limit = min(d.limit, time.Duration(d.sourceFactor*float64(j.maxAdmissionWait(j.share.withinShare(now)))), slack)
+		if d.wait+d.own <= time.Duration(burstSlackShare*float64(j.objective()-j.criticalPath)) {
+			d.own = 0
 		}
 	case p.shares.exceeded:
-		own = 0
-		limit = min(limit, max(j.latestStart().Sub(now), j.maxAdmissionWait(true)))
+		d.own = 0
+		d.limit = min(d.limit, max(slack, j.maxAdmissionWait(true)))
 	}
-	if wait+own <= limit {
-		return Result{}, true
-	}
-	p.refusedJobs.add(now, j.ID, j.arrived)
-	after := p.shares.Refused(now, q, j.ID, j.work, wait+own-limit)
-	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", "QueueFull").Int("Queued", len(p.queue)).
-		Int64("WaitMs", wait.Milliseconds()).Int64("OwnMs", own.Milliseconds()).Int64("LimitMs", limit.Milliseconds()).
-		Int64("RetryAfterMs", after.Milliseconds()).Float64("ShareCores", q.share).Float64("GrantCores", q.grant).
-		Float64("InUseCores", q.inUse).Float64("WaitingCoreSeconds", q.waiting).Float64("RoomCores", p.shares.room).
-		Float64("SourceFactor", sourceFactor).Bool("Overloaded", p.shares.overloaded).Msg("JobRefused")
-	return Result{Outcome: Refused, Reason: "QueueFull", RetryAfter: after}, false
+	d.accepted = d.wait+d.own <= d.limit
+	return d
 }
 
 // firstCores returns the cores that the job's first tasks need together.
@@ -131,49 +137,43 @@
 	return n
 }
 
-// startsNow reports whether all tasks of a new job that are ready can be started at once.
-// Tasks that wait are no obstacle: they fit nowhere.
+// startsNow reports whether all tasks of each ready step of a new job can be started at
+// once. Tasks that wait are no obstacle: they fit nowhere.
 func (p *Pool) startsNow(now time.Time, j *job) bool {
+	p.fleet.advance(now)
 	for i, st := range j.Steps {
 		if !j.ready(i) {
 			continue
 		}
-		n := 0
-		for _, s := range p.orderedServers {
-			if n >= st.Count {
+		left := st.Count
+		for s := range p.fleet.candidates(now, groupKey{service: j.Service, label: st.Requires}, st.Need) {
+			if left -= s.tasksThatFit(&st, left); left == 0 {
 				break
 			}
-			if s.Service != j.Service || !st.Need.Fits(s.free()) || !s.accepts(now) || st.Requires != "" && !s.hasLabel(st.Requires) {
-				continue
-			}
-			free, k := s.free(), 0
-			for st.Need.Fits(free) && n+k < st.Count && (st.MaxPerServer == 0 || k < st.MaxPerServer) {
-				free = free.Sub(st.Need)
-				k++
-			}
-			n += k
 		}
-		if n < st.Count {
+		if left > 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// updateCapacity counts the capacity of the usable servers, at each tick.
-func (p *Pool) updateCapacity() {
-	milli := 0
-	for _, s := range p.orderedServers {
-		if s.usable() {
-			milli += s.Capacity.CPUMilli
-		}
+// tasksThatFit returns how many of at most most tasks of a step fit on the server now.
+func (s *server) tasksThatFit(st *Step, most int) int {
+	if st.MaxPerServer > 0 {
+		most = min(most, st.MaxPerServer)
 	}
-	p.capacity = float64(milli) / 1000
+	n := 0
+	for free := s.free(); n < most && st.Need.Fits(free); n++ {
+		free = free.Sub(st.Need)
+	}
+	return n
 }
 
 // updateShares recomputes the shares of the queues.
 func (p *Pool) updateShares(now time.Time) {
-	p.shares.Update(now, p.capacity, p.hadQueue, p.queueSaturated())
+	p.fleet.indexChanged()
+	p.shares.Update(now, float64(p.fleet.usableCPU)/1000, p.hadQueue, p.queueSaturated())
 }
 
 // addWaiting adds to the core-seconds of a job's tasks that wait.
@@ -204,43 +204,34 @@
 	}
 	p.queuedShare += (before - p.queuedShare) * (1 - math.Exp(-now.Sub(p.queueUpdatedAt).Seconds()/queuedShareTimeConstant.Seconds()))
 	p.queueUpdatedAt = now
-	p.hadQueue = slices.ContainsFunc(p.queue, func(j *job) bool { return j.readyTasks > 0 })
+	p.hadQueue = p.queue.readyJobs > 0
 }
 
-// slots returns how many tasks with the given need the servers of a service can
-// run at a time, counting processor capacity only.
-func (p *Pool) slots(service string, need Resources) int {
-	n := 0
-	for _, s := range p.orderedServers {
-		if s.Service == service && s.usable() && need.CPUMilli > 0 && s.Capacity.CPUMilli > 0 {
-			n += s.Capacity.CPUMilli / need.CPUMilli
+// queueDrainTime estimates how long the servers need for the waiting tasks, within
+// the bounds of Retry-After (rule 5).
+func (p *Pool) queueDrainTime() time.Duration {
+	work, slots := p.readyWork(), 1
+	for service, q := range p.queue.services {
+		if least, ok := q.firstNeeds.sorted.Min(); ok {
+			slots = max(slots, p.fleet.slots(service, Resources{CPUMilli: least}))
 		}
 	}
-	return n
+	return min(max(work/time.Duration(slots), minRetryAfter), maxRetryAfter)
 }
 
-// queueDrainTime estimates how long the servers need for the waiting tasks, within
-// the bounds of Retry-After (rule 5).
-func (p *Pool) queueDrainTime() time.Duration {
+// readyWork returns the estimated run time of all ready tasks.
+func (p *Pool) readyWork() time.Duration {
 	var work time.Duration
-	slots := 1
-	for _, o := range p.queue {
-		work += time.Duration(o.readyTasks) * p.runTimeEstimator.runTime(&o.Job, 0)
-		slots = max(slots, p.slots(o.Service, o.Steps[0].Need))
+	for _, t := range p.queue.totals {
+		work += p.runTimeEstimator.totalRunTime(t)
 	}
-	return min(max(work/time.Duration(slots), minRetryAfter), maxRetryAfter)
+	return work
 }
 
 // refuseTooLate refuses the jobs that can no longer be answered in time (rule 4).
 func (p *Pool) refuseTooLate(now time.Time) {
-	factor := maxLateObjectives
-	if p.queueSaturated() {
-		factor = maxQueuedObjectives
-	}
-	for _, j := range p.sortedJobs() {
-		if !j.started && now.Add(j.criticalPath).After(j.answerDeadline(factor)) {
-			p.endJob(now, j, Result{Outcome: Refused, Reason: "WaitedTooLong", RetryAfter: p.queueDrainTime()})
-		}
+	for _, j := range p.queue.tooLateBy(now, p.queueSaturated()) {
+		p.endJob(now, j, Result{Outcome: Refused, Reason: "WaitedTooLong", RetryAfter: p.queueDrainTime()})
 	}
 }
 
@@ -258,21 +249,14 @@
 // Load returns the current load.
 func (p *Pool) Load() Load {
 	var l Load
-	for _, s := range p.orderedServers {
-		if s.usable() {
-			l.Servers++
-			l.FreeCPUMilli += s.free().CPUMilli
-		}
-	}
-	var work time.Duration
+	p.fleet.indexChanged()
+	l.Servers, l.FreeCPUMilli = p.fleet.usable, p.fleet.freeCPU
 	slots := 1
-	for _, o := range p.queue {
-		if o.readyTasks == 0 {
-			continue
+	for service, q := range p.queue.services {
+		if least, ok := q.readyFirstNeeds.sorted.Min(); ok {
+			slots = max(slots, p.fleet.slots(service, Resources{CPUMilli: least}))
 		}
-		work += time.Duration(o.readyTasks) * p.runTimeEstimator.runTime(&o.Job, 0)
-		slots = max(slots, p.slots(o.Service, o.Steps[0].Need))
 	}
-	l.WaitMs = (work / time.Duration(slots)).Milliseconds()
+	l.WaitMs = (p.readyWork() / time.Duration(slots)).Milliseconds()
 	return l
 }
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -16,7 +16,6 @@
 //     skipped, see health.go.
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -24,61 +23,107 @@
 // place starts all ready tasks for which a server has enough free resources.
 func (p *Pool) place(now time.Time) {
 	defer p.updateQueuedShare(now)
-	if len(p.queue) == 0 || p.awaitsServerList(now) {
+	if len(p.jobs) == 0 || p.awaitsServerList(now) {
 		return
 	}
-	free := p.largestFree(now)
-	if free.CPUMilli <= 0 {
-		return
-	}
-	p.sortQueue(now)
-	order := newPlaceOrder(now, p.queue)
-	for j := order.next(); j != nil; j = order.next() {
-		for i := range j.Steps {
-			if j.remaining[i] == 0 || !j.Steps[i].Need.Fits(free) || !j.ready(i) {
-				continue
+	p.queue.advance(now)
+	p.placeWaiting(now)
+	p.queue.settle()
+}
+
+// placeWaiting visits the waiting steps in the order of rule 1 and starts their tasks.
+// It leaves out the demands that no server fits. Placing tasks only takes resources
+// away, so such a demand need not be looked at again.
+func (p *Pool) placeWaiting(now time.Time) {
+	var first nextSteps
+	p.fleet.advance(now)
+	for service, q := range p.queue.services {
+		largest, ok := p.fleet.largestFreeCPU(now, service)
+		if !ok {
+			continue
+		}
+		for d := range q.demands.All() {
+			if d.need.CPUMilli > largest {
+				break
 			}
-			if p.placeStep(now, j, i) {
-				free = p.largestFree(now)
+			if p.fitsSomewhere(now, d) {
+				w, _ := d.steps.Min()
+				first = append(first, w)
 			}
 		}
-		if free.CPUMilli <= 0 {
+	}
+	// A job with tasks that need no processor capacity is visited only while some is free.
+	needsNone := slices.ContainsFunc(first, func(w *waitingStep) bool { return w.demand.need.CPUMilli <= 0 })
+	var last *job
+	for len(first) > 0 {
+		// Each start changes what the queues use, so the order of the heads is not kept.
+		n := first.next()
+		w := first[n]
+		if needsNone && w.job != last && !p.anyCPUFree(now) {
 			return
 		}
+		last = w.job
+		d := w.demand
+		placed := p.placeStep(now, w.job, w.step)
+		next, ok := d.steps.Next(w)
+		if !ok || !placed && (w.job.Steps[w.step].MaxPerServer == 0 || !p.fitsSomewhere(now, d)) {
+			first = slices.Delete(first, n, n+1)
+			continue
+		}
+		first[n] = next
 	}
 }
 
+// nextSteps has the next step of each demand.
+type nextSteps []*waitingStep
+
+// next returns the index of the step whose tasks are placed next.
+func (h nextSteps) next() int {
+	best := 0
+	for i := range h {
+		if compareNext(h[i], h[best]) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
 // placeStep starts the waiting tasks of a step until there is no server for one of
-// them. It reports whether it started any.
+// them. It reports whether there was one for each.
 func (p *Pool) placeStep(now time.Time, j *job, step int) bool {
-	started := false
 	for _, t := range j.tasks[step] {
 		if t.done || t.assignedServer != nil || p.trackedRuns[t.name] > 0 {
 			continue
 		}
 		s := p.chooseServer(now, j, step)
 		if s == nil {
-			return started
+			return false
 		}
 		p.start(now, s, t)
-		started = true
 	}
-	return started
+	return true
 }
 
-// largestFree returns, for each resource, the largest free amount on one server.
-func (p *Pool) largestFree(now time.Time) Resources {
-	var m Resources
-	for _, s := range p.orderedServers {
-		if !s.accepts(now) {
-			continue
-		}
-		f := s.free()
-		m = Resources{
-			CPUMilli: max(m.CPUMilli, f.CPUMilli), MemoryMB: max(m.MemoryMB, f.MemoryMB), GPUs: max(m.GPUs, f.GPUs),
+// anyCPUFree reports whether a server of any service has free processor capacity.
+func (p *Pool) anyCPUFree(now time.Time) bool {
+	p.fleet.advance(now)
+	for key := range p.fleet.groups {
+		if key.label == "" && key.kind == "" {
+			if largest, ok := p.fleet.largestFreeCPU(now, key.service); ok && largest > 0 {
+				return true
+			}
 		}
 	}
-	return m
+	return false
+}
+
+// fitsSomewhere reports whether a server accepts a task of the demand now.
+func (p *Pool) fitsSomewhere(now time.Time, d *demand) bool {
+	p.fleet.advance(now)
+	for range p.fleet.candidates(now, groupKey{service: d.service, label: d.requires}, d.need) {
+		return true
+	}
+	return false
 }
 
 // accepts reports whether a task may be started on the server now, regardless of
@@ -91,22 +136,25 @@
 // chooseServer returns the server to start a task of the step on, or nil if there
 // is none (rule 2).
 func (p *Pool) chooseServer(now time.Time, j *job, step int) *server {
+	p.fleet.advance(now)
 	st := &j.Steps[step]
-	var best *server
-	var bestOffRack bool
-	for _, s := range p.orderedServers {
-		if s.Service != j.Service || !st.Need.Fits(s.free()) || !s.accepts(now) {
-			continue
+	if st.Rack != "" {
+		if s := p.bestFit(now, groupKey{service: j.Service, label: st.Rack}, j, step); s != nil {
+			return s
 		}
-		if st.Requires != "" && !s.hasLabel(st.Requires) || st.MaxPerServer > 0 && s.runsOfStep(j, step) >= st.MaxPerServer {
-			continue
-		}
-		offRack := st.Rack != "" && !s.hasLabel(st.Rack)
-		if best == nil || bestOffRack && !offRack || bestOffRack == offRack && s.free().CPUMilli < best.free().CPUMilli {
-			best, bestOffRack = s, offRack
+	}
+	return p.bestFit(now, groupKey{service: j.Service, label: st.Requires}, j, step)
+}
+
+// bestFit returns the server of a group to start a task of the step on, or nil.
+func (p *Pool) bestFit(now time.Time, group groupKey, j *job, step int) *server {
+	st := &j.Steps[step]
+	for s := range p.fleet.candidates(now, group, st.Need) {
+		if (st.Requires == "" || s.hasLabel(st.Requires)) && (st.MaxPerServer <= 0 || s.runsOfStep(j, step) < st.MaxPerServer) {
+			return s
 		}
 	}
-	return best
+	return nil
 }
 
 // runsOfStep returns the number of runs of a step on the server.
@@ -151,85 +199,3 @@
 	}
 	return j.late(now)
 }
-
-func (p *Pool) sortQueue(now time.Time) {
-	less := func(a, b *job) int {
-		return cmp.Or(
-			compareBool(a.lastGroup(now), b.lastGroup(now)),
-			compareBool(!a.started, !b.started),
-			a.latestStart().Compare(b.latestStart()),
-			cmp.Compare(a.Priority, b.Priority),
-			cmp.Compare(a.ID, b.ID),
-		)
-	}
-	slices.SortFunc(p.queue, less)
-}
-
-// placeOrder returns jobs in the order in which they are placed (rule 1).
-type placeOrder struct {
-	// groups holds the jobs of each queue in order: those that can be on time, and the rest.
-	groups [2][]*placeQueue
-}
-
-// placeQueue holds the jobs of one queue that have ready tasks and were not tried yet.
-type placeQueue struct {
-	share *queueShare
-	jobs  []*job
-}
-
-// before reports whether the next job of q is placed before that of o: first the rest of a
-// started job, as long as its queue isn't far above its share, then by the shares.
-func (q *placeQueue) before(o *placeQueue) bool {
-	a, b := q.jobs[0].started && q.share.mayFinish(), o.jobs[0].started && o.share.mayFinish()
-	return cmp.Or(compareBool(!a, !b), q.share.compare(o.share)) < 0
-}
-
-// newPlaceOrder returns the order of a sorted queue.
-func newPlaceOrder(now time.Time, queue []*job) *placeOrder {
-	o := &placeOrder{}
-	for _, j := range queue {
-		if j.readyTasks == 0 {
-			continue
-		}
-		g := &o.groups[0]
-		if j.lastGroup(now) {
-			g = &o.groups[1]
-		}
-		i := slices.IndexFunc(*g, func(q *placeQueue) bool { return q.share == j.share })
-		if i < 0 {
-			i = len(*g)
-			*g = append(*g, &placeQueue{share: j.share})
-		}
-		(*g)[i].jobs = append((*g)[i].jobs, j)
-	}
-	return o
-}
-
-// next returns the next job to try, or nil if there is none. What was started since the
-// last call counts.
-func (o *placeOrder) next() *job {
-	for _, group := range o.groups {
-		var best *placeQueue
-		for _, q := range group {
-			if len(q.jobs) > 0 && (best == nil || q.before(best)) {
-				best = q
-			}
-		}
-		if best != nil {
-			j := best.jobs[0]
-			best.jobs = best.jobs[1:]
-			return j
-		}
-	}
-	return nil
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -30,7 +30,6 @@
 // the commands and their replies are in commands.go.
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -131,8 +130,15 @@
 	// remaining is the number of tasks of each step that are not done.
 	remaining []int
 	// readyTasks is the number of tasks that wait only for a server: the steps
-	// before theirs are done. A start command lowers it.
-	readyTasks int
+	// before theirs are done. A start command lowers it. waitingSteps has them by
+	// step. Both change in addReady of the queue only.
+	readyTasks   int
+	waitingSteps []waitingStep
+	// queued reports whether the job is in the queue. key and total are its place
+	// there.
+	queued bool
+	key    jobKey
+	total  *readyTotal
 	// criticalPath is the estimated run time of the longest chain of steps.
 	criticalPath time.Duration
 	// share is the share of the job's queue. taskWork has the core-seconds of a task of each
@@ -163,15 +169,17 @@
 	// orderedServers holds the servers in the order in which they were first listed.
 	// It also holds the former incarnation of a server whose address has changed.
 	orderedServers []*server
-	// jobs and queue hold all jobs that have not ended, started or not. place sorts
-	// the queue.
+	fleet          *fleet
+	// jobs and queue hold all jobs that have not ended, started or not.
 	jobs  map[string]*job
-	queue []*job
+	queue *jobQueue
 	// trackedRuns is the number of tracked runs of each task (rule 1), by the task's
 	// name because runs can outlast their job (rule 2). It can exceed 1 while servers
 	// list runs that this pool did not start.
-	trackedRuns      map[string]int
+	trackedRuns map[string]int
+	// recentlyEnded has the ended jobs by ID, endedOrder all of them in order of time.
 	recentlyEnded    map[string]endedJob
+	endedOrder       []endedID
 	runTimeEstimator runTimeEstimator
 	// failureMedian caches the result of medianFailureShare for each service.
 	failureMedian map[string]failureMedian
@@ -182,10 +190,10 @@
 	queueUpdatedAt time.Time
 	queuedShare    float64
 	shares         *Shares
-	// capacity is the cores of the usable servers at the last tick.
-	capacity    float64
-	refusedJobs refusedJobs
-	actions     []Action
+	refusedJobs    refusedJobs
+	// usualFrom has the sessions that told this owner the usual demand.
+	usualFrom map[SessionID]bool
+	actions   []Action
 }
 
 // endedJob holds the highest run number of a job that has ended.
@@ -194,12 +202,18 @@
 	endedAt time.Time
 }
 
+// endedID is the ID of a job that ended at a time.
+type endedID struct {
+	id string
+	at time.Time
+}
+
 // NewPool returns a pool that owns no server.
 func NewPool(c PoolConfig) *Pool {
 	return &Pool{
-		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, trackedRuns: map[string]int{},
+		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), fleet: newFleet(), trackedRuns: map[string]int{},
 		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, failureMedian: map[string]failureMedian{},
-		shares: NewShares(),
+		shares: NewShares(), usualFrom: map[SessionID]bool{},
 	}
 }
 
@@ -222,6 +236,7 @@
 		// The job has not ended yet; this session waits for its result as well.
 		if !slices.Contains(j.waiters, session) {
 			j.waiters = append(j.waiters, session)
+			p.queue.addWaiter(j, session)
 		}
 		return
 	}
@@ -232,7 +247,7 @@
 		return
 	}
 	p.jobs[in.ID] = j
-	p.queue = append(p.queue, j)
+	p.queue.add(now, j)
 	p.shares.Admitted(now, j.share, session, j.work)
 	p.addWaiting(j, j.work)
 	p.place(now)
@@ -259,9 +274,11 @@
 		j.taskWork = append(j.taskWork, work)
 		j.work += float64(st.Count) * work
 	}
+	j.waitingSteps = make([]waitingStep, len(in.Steps))
 	for i := range in.Steps {
+		j.waitingSteps[i] = waitingStep{job: j, step: i}
 		if j.ready(i) {
-			j.readyTasks += in.Steps[i].Count
+			p.queue.addReady(j, i, in.Steps[i].Count)
 		}
 	}
 	return j
@@ -284,7 +301,7 @@
 	if j == nil {
 		return
 	}
-	j.waiters = slices.DeleteFunc(j.waiters, func(s SessionID) bool { return s == session })
+	p.removeWaiter(j, session)
 	if len(j.waiters) == 0 {
 		p.abandon(now, j, "CallerLeft")
 		p.place(now)
@@ -293,11 +310,8 @@
 
 // DropSession abandons all jobs that only this session waits for (rule 4).
 func (p *Pool) DropSession(now time.Time, session SessionID, reason string) {
-	for _, j := range p.sortedJobs() {
-		if !slices.Contains(j.waiters, session) {
-			continue
-		}
-		j.waiters = slices.DeleteFunc(j.waiters, func(s SessionID) bool { return s == session })
+	for _, j := range p.queue.ofSession(session) {
+		p.removeWaiter(j, session)
 		if len(j.waiters) == 0 {
 			p.abandon(now, j, reason)
 		}
@@ -305,6 +319,11 @@
 	p.place(now)
 }
 
+func (p *Pool) removeWaiter(j *job, session SessionID) {
+	j.waiters = slices.DeleteFunc(j.waiters, func(s SessionID) bool { return s == session })
+	p.queue.removeWaiter(j, session)
+}
+
 // abandon ends a job that can't be completed or that no session waits for. The
 // outcome is Lost if a task may have run, otherwise Refused.
 func (p *Pool) abandon(now time.Time, j *job, reason string) {
@@ -318,7 +337,7 @@
 // endJob removes a job, stops its remaining runs (rule 2) and answers its waiters.
 func (p *Pool) endJob(now time.Time, j *job, r Result) {
 	delete(p.jobs, j.ID)
-	p.queue = slices.DeleteFunc(p.queue, func(o *job) bool { return o == j })
+	p.queue.remove(j)
 	p.addWaiting(j, -j.waitingWork)
 	lastRun := 0
 	for _, tasks := range j.tasks {
@@ -334,12 +353,13 @@
 	}
 	if lastRun > 0 {
 		p.recentlyEnded[j.ID] = endedJob{lastRun, now}
+		p.endedOrder = append(p.endedOrder, endedID{j.ID, now})
 	}
 	r.ID = j.ID
 	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).
 		Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Int64("ObjectiveMs", j.objective().Milliseconds()).
 		Int64("CriticalPathMs", j.criticalPath.Milliseconds()).Int64("FirstStartMs", j.msSinceArrival(j.firstStart)).Int64("LastStartMs", j.msSinceArrival(j.lastStart)).
-		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.queue)).Msg("JobEnded")
+		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.jobs)).Msg("JobEnded")
 	p.answer(j, r)
 }
 
@@ -373,40 +393,48 @@
 	for _, j := range p.jobs {
 		list = append(list, j)
 	}
-	slices.SortFunc(list, func(a, b *job) int {
-		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.ID, b.ID))
-	})
+	sortByArrival(list)
 	return list
 }
 
 // Tick performs everything that depends on the time; call it at short intervals.
 func (p *Pool) Tick(now time.Time) {
-	for _, s := range slices.Clone(p.orderedServers) {
+	for _, s := range p.fleet.takeDue(now) {
 		p.tickServer(now, s)
+		p.fleet.ticked(now, s)
 	}
-	for id, r := range p.recentlyEnded {
-		if now.Sub(r.endedAt) > runNumberRetention {
-			delete(p.recentlyEnded, id)
-		}
-	}
-	p.updateCapacity()
+	p.forgetRunNumbers(now)
 	p.updateShares(now)
 	p.refuseTooLate(now)
 	p.place(now)
 	p.releaseServers()
 }
 
+// forgetRunNumbers removes the ended jobs that are older than runNumberRetention.
+func (p *Pool) forgetRunNumbers(now time.Time) {
+	n := 0
+	for ; n < len(p.endedOrder) && now.Sub(p.endedOrder[n].at) > runNumberRetention; n++ {
+		// The job may have been submitted again and have ended a second time.
+		if e := p.endedOrder[n]; p.recentlyEnded[e.id].endedAt.Equal(e.at) {
+			delete(p.recentlyEnded, e.id)
+		}
+	}
+	clear(p.endedOrder[:n])
+	p.endedOrder = p.endedOrder[n:]
+}
+
 // runEnded stops tracking a run that has ended and updates its task: it is done,
 // waits for its next run, or fails the job. The calling function then calls place,
 // unless the pool gives up the server. Only the first run of a task counts in the
 // server's share of failed runs (health.go, rule 3).
 func (p *Pool) runEnded(now time.Time, s *server, r *run, outcome RunOutcome) {
 	s.removeRun(r)
+	p.fleet.serverChanged(s)
+	s.lastRunEndedAt = now
+	p.untrackRun(r.Task)
 	if r.share != nil {
 		p.shares.Started(r.share, -r.cores(), r.runTime)
 	}
-	s.lastRunEndedAt = now
-	p.untrackRun(r.Task)
 	t := r.task
 	if t == nil {
 		return
@@ -438,12 +466,12 @@
 			p.endJob(now, j, Result{Outcome: Failed, Reason: "TaskFailed"})
 			return
 		}
-		j.readyTasks++
+		p.queue.addReady(j, t.step, 1)
 		p.addWaiting(j, j.taskWork[t.step])
 	case RunStopped:
 		// The server refused the start, the start was not confirmed in time, or the
 		// run ended with the lease or the server. The task itself did not fail.
-		j.readyTasks++
+		p.queue.addReady(j, t.step, 1)
 		p.addWaiting(j, j.taskWork[t.step])
 	}
 }
@@ -465,7 +493,7 @@
 	for i := range j.Steps {
 		all = all && j.remaining[i] == 0
 		if slices.Contains(j.Steps[i].After, step) && j.ready(i) {
-			j.readyTasks += j.Steps[i].Count
+			p.queue.addReady(j, i, j.Steps[i].Count)
 		}
 	}
 	if all {
--- a/internal/worker/shares.go
+++ b/internal/worker/shares.go
@@ -128,7 +128,9 @@
 	returnsUntil time.Time
 	// closedUntil is when the queue is expected to accept a job like the last refused one.
 	closedUntil time.Time
-	refused     uint64
+	// refusedAt is when a job of the queue was last refused, refused how many were.
+	refusedAt time.Time
+	refused   uint64
 }
 
 // Shares holds the shares of all queues of an owner. It is not safe for concurrent use.
@@ -400,6 +402,7 @@
 // should submit it again (rule 7). excess is how long the wait is over its limit.
 func (s *Shares) Refused(now time.Time, q *queueShare, id string, work float64, excess time.Duration) time.Duration {
 	q.refused++
+	q.refusedAt = now
 	q.closedUntil = now.Add(excess)
 	if q.returnsUntil.Before(now.Add(excess)) {
 		q.returnsUntil = now.Add(excess)
@@ -409,8 +412,57 @@
 		q.returnsUntil = latest
 	}
 	after := max(q.returnsUntil.Sub(now), minRetryAfter)
+	return jittered(after, id)
+}
+
+// jittered returns a time to return that differs between jobs, by returnJitter at most.
+func jittered(after time.Duration, id string) time.Duration {
 	h := fnv.New32a()
 	h.Write([]byte(id))
 	jitter := 2*float64(h.Sum32())/math.MaxUint32 - 1
 	return time.Duration(float64(after) * (1 + returnJitter*jitter))
 }
+
+// QueueStatus is the share of a queue as operators see it. Amounts are cores.
+type QueueStatus struct {
+	Queue    string
+	Priority int
+	// Share is what the queue is due, InUse what its runs take up. Borrowed is what it uses
+	// above its share, Lent what others use of its share.
+	Share, InUse, Borrowed, Lent float64
+	// Grant is the rate in core-seconds a second at which the queue is expected to be served,
+	// Waiting the core-seconds that wait.
+	Grant, Waiting float64
+	// Refused is the number of jobs refused for lack of room.
+	Refused uint64
+}
+
+// Status returns the shares by queue. What is borrowed counts as lent by the queues below
+// their shares, in proportion to what they leave.
+func (s *Shares) Status() []QueueStatus {
+	var borrowed, left float64
+	for _, q := range s.list {
+		borrowed += max(q.inUse-q.share, 0)
+		left += max(q.share-q.inUse, 0)
+	}
+	lent := 0.0
+	if left > 0 {
+		lent = min(borrowed/left, 1)
+	}
+	list := make([]QueueStatus, 0, len(s.list))
+	for _, q := range s.list {
+		list = append(list, QueueStatus{
+			Queue: q.name, Priority: q.priority, Share: q.share, InUse: q.inUse, Borrowed: max(q.inUse-q.share, 0),
+			Lent: lent * max(q.share-q.inUse, 0), Grant: q.grant, Waiting: max(q.waiting, 0), Refused: q.refused,
+		})
+	}
+	return list
+}
+
+// shareStatus returns the shares of the queues, or nil if this host is not the owner.
+func (p *Pool) shareStatus() []QueueStatus {
+	if !p.owner {
+		return nil
+	}
+	return p.shares.Status()
+}
