worker: owners tell what they refuse, entry hosts what is usual; shares in status and metrics

What callers saw: a job went to owners that were sure to refuse it, and a successor in the middle of an overload would take the overload for usual. Change (usual.go): a heartbeat names the queues whose jobs an owner will refuse for 100 ms or longer (16 at most), and entry hosts turn elsewhere; an entry host tells a new owner what its callers usually ask for, which counts once a session in the first 3 s. Both are optional fields of the message. Status, guavayoke status and Worker.Queue.* show share, use, borrowed and lent room. What a queue used above its share counts for 1 s instead of 0.5 s.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"flag"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -185,6 +186,24 @@
 		fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\t%d\t%s\t%s\n", s.Name, s.FailureDomain, s.Ready, s.Version, h.InForceAfterMs, s.InFlight, countStates(s.Members), h.Address)
 	}
 	_ = w.Flush()
+	printShares(c.out, st.Hosts)
+}
+
+// printShares prints the shares of the queues at the owners, in cores.
+func printShares(out io.Writer, hosts []hostStatus) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	header := "\nQUEUE\tDOMAIN\tPRIORITY\tSHARE\tIN USE\tBORROWS\tLENDS\tWAITING CORE S\tREFUSED\n"
+	for _, h := range hosts {
+		if h.Status.Worker == nil {
+			continue
+		}
+		for _, q := range h.Status.Worker.Shares {
+			fmt.Fprintf(w, "%s%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%d\n", header, q.Queue, h.Status.FailureDomain, q.Priority,
+				q.Share, q.InUse, q.Borrowed, q.Lent, q.Waiting, q.Refused)
+			header = ""
+		}
+	}
+	_ = w.Flush()
 }
 
 func countStates(members []operator.MemberStatus) string {
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -171,6 +171,14 @@
 		metrics.GetOrRegisterGauge("Worker.Jobs", s.cfg.Metrics).Update(int64(st.Jobs))
 		metrics.GetOrRegisterGauge("Worker.Waiting", s.cfg.Metrics).Update(int64(st.Waiting))
 		metrics.GetOrRegisterGauge("Worker.Servers", s.cfg.Metrics).Update(int64(st.Load.Servers))
+		for _, q := range st.Shares {
+			for name, v := range map[string]float64{
+				"ShareMilli": 1000 * q.Share, "InUseMilli": 1000 * q.InUse, "BorrowedMilli": 1000 * q.Borrowed,
+				"LentMilli": 1000 * q.Lent, "WaitingCoreMs": 1000 * q.Waiting, "Refused": float64(q.Refused),
+			} {
+				metrics.GetOrRegisterGauge("Worker.Queue."+q.Queue+"."+name, s.cfg.Metrics).Update(int64(v))
+			}
+		}
 	} else {
 		held, bytes := s.callers.Held()
 		metrics.GetOrRegisterGauge("Caller.Held", s.cfg.Metrics).Update(int64(held))
--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -85,7 +85,9 @@
 	}
 	p.refusedJobs.add(now, j.ID, j.arrived)
 	q := j.share
-	after := p.shares.Refused(now, q, j.ID, j.work, d.wait+d.own-d.limit)
+	// A narrow job of another source is accepted as soon as the wait alone is in the limit.
+	closedFor := d.wait - j.maxAdmissionWait(true)
+	after := p.shares.Refused(now, q, j.ID, j.work, d.wait+d.own-d.limit, max(closedFor, 0))
 	p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", "QueueFull").Int("Queued", len(p.jobs)).
 		Int64("WaitMs", d.wait.Milliseconds()).Int64("OwnMs", d.own.Milliseconds()).Int64("LimitMs", d.limit.Milliseconds()).
 		Int64("RetryAfterMs", after.Milliseconds()).Float64("ShareCores", q.share).Float64("GrantCores", q.grant).
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -137,6 +137,8 @@
 	openingSince time.Time
 	lastContact  time.Time
 	heartbeat    heartbeat
+	// closed has the queues that the last heartbeat named.
+	closed []closedQueue
 }
 
 // usable reports whether new jobs may be sent to the owner.
@@ -196,6 +198,9 @@
 	isOwner       bool
 	leaving       bool
 	localLoad     Load
+	localClosed   []closedQueue
+	localLoadAt   time.Time
+	usual         usualDemand
 	actions       []EntryAction
 }
 
@@ -203,7 +208,7 @@
 func NewEntry(c EntryConfig) *Entry {
 	return &Entry{
 		cfg: c, views: map[string]*ownerView{}, draining: map[string]*ownerView{}, backoffUntil: map[string]time.Time{},
-		leavingHosts: map[string]bool{}, jobs: map[string]*entryJob{},
+		leavingHosts: map[string]bool{}, usual: usualDemand{}, jobs: map[string]*entryJob{},
 		waiters: map[WaiterID]string{}, candidates: []Candidate{c.Self}, domains: []string{c.Self.FailureDomain},
 	}
 }
@@ -237,8 +242,10 @@
 // SetListedHosts replaces the platform's list of the hosts of this host's domain.
 func (e *Entry) SetListedHosts(list []Candidate) { e.listedHosts = list }
 
-// SetLoad records the load of this host's own pool.
-func (e *Entry) SetLoad(l Load) { e.localLoad = l }
+// SetLoad records the load of this host's own pool and the queues that it refuses.
+func (e *Entry) SetLoad(now time.Time, l Load, closed []closedQueue) {
+	e.localLoad, e.localClosed, e.localLoadAt = l, closed, now
+}
 
 // Leave ends this host's candidacy, and its ownership if it is the owner (rule 5).
 func (e *Entry) Leave(now time.Time) {
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -50,6 +50,8 @@
 	Jobs    int
 	Waiting int
 	Load    Load
+	// Shares has the shares of the queues, if this host is the owner.
+	Shares []QueueStatus
 	// Ready says whether the load balancer should send callers here.
 	Ready bool
 }
@@ -104,13 +106,13 @@
 func (h *Host) Tick(now time.Time) {
 	h.entry.Tick(now)
 	h.pool.Tick(now)
-	h.entry.SetLoad(h.pool.Load())
+	h.entry.SetLoad(now, h.pool.Load(), h.pool.shares.Closed(now))
 }
 
 // Status returns the current state of the host.
 func (h *Host) Status() Status {
 	return Status{
-		Owner: h.entry.KnownOwner(), Jobs: h.pool.Jobs(), Waiting: h.entry.Jobs(), Load: h.pool.Load(),
+		Owner: h.entry.KnownOwner(), Jobs: h.pool.Jobs(), Waiting: h.entry.Jobs(), Load: h.pool.Load(), Shares: h.pool.shareStatus(),
 		Ready: !h.leaving && h.entry.HasUsableOwner(),
 	}
 }
@@ -145,7 +147,7 @@
 	if len(due) == 0 {
 		return
 	}
-	load := h.pool.Load()
+	load, closed := h.pool.Load(), h.pool.shares.Closed(now)
 	ids := make([]SessionID, 0, len(due))
 	for id := range due {
 		ids = append(ids, id)
@@ -156,7 +158,7 @@
 		if h.leaving {
 			hb.RetainedServers = h.pool.RetainedServers()
 		}
-		h.actions = append(h.actions, HostAction{Reply: &SessionMessage{id, message{Heartbeat: &hb}}})
+		h.actions = append(h.actions, HostAction{Reply: &SessionMessage{id, message{Heartbeat: &hb, Closed: closed}}})
 	}
 }
 
@@ -224,6 +226,7 @@
 func (h *Host) handleOwnerMessage(now time.Time, owner string, m message) {
 	switch {
 	case m.Heartbeat != nil:
+		h.entry.handleClosedQueues(owner, m.Closed)
 		h.entry.HandleHeartbeat(now, owner, *m.Heartbeat)
 	case m.Result != nil:
 		h.entry.HandleResult(now, owner, *m.Result)
@@ -239,6 +242,9 @@
 	switch {
 	case m.Ack != 0:
 		h.sessions.Ack(id, m.Ack)
+		if len(m.Usual) > 0 {
+			h.pool.LearnUsual(now, id, m.Usual)
+		}
 	case m.Submit != nil:
 		h.pool.Submit(now, id, *m.Submit)
 	case m.Cancel != "":
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -8,6 +8,10 @@
 	Submit    *Job       `cbor:"3,keyasint,omitempty"`
 	Cancel    string     `cbor:"4,keyasint,omitempty"`
 	Result    *Result    `cbor:"5,keyasint,omitempty"`
+	// Closed accompanies a Heartbeat, Usual an Ack (usual.go). Hosts of earlier versions
+	// ignore both.
+	Closed []closedQueue `cbor:"6,keyasint,omitempty"`
+	Usual  []queueUsual  `cbor:"7,keyasint,omitempty"`
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -20,6 +20,7 @@
 		j.waiters = append(j.waiters, id)
 		return id
 	}
+	e.usual.add(now, &job)
 	j := &entryJob{job: job, waiters: []WaiterID{id}, submittedAt: now, waitUntil: now.Add(maxOwnerWait)}
 	e.jobs[job.ID] = j
 	e.offerJob(now, j, noOwnerResult(j))
@@ -44,15 +45,44 @@
 // (rule 3). If there is none and the job may not wait any longer, offerJob answers
 // the callers with otherwise.
 func (e *Entry) offerJob(now time.Time, j *entryJob, otherwise Result) {
+	best := e.bestOwner(now, j, true)
+	if best == "" && len(j.tried) == 0 {
+		best = e.bestOwner(now, j, false)
+	}
+	if best == "" {
+		if now.Before(j.waitUntil) {
+			j.owner = "" // The next tick offers the job again.
+			return
+		}
+		e.answer(now, j, otherwise)
+		return
+	}
+	j.owner = best
+	j.tried = append(j.tried, best)
+	if !j.returned {
+		j.waitUntil = time.Time{}
+	}
+	job := j.job
+	job.Age = now.Sub(j.submittedAt)
+	e.send(best, message{Submit: &job})
+}
+
+// bestOwner returns the owner with the shortest queue among those that the job was not
+// offered to, or "". With closed, it leaves out those that refuse the job's queue for now
+// (usual.go, rule 1).
+func (e *Entry) bestOwner(now time.Time, j *entryJob, closed bool) string {
 	best, bestCost := "", time.Duration(0)
-	consider := func(incarnation string, l Load, cost time.Duration) {
+	consider := func(incarnation string, l Load, receivedAt time.Time, queues []closedQueue, cost time.Duration) {
+		if closed && refuses(now, receivedAt, l, queues, &j.job) {
+			return
+		}
 		cost += time.Duration(l.WaitMs) * time.Millisecond
 		if l.Servers > 0 && !slices.Contains(j.tried, incarnation) && (best == "" || cost < bestCost) {
 			best, bestCost = incarnation, cost
 		}
 	}
 	if e.isOwner {
-		consider(e.cfg.Self.Incarnation, e.localLoad, 0)
+		consider(e.cfg.Self.Incarnation, e.localLoad, e.localLoadAt, e.localClosed, 0)
 	}
 	for _, d := range e.domains {
 		v := e.views[d]
@@ -63,24 +93,9 @@
 		if d == e.cfg.Self.FailureDomain {
 			cost = 0
 		}
-		consider(v.candidate.Incarnation, v.heartbeat.Load, cost)
-	}
-	if best == "" {
-		if now.Before(j.waitUntil) {
-			j.owner = "" // The next tick offers the job again.
-			return
-		}
-		e.answer(now, j, otherwise)
-		return
+		consider(v.candidate.Incarnation, v.heartbeat.Load, v.lastContact, v.closed, cost)
 	}
-	j.owner = best
-	j.tried = append(j.tried, best)
-	if !j.returned {
-		j.waitUntil = time.Time{}
-	}
-	job := j.job
-	job.Age = now.Sub(j.submittedAt)
-	e.send(best, message{Submit: &job})
+	return best
 }
 
 // send sends a message to an owner, which may be this host.
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -264,8 +264,12 @@
 		if v == nil || v.candidate.Incarnation != from || !v.open {
 			continue
 		}
+		ack := message{Ack: hb.Number}
+		if hb.IsOwner && !v.heartbeat.IsOwner {
+			ack.Usual = e.usual.list(now)
+		}
 		v.lastContact, v.heartbeat = now, hb
-		e.actions = append(e.actions, EntryAction{Send: &OwnerMessage{from, message{Ack: hb.Number}}})
+		e.actions = append(e.actions, EntryAction{Send: &OwnerMessage{from, ack}})
 		e.tickOwnerView(now, v)
 		return
 	}
--- a/internal/worker/shares.go
+++ b/internal/worker/shares.go
@@ -54,7 +54,7 @@
 	// not the end of a short burst: by chance, a small failure domain sees 1.2 for a second.
 	exceededFactor = 1.3
 	// debtTimeConstant is the time constant of a queue's debt (rule 4).
-	debtTimeConstant = 500 * time.Millisecond
+	debtTimeConstant = time.Second
 	// sourceTimeConstant is the time constant of what a source was admitted (rule 6).
 	sourceTimeConstant = time.Second
 	sourceLimitFactor  = 0.5
@@ -128,9 +128,8 @@
 	returnsUntil time.Time
 	// closedUntil is when the queue is expected to accept a job like the last refused one.
 	closedUntil time.Time
-	// refusedAt is when a job of the queue was last refused, refused how many were.
-	refusedAt time.Time
-	refused   uint64
+	// refused is the number of jobs refused.
+	refused uint64
 }
 
 // Shares holds the shares of all queues of an owner. It is not safe for concurrent use.
@@ -399,11 +398,11 @@
 }
 
 // Refused records that a job of work core-seconds was refused and returns when its caller
-// should submit it again (rule 7). excess is how long the wait is over its limit.
-func (s *Shares) Refused(now time.Time, q *queueShare, id string, work float64, excess time.Duration) time.Duration {
+// should submit it again (rule 7). excess is how long the wait is over its limit, closedFor
+// how long any job of the queue will be refused.
+func (s *Shares) Refused(now time.Time, q *queueShare, id string, work float64, excess, closedFor time.Duration) time.Duration {
 	q.refused++
-	q.refusedAt = now
-	q.closedUntil = now.Add(excess)
+	q.closedUntil = now.Add(closedFor)
 	if q.returnsUntil.Before(now.Add(excess)) {
 		q.returnsUntil = now.Add(excess)
 	}
