Merge shares of the room between queues

The fields of messages that carry closed queues and usual demand have numbers of their own beside those of attaches. The order of the heads is a heap again, ordered anew after a start only: with a scan for each head, a pass over hundreds of different needs took their square.

--- a/internal/worker/fleet.go
+++ b/internal/worker/fleet.go
@@ -92,6 +92,8 @@
 	// usable is the number of usable servers, freeCPU the sum of their free processor
 	// capacity.
 	usable, freeCPU int
+	// usableCPU is the sum of the processor capacity of the usable servers.
+	usableCPU int
 	// idle has the owned servers without runs.
 	idle map[*server]bool
 	// classRooms caches the results of rooms, by service.
@@ -213,6 +215,7 @@
 	if x.usable {
 		f.usable--
 		f.freeCPU -= x.free.CPUMilli
+		f.usableCPU -= x.capacity.CPUMilli
 	}
 	if !x.ejectedUntil.IsZero() {
 		f.ejected.Delete(timedServer{x.ejectedUntil, s})
@@ -268,6 +271,7 @@
 	if x.usable {
 		f.usable++
 		f.freeCPU += x.free.CPUMilli
+		f.usableCPU += x.capacity.CPUMilli
 	}
 	x.isFree, x.ejectedUntil = f.mayStart(s)
 	if !x.ejectedUntil.IsZero() {
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -57,6 +57,11 @@
 	Jobs    int
 	Waiting int
 	Load    Load
+	// Shares has the shares of the queues, if this host is the owner.
+	Shares []QueueStatus
+	// Speeds has what this host has learned of the servers of its failure domain, if it
+	// is the owner.
+	Speeds []KindSpeed `json:",omitempty"`
 	// Ready says whether the load balancer should send callers here.
 	Ready bool
 	// Evacuation is set if this host owns an evacuated failure domain.
@@ -129,14 +134,14 @@
 func (h *Host) Tick(now time.Time) {
 	h.entry.Tick(now)
 	h.pool.Tick(now)
-	h.entry.SetLoad(h.pool.Load())
+	h.entry.SetLoad(now, h.pool.Load(), h.pool.shares.Closed(now))
 }
 
 // Status returns the current state of the host.
 func (h *Host) Status(now time.Time) Status {
 	return Status{
-		Owner: h.entry.KnownOwner(), Jobs: h.pool.Jobs(), Waiting: h.entry.Jobs(), Load: h.pool.Load(),
-		Ready: !h.leaving && h.entry.HasUsableOwner(), Evacuation: h.pool.EvacuationStatus(now),
+		Owner: h.entry.KnownOwner(), Jobs: h.pool.Jobs(), Waiting: h.entry.Jobs(), Load: h.pool.Load(), Shares: h.pool.shareStatus(),
+		Ready: !h.leaving && h.entry.HasUsableOwner(), Evacuation: h.pool.EvacuationStatus(now), Speeds: h.pool.Speeds(),
 	}
 }
 
@@ -190,7 +195,7 @@
 	if len(due) == 0 {
 		return
 	}
-	load := h.pool.Load()
+	load, closed := h.pool.Load(), h.pool.shares.Closed(now)
 	ids := make([]SessionID, 0, len(due))
 	for id := range due {
 		ids = append(ids, id)
@@ -201,7 +206,9 @@
 		if h.leaving {
 			hb.RetainedServers = h.pool.RetainedServers()
 		}
-		h.actions = append(h.actions, HostAction{Reply: h.sessions.heartbeatMessage(id, &hb)})
+		m := h.sessions.heartbeatMessage(id, &hb)
+		m.Message.Closed = closed
+		h.actions = append(h.actions, HostAction{Reply: m})
 	}
 }
 
@@ -275,6 +282,7 @@
 func (h *Host) handleOwnerMessage(now time.Time, owner string, m message) {
 	switch {
 	case m.Heartbeat != nil:
+		h.entry.handleClosedQueues(owner, m.Closed)
 		h.entry.handleSessionHeartbeat(now, owner, m)
 	case m.Result != nil:
 		h.entry.HandleResult(now, owner, *m.Result)
@@ -295,6 +303,9 @@
 		h.handleAttach(now, path, *m.Attach)
 	case m.Ack != 0:
 		h.sessions.Ack(id, m.Ack)
+		if len(m.Usual) > 0 {
+			h.pool.LearnUsual(now, id, m.Usual)
+		}
 	case m.Submit != nil:
 		h.sessions.forgetResult(id, m.Submit.ID)
 		h.pool.Submit(now, id, *m.Submit)
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -15,6 +15,10 @@
 	// attach, and the newest ack that has arrived.
 	Session SessionID `cbor:"8,keyasint,omitempty"`
 	Acked   uint64    `cbor:"9,keyasint,omitempty"`
+	// Closed accompanies a Heartbeat, Usual an Ack (usual.go). Hosts of earlier versions
+	// ignore both.
+	Closed []closedQueue `cbor:"10,keyasint,omitempty"`
+	Usual  []queueUsual  `cbor:"11,keyasint,omitempty"`
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -3,10 +3,11 @@
 // Placement of tasks on servers. It is designed for many jobs whose tasks each
 // need a large part of a server, where fragmentation wastes resources.
 //
-//  1. Jobs that can still meet their latency objective come before jobs that
-//     can't. Within each of the two groups, jobs are ordered by priority; then
-//     started jobs come before others, since their callers wait only for the
-//     rest; then jobs are ordered by arrival.
+//  1. Jobs that can still meet their latency objective, and started jobs whose
+//     answer is still worth something, come before all others. Within each of the
+//     two groups, the shares of the queues decide whose job is next (shares.go).
+//     Within a queue, started jobs come first, since their callers wait only for
+//     the rest; then the job with the least slack.
 //  2. A task is placed on the server that it leaves with the least free processor
 //     capacity (best fit), so that whole servers stay free for large tasks. A
 //     server in the preferred rack of the task's step comes before any other.
@@ -64,16 +65,20 @@
 			return
 		}
 		last = w.job
-		d := w.demand
+		d, starts := w.demand, w.job.starts
 		placed := p.placeStep(now, w.job, w.step)
 		next, ok := d.steps.Next(w)
 		othersMayFit := w.job.Steps[w.step].MaxPerServer > 0 || len(p.fleet.rooms(w.job.Service)) > 1
 		if !ok || !placed && (!othersMayFit || !p.fitsSomewhere(now, d)) {
 			heap.Pop(&first)
-			continue
+		} else {
+			first[0] = next
+			heap.Fix(&first, 0)
+		}
+		if w.job.starts > starts {
+			// A start changes what its queue uses, and with it the order.
+			heap.Init(&first)
 		}
-		first[0] = next
-		heap.Fix(&first, 0)
 	}
 }
 
@@ -81,7 +86,7 @@
 type nextSteps []*waitingStep
 
 func (h nextSteps) Len() int           { return len(h) }
-func (h nextSteps) Less(i, j int) bool { return compareSteps(h[i], h[j]) < 0 }
+func (h nextSteps) Less(i, j int) bool { return compareNext(h[i], h[j]) < 0 }
 func (h nextSteps) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 func (h *nextSteps) Push(x any)        { *h = append(*h, x.(*waitingStep)) }
 func (h *nextSteps) Pop() any {
@@ -200,3 +205,14 @@
 func (j *job) late(now time.Time) bool {
 	return now.Add(j.criticalPath).After(j.arrived.Add(j.objective()))
 }
+
+// latestStart returns when the job must start to meet its latency objective.
+func (j *job) latestStart() time.Time { return j.arrived.Add(j.objective() - j.criticalPath) }
+
+// lastGroup reports whether the job comes after those that can be on time (rule 1).
+func (j *job) lastGroup(now time.Time) bool {
+	if j.started {
+		return now.After(j.answerDeadline(maxLateObjectives))
+	}
+	return j.late(now)
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -121,6 +121,8 @@
 	Job
 	waiters []SessionID
 	arrived time.Time
+	// returned reports whether the job was refused before. arrived is that of the first time.
+	returned bool
 	// started reports whether a start command was sent for any task (rule 3).
 	started bool
 	// firstStart and lastStart are the times of the first and the latest start
@@ -145,6 +147,11 @@
 	total  *readyTotal
 	// criticalPath is the estimated run time of the longest chain of steps.
 	criticalPath time.Duration
+	// share is the share of the job's queue. taskWork has the core-seconds of a task of each
+	// step, work those of the whole job, and waitingWork those of the tasks not started.
+	share             *queueShare
+	taskWork          []float64
+	work, waitingWork float64
 }
 
 // Pool holds the jobs and the backend servers of one owner. It performs no I/O:
@@ -190,7 +197,11 @@
 	queueUpdatedAt time.Time
 	queuedShare    float64
 	evacuation     evacuation
-	actions        []Action
+	shares         *Shares
+	refusedJobs    refusedJobs
+	// usualFrom has the sessions that told this owner the usual demand.
+	usualFrom map[SessionID]bool
+	actions   []Action
 }
 
 // endedJob holds the highest run number of a job that has ended.
@@ -210,6 +221,7 @@
 	return &Pool{
 		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), fleet: newFleet(), trackedRuns: map[string]int{},
 		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, speeds: newSpeedModel(), failureMedian: map[string]failureMedian{},
+		shares: NewShares(), usualFrom: map[SessionID]bool{},
 	}
 }
 
@@ -243,18 +255,23 @@
 		return
 	}
 	j := p.newJob(now, session, in)
-	if r, ok := p.admit(now, j); !ok {
+	if r, ok := p.admit(now, session, j); !ok {
 		r.ID = in.ID
 		p.answer(j, r)
 		return
 	}
 	p.jobs[in.ID] = j
 	p.queue.add(now, j)
+	p.shares.Admitted(now, j.share, session, j.work)
+	p.addWaiting(j, j.work)
 	p.place(now)
 }
 
 func (p *Pool) newJob(now time.Time, session SessionID, in Job) *job {
 	j := &job{Job: in, waiters: []SessionID{session}, arrived: now.Add(-in.Age)}
+	if at, ok := p.refusedJobs.arrived(in.ID); ok && at.Before(j.arrived) {
+		j.arrived, j.returned = at, true
+	}
 	base := p.recentlyEnded[in.ID].lastRun
 	for i, st := range in.Steps {
 		var tasks []*task
@@ -265,6 +282,12 @@
 		j.remaining = append(j.remaining, st.Count)
 	}
 	j.criticalPath = p.runTimeEstimator.criticalPath(&j.Job)
+	j.share = p.shares.queue(in.Queue)
+	for i, st := range in.Steps {
+		work := float64(st.Need.CPUMilli) / 1000 * p.runTimeEstimator.runTime(&j.Job, i).Seconds()
+		j.taskWork = append(j.taskWork, work)
+		j.work += float64(st.Count) * work
+	}
 	j.waitingSteps = make([]waitingStep, len(in.Steps))
 	for i := range in.Steps {
 		j.waitingSteps[i] = waitingStep{job: j, step: i}
@@ -329,6 +352,7 @@
 func (p *Pool) endJob(now time.Time, j *job, r Result) {
 	delete(p.jobs, j.ID)
 	p.queue.remove(j)
+	p.addWaiting(j, -j.waitingWork)
 	lastRun := 0
 	for _, tasks := range j.tasks {
 		for _, t := range tasks {
@@ -395,6 +419,7 @@
 		p.fleet.ticked(now, s)
 	}
 	p.forgetRunNumbers(now)
+	p.updateShares(now)
 	p.refuseTooLate(now)
 	p.tickEvacuation(now)
 	p.place(now)
@@ -423,6 +448,9 @@
 	p.fleet.serverChanged(s)
 	s.lastRunEndedAt = now
 	p.untrackRun(r.Task)
+	if r.share != nil {
+		p.shares.Started(r.share, -r.cores(), r.runTime)
+	}
 	t := r.task
 	if t == nil {
 		return
@@ -472,6 +500,7 @@
 		return
 	}
 	p.queue.addReady(t.job, t.step, 1)
+	p.addWaiting(t.job, t.job.taskWork[t.step])
 }
 
 // outOfAttempts reports whether as many runs of the task have failed as its job allows.
--- a/internal/worker/pool_reference_test.go
+++ b/internal/worker/pool_reference_test.go
@@ -23,8 +23,8 @@
 	list := p.sortedJobs()
 	slices.SortFunc(list, func(a, b *job) int {
 		return cmp.Or(
-			compareBool(a.late(now), b.late(now)), cmp.Compare(a.Priority, b.Priority), compareBool(!a.started, !b.started),
-			a.arrived.Compare(b.arrived), cmp.Compare(a.ID, b.ID),
+			compareBool(a.lastGroup(now), b.lastGroup(now)), compareBool(!a.started, !b.started),
+			a.latestStart().Compare(b.latestStart()), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.ID, b.ID),
 		)
 	})
 	return list
@@ -40,20 +40,46 @@
 	return n
 }
 
-func referenceExpectedWait(p *Pool, now time.Time, j *job) time.Duration {
-	var ahead time.Duration
-	for _, o := range p.jobs {
-		if o.Priority > j.Priority && !o.started || o.late(now) {
+// referenceStartsNow reports whether all ready tasks of a new job can start at once.
+func referenceStartsNow(p *Pool, now time.Time, j *job) bool {
+	for i, st := range j.Steps {
+		if !j.ready(i) {
 			continue
 		}
-		ahead += time.Duration(o.readyTasks) * p.runTimeEstimator.runTime(&o.Job, 0)
+		r := newReferencePlacement(p, now)
+		for range st.Count {
+			s := r.chooseServer(j, i)
+			if s == nil {
+				return false
+			}
+			r.used[s] = r.used[s].Add(st.Need)
+			r.ofStep[referenceStep{s, j, i}]++
+		}
+	}
+	return true
+}
+
+// referenceUse returns the cores that the runs of each queue take up, and the core-seconds
+// of its tasks that have not started.
+func referenceUse(p *Pool) (inUse, waiting map[*queueShare]float64) {
+	inUse, waiting = map[*queueShare]float64{}, map[*queueShare]float64{}
+	for _, s := range p.orderedServers {
+		for _, r := range s.runs {
+			if r.share != nil {
+				inUse[r.share] += float64(r.need.CPUMilli) / 1000
+			}
+		}
 	}
-	slots := referenceSlots(p, j.Service, j.Steps[0].Need)
-	if slots == 0 {
-		return time.Second
+	for _, j := range p.jobs {
+		for i, tasks := range j.tasks {
+			for _, t := range tasks {
+				if !t.done && t.assignedServer == nil {
+					waiting[j.share] += j.taskWork[i]
+				}
+			}
+		}
 	}
-	own := time.Duration(max(0, j.Steps[0].Count-slots)) * p.runTimeEstimator.runTime(&j.Job, 0)
-	return (ahead + own) / time.Duration(slots)
+	return inUse, waiting
 }
 
 func referenceDrainTime(p *Pool) time.Duration {
@@ -136,11 +162,10 @@
 			return "FitsNowhere"
 		}
 	}
-	wait := referenceExpectedWait(p, now, j)
 	switch {
 	case known == 0:
 		return "NoServer"
-	case now.Add(wait+j.criticalPath).After(j.answerDeadline(maxLateObjectives)) || p.queueSaturated() && wait > j.maxAdmissionWait():
+	case !referenceStartsNow(p, now, j) && !p.decideAdmission(now, 1, j).accepted:
 		return "QueueFull"
 	}
 	return ""
@@ -210,21 +235,33 @@
 	if free.CPUMilli <= 0 {
 		return nil
 	}
+	var steps []*waitingStep
 	for _, j := range referenceQueue(r.p, r.now) {
-		if j.readyTasks == 0 {
-			continue
-		}
 		for i := range j.Steps {
-			if j.remaining[i] == 0 || !j.Steps[i].Need.Fits(free) || !j.ready(i) {
-				continue
-			}
-			if r.placeStep(j, i) {
-				free = r.largestFree()
+			if j.remaining[i] > 0 && j.ready(i) && j.readyTasks > 0 {
+				steps = append(steps, &waitingStep{job: j, step: i})
 			}
 		}
-		if free.CPUMilli <= 0 {
+	}
+	// What is started counts for the shares while the rest is placed.
+	inUse := map[*queueShare]float64{}
+	for _, q := range r.p.shares.list {
+		inUse[q] = q.inUse
+	}
+	defer func() {
+		for q, cores := range inUse {
+			q.inUse = cores
+		}
+	}()
+	var last *job
+	for len(steps) > 0 {
+		w := slices.MinFunc(steps, compareNext)
+		steps = slices.DeleteFunc(steps, func(o *waitingStep) bool { return o == w })
+		if last != nil && w.job != last && r.largestFree().CPUMilli <= 0 {
 			break
 		}
+		last = w.job
+		r.placeStep(w.job, w.step)
 	}
 	return r.starts
 }
@@ -243,6 +280,7 @@
 		r.runs[s]++
 		r.ofStep[referenceStep{s, j, step}]++
 		r.starts = append(r.starts, t.name+" "+s.Address)
+		j.share.inUse += float64(j.Steps[step].Need.CPUMilli) / 1000
 		started = true
 	}
 	return started
@@ -537,7 +575,7 @@
 				}
 			}
 			ready += n
-			if w.tasks != n || (w.demand != nil) != (n > 0) || n > 0 && w.demand.demandKey != (demandKey{j.Service, st.Requires, st.Need}) {
+			if w.tasks != n || (w.demand != nil) != (n > 0) || n > 0 && w.demand.demandKey != (demandKey{j.Service, st.Requires, st.Need, j.share}) {
 				r.Fatalf("step %d of job %s has %d waiting tasks, want %d", i, j.ID, w.tasks, n)
 			}
 			if n > 0 {
@@ -559,10 +597,16 @@
 		r.Fatalf("%d waiting steps are in no demand", waiting)
 	}
 	probe := p.newJob(now, 1, r.job())
-	if got, want := p.expectedWait(now, probe), referenceExpectedWait(p, now, probe); !r.within(got, want) {
-		r.Fatalf("the expected wait is %v, want %v", got, want)
+	inUse, work := referenceUse(p)
+	for _, q := range p.shares.list {
+		if math.Abs(q.inUse-inUse[q]) > negligible || math.Abs(q.waiting-work[q]) > negligible {
+			r.Fatalf("queue %s uses %g cores and waits for %g core-seconds, want %g and %g", q.name, q.inUse, q.waiting, inUse[q], work[q])
+		}
+	}
+	if got, want := p.startsNow(now, probe), referenceStartsNow(p, now, probe); got != want {
+		r.Fatalf("the probe can start now: %v, want %v", got, want)
 	}
-	result, ok := p.admit(now, probe)
+	result, ok := p.admit(now, 1, probe)
 	if want := referenceAdmit(p, now, probe); result.Reason != want || ok != (want == "") {
 		r.Fatalf("admission says %q, want %q", result.Reason, want)
 	}
--- a/internal/worker/queue.go
+++ b/internal/worker/queue.go
@@ -7,8 +7,9 @@
 //  1. jobKey.compare is the one definition of the order of jobs. A key changes only
 //     when its job turns late or starts. Both move the job in all sets.
 //  2. A job turns late at a fixed time, since its critical path is estimated once, on
-//     its arrival. The present time of the pool's methods never decreases.
-//  3. Waiting steps are grouped by demand: service, required label and need. If one
+//     its arrival; when it starts, at another one. The present time of the pool's methods
+//     never decreases.
+//  3. Waiting steps are grouped by demand: queue, service, required label and need. If one
 //     task of a group fits on no server, none of the group does, except that
 //     MaxPerServer excludes servers for single steps.
 //  4. While tasks are being placed the order stays as it was at the beginning. The
@@ -22,21 +23,23 @@
 	"guavayoke/internal/sortedset"
 )
 
-// jobKey is what the order of jobs depends on (place.go, rule 1).
+// jobKey is what the order of jobs depends on (place.go, rule 1). Between jobs of several
+// queues the shares decide first (compareNext). late says that the job belongs to the
+// last group.
 type jobKey struct {
-	late     bool
-	priority int
-	started  bool
-	arrived  time.Time
-	id       string
+	late        bool
+	started     bool
+	latestStart time.Time
+	priority    int
+	id          string
 }
 
 func (k *jobKey) compare(o *jobKey) int {
 	return cmp.Or(
 		compareBool(k.late, o.late),
-		cmp.Compare(k.priority, o.priority),
 		compareBool(!k.started, !o.started),
-		k.arrived.Compare(o.arrived),
+		k.latestStart.Compare(o.latestStart),
+		cmp.Compare(k.priority, o.priority),
 		cmp.Compare(k.id, o.id),
 	)
 }
@@ -68,6 +71,26 @@
 	return a.job.key.compare(&b.job.key)
 }
 
+// compareNext orders the steps of all queues while tasks are being placed: first the rest of
+// a started job, as long as its queue isn't far above its share, then by the shares. It
+// changes with each start.
+func compareNext(a, b *waitingStep) int {
+	if a.job == b.job {
+		return cmp.Compare(a.step, b.step)
+	}
+	k, o := &a.job.key, &b.job.key
+	if c := cmp.Or(
+		compareBool(k.late, o.late),
+		compareBool(!k.started || !a.job.share.mayFinish(), !o.started || !b.job.share.mayFinish()),
+	); c != 0 {
+		return c
+	}
+	if a.job.share != b.job.share {
+		return a.job.share.compare(b.job.share)
+	}
+	return k.compare(o)
+}
+
 // orderedSteps is a set of steps in the order in which their tasks are placed.
 type orderedSteps = sortedset.Set[*waitingStep, struct{}]
 
@@ -80,12 +103,14 @@
 type demandKey struct {
 	service, requires string
 	need              Resources
+	share             *queueShare
 }
 
 func compareDemands(a, b *demand) int {
 	return cmp.Or(
 		cmp.Compare(a.need.CPUMilli, b.need.CPUMilli), cmp.Compare(a.need.MemoryMB, b.need.MemoryMB),
 		cmp.Compare(a.need.GPUs, b.need.GPUs), cmp.Compare(a.requires, b.requires),
+		cmp.Compare(a.share.name, b.share.name),
 	)
 }
 
@@ -189,7 +214,7 @@
 // add adds a new job. It may be late already.
 func (q *jobQueue) add(now time.Time, j *job) {
 	j.queued = true
-	j.key = jobKey{late: j.late(now), priority: j.Priority, started: j.started, arrived: j.arrived, id: j.ID}
+	j.key = jobKey{late: j.lastGroup(now), started: j.started, latestStart: j.latestStart(), priority: j.Priority, id: j.ID}
 	s := q.services[j.Service]
 	if s == nil {
 		s = &serviceQueue{
@@ -211,7 +236,7 @@
 		}
 	}
 	if !j.key.late {
-		q.turnLate.Insert(timedJob{j.turnsLateAt(), j})
+		q.turnLate.Insert(timedJob{j.turnsLateAt(j.key.started), j})
 	}
 	if !j.started {
 		q.tooLate.Insert(timedJob{j.tooLateAt(maxLateObjectives), j})
@@ -244,7 +269,7 @@
 		delete(q.services, j.Service)
 	}
 	if !j.key.late {
-		q.turnLate.Delete(timedJob{j.turnsLateAt(), j})
+		q.turnLate.Delete(timedJob{j.turnsLateAt(j.key.started), j})
 	}
 	if !j.key.started {
 		q.deleteTooLate(j)
@@ -304,7 +329,7 @@
 
 func (q *jobQueue) insertStep(w *waitingStep) {
 	st := &w.job.Steps[w.step]
-	key := demandKey{w.job.Service, st.Requires, st.Need}
+	key := demandKey{w.job.Service, st.Requires, st.Need, w.job.share}
 	d := q.demands[key]
 	if d == nil {
 		d = &demand{key, sortedset.New[*waitingStep, struct{}](compareSteps, nil)}
@@ -381,9 +406,13 @@
 	for _, j := range q.starting {
 		if j.queued && !j.key.started {
 			q.deleteTooLate(j)
+			if !j.key.late {
+				q.turnLate.Delete(timedJob{j.turnsLateAt(false), j})
+			}
 			key := j.key
-			key.started = true
+			key.started, key.late = true, false
 			q.setKey(j, key)
+			q.turnLate.Insert(timedJob{j.turnsLateAt(true), j})
 		}
 	}
 	clear(q.starting)
@@ -444,8 +473,14 @@
 // firstNeed returns the processor capacity that a task of the first step needs.
 func (j *job) firstNeed() int { return j.Steps[0].Need.CPUMilli }
 
-// turnsLateAt returns the time after which late returns true.
-func (j *job) turnsLateAt() time.Time { return j.arrived.Add(j.objective() - j.criticalPath) }
+// turnsLateAt returns the time after which lastGroup returns true of a job that has
+// started or not.
+func (j *job) turnsLateAt(started bool) time.Time {
+	if started {
+		return j.answerDeadline(maxLateObjectives)
+	}
+	return j.latestStart()
+}
 
 // tooLateAt returns the time after which a job that starts ends too late (admission.go,
 // rule 4).
--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -24,7 +24,11 @@
 		w.after(resubmitDelay, func() { w.submit(j) })
 		return
 	}
-	w.submitTo(up[w.rand.IntN(len(up))], j)
+	h := up[w.rand.IntN(len(up))]
+	if j.fixedHost {
+		h = w.hosts[j.entryHost]
+	}
+	w.submitTo(h, j)
 }
 
 // submitTo submits a job at a host.
@@ -64,6 +68,9 @@
 	at.finished = true
 	j := at.job
 	w.answers++
+	if j.answered != nil {
+		j.answered(r)
+	}
 	w.tracef("job %s is answered %v %s", j.job.ID, r.Outcome, r.Reason)
 	switch r.Outcome {
 	case worker.Completed:
