worker: a closed queue lengthens an owner's wait instead of excluding the owner

Cause: entry hosts left out owners that had named the queue, so that jobs crowded at the others for a heartbeat, and the owners left out took returning callers for new ones. Change: the time until the queue reopens counts as wait; no owner is left out.

--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -45,10 +45,7 @@
 // (rule 3). If there is none and the job may not wait any longer, offerJob answers
 // the callers with otherwise.
 func (e *Entry) offerJob(now time.Time, j *entryJob, otherwise Result) {
-	best := e.bestOwner(now, j, true)
-	if best == "" && len(j.tried) == 0 {
-		best = e.bestOwner(now, j, false)
-	}
+	best := e.bestOwner(now, j)
 	if best == "" {
 		if now.Before(j.waitUntil) {
 			j.owner = "" // The next tick offers the job again.
@@ -67,16 +64,12 @@
 	e.send(best, message{Submit: &job})
 }
 
-// bestOwner returns the owner with the shortest queue among those that the job was not
-// offered to, or "". With closed, it leaves out those that refuse the job's queue for now
-// (usual.go, rule 1).
-func (e *Entry) bestOwner(now time.Time, j *entryJob, closed bool) string {
+// bestOwner returns the owner with the shortest wait among those that the job was not
+// offered to, or "".
+func (e *Entry) bestOwner(now time.Time, j *entryJob) string {
 	best, bestCost := "", time.Duration(0)
 	consider := func(incarnation string, l Load, receivedAt time.Time, queues []closedQueue, cost time.Duration) {
-		if closed && refuses(now, receivedAt, l, queues, &j.job) {
-			return
-		}
-		cost += time.Duration(l.WaitMs) * time.Millisecond
+		cost += time.Duration(l.WaitMs)*time.Millisecond + closedFor(now, receivedAt, l, queues, &j.job)
 		if l.Servers > 0 && !slices.Contains(j.tried, incarnation) && (best == "" || cost < bestCost) {
 			best, bestCost = incarnation, cost
 		}
--- a/internal/worker/usual.go
+++ b/internal/worker/usual.go
@@ -4,11 +4,12 @@
 // acknowledgments. Both are bounded and soft state: a lost message costs a trip, not a job.
 //
 //  1. An owner names the queues whose jobs it will refuse for a heartbeatInterval or longer,
-//     whatever their width and source, with that time. An entry host sends no job there until then, unless the
-//     owner has enough free processor capacity. A queue that refuses some jobs and accepts
-//     others isn't named: what a heartbeat says of a queue that drains in 30 ms is too old.
-//     If all owners name it, the nearest one gets the job all the same: it has to know who
-//     was refused, so that a caller that returns isn't taken for a new one.
+//     whatever their width and source, with that time. For an entry host the owner's wait
+//     is longer by the rest of it, unless the owner has enough free processor capacity, so
+//     that it turns elsewhere without a trip. It leaves no owner out and refuses nothing
+//     itself: the owners have to know who was refused, so that a caller that returns isn't
+//     taken for a new one. A queue that refuses some jobs and accepts others isn't named:
+//     what a heartbeat says of a queue that drains in 30 ms is too old.
 //  2. An entry host counts what its callers usually ask for and tells an owner that it has
 //     not known as one, so that a successor in the middle of an overload does not take the
 //     overload for usual. The owner counts that in the first usualAcceptTime of its
@@ -107,9 +108,9 @@
 	return list[:min(len(list), maxToldQueues)]
 }
 
-// refuses reports whether an owner would refuse a job according to what it last told, at
+// closedFor returns for how long an owner refuses a job according to what it last told, at
 // receivedAt (rule 1).
-func refuses(now, receivedAt time.Time, l Load, closed []closedQueue, j *Job) bool {
+func closedFor(now, receivedAt time.Time, l Load, closed []closedQueue, j *Job) time.Duration {
 	need := 0
 	for _, st := range j.Steps {
 		if len(st.After) == 0 {
@@ -117,14 +118,14 @@
 		}
 	}
 	if l.FreeCPUMilli >= need {
-		return false
+		return 0
 	}
 	for _, c := range closed {
 		if c.Queue == j.Queue {
-			return now.Sub(receivedAt) < time.Duration(c.ReopensMs)*time.Millisecond
+			return max(time.Duration(c.ReopensMs)*time.Millisecond-now.Sub(receivedAt), 0)
 		}
 	}
-	return false
+	return 0
 }
 
 // handleClosedQueues records the queues that an owner names with a heartbeat.
