--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -45,10 +45,7 @@
 // (rule 3). If there is none and the job may not wait any longer, offerJob answers
 // the callers with otherwise.
 func (e *Entry) offerJob(now time.Time, j *entryJob, otherwise Result) {
-	best, last := e.bestOwner(now, j, true)
-	if best == "" && len(j.tried) == 0 {
-		best, last = e.bestOwner(now, j, false)
-	}
+	best, last := e.bestOwner(now, j)
 	j.usableOwners = last.owners
 	if best == "" {
 		if now.Before(j.waitUntil) && !e.allEvacuated() {
@@ -68,18 +65,14 @@
 	e.send(best, message{Submit: &job})
 }
 
-// bestOwner returns the owner with the shortest queue among those that the job was not
-// offered to, or "", and what this host knew when it chose. With closed, it leaves out those that refuse the job's queue for now
-// (usual.go, rule 1).
-func (e *Entry) bestOwner(now time.Time, j *entryJob, closed bool) (string, offer) {
+// bestOwner returns the owner with the shortest wait among those that the job was not
+// offered to, or "", and what this host knew when it chose.
+func (e *Entry) bestOwner(now time.Time, j *entryJob) (string, offer) {
 	best, bestCost := "", time.Duration(0)
 	last := offer{at: now}
 	consider := func(incarnation string, l Load, receivedAt time.Time, queues []closedQueue, cost time.Duration) {
 		last.owners++
-		if closed && refuses(now, receivedAt, l, queues, &j.job) {
-			return
-		}
-		cost += time.Duration(l.WaitMs) * time.Millisecond
+		cost += time.Duration(l.WaitMs)*time.Millisecond + closedFor(now, receivedAt, l, queues, &j.job)
 		if l.Servers > 0 && !slices.Contains(j.tried, incarnation) && (best == "" || cost < bestCost) {
 			best, bestCost = incarnation, cost
 			last.loadWaitMs, last.loadAge = l.WaitMs, now.Sub(receivedAt)
