--- a/internal/worker/queue.go
+++ b/internal/worker/queue.go
@@ -125,16 +125,6 @@
 	firstNeeds, readyFirstNeeds countedValues
 }
 
-// countedValues counts positive values and has the smallest one.
-type countedValues struct {
-	counts map[int]int
-	sorted *sortedset.Set[int, struct{}]
-}
-
-func newCountedValues() countedValues {
-	return countedValues{map[int]int{}, sortedset.New[int, struct{}](cmp.Compare[int], nil)}
-}
-
 func (c countedValues) add(value, count int) {
 	if value <= 0 {
 		return
@@ -166,18 +156,6 @@
 	}, nil)
 }
 
-// readyTotal sums up the ready tasks of the jobs of one queue that are equal in what the
-// expected wait distinguishes.
-type readyTotal struct {
-	readyTotalKey
-	// position is the index in jobQueue.totals.
-	position, jobs int
-	// declared is the sum of the declared run times, over the tasks of jobs that
-	// declare one; undeclared is the number of the other tasks.
-	declared   time.Duration
-	undeclared int
-}
-
 type readyTotalKey struct {
 	queue         string
 	priority      int
@@ -350,33 +328,6 @@
 	}
 }
 
-func (q *jobQueue) joinTotal(j *job) {
-	key := readyTotalKey{j.Queue, j.Priority, j.key.started, j.key.late}
-	t := q.totalOf[key]
-	if t == nil {
-		t = &readyTotal{readyTotalKey: key, position: len(q.totals)}
-		q.totalOf[key] = t
-		q.totals = append(q.totals, t)
-	}
-	j.total = t
-	t.jobs++
-	t.add(j, j.readyTasks)
-}
-
-func (q *jobQueue) leaveTotal(j *job) {
-	t := j.total
-	t.add(j, -j.readyTasks)
-	j.total = nil
-	if t.jobs--; t.jobs > 0 {
-		return
-	}
-	delete(q.totalOf, t.readyTotalKey)
-	last := q.totals[len(q.totals)-1]
-	q.totals[t.position], last.position = last, t.position
-	q.totals[len(q.totals)-1] = nil
-	q.totals = q.totals[:len(q.totals)-1]
-}
-
 func (t *readyTotal) add(j *job, tasks int) {
 	// The estimate of all tasks of a job is that of its first step.
 	if e := j.Steps[0].Estimate; e > 0 {
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
@@ -73,12 +71,6 @@
 	EvacuationApplyTime time.Duration
 }
 
-// queuedEvent is a change of the Host that waits for the loop.
-type queuedEvent struct {
-	run      func(h *Host, now time.Time)
-	queuedAt time.Time
-}
-
 // Service runs the Host state machine of this host: it delivers events to it and
 // carries out its actions, which send commands to backend servers, messages to other
 // hosts and results to callers.
@@ -200,177 +192,6 @@
 	return done, nil
 }
 
-// enqueue passes an event to the loop and waits while the lane is full. It drops no
-// event, since each may report the end of a command.
-func (s *Service) enqueue(f func(h *Host, now time.Time)) { s.enqueueIn(s.work, f) }
-
-func (s *Service) enqueueIn(lane *ring.Queue[queuedEvent], f func(h *Host, now time.Time)) {
-	if err := lane.Put(s.ctx, queuedEvent{f, s.cfg.Now()}); err != nil {
-		// The service has ended, and nothing waits for the event any more.
-		return
-	}
-}
-
-// enqueueControl passes an event to the loop without waiting. The loop runs it before
-// any submission that enters the mailbox later.
-func (s *Service) enqueueControl(f func(h *Host, now time.Time)) {
-	s.queuesMu.Lock()
-	s.control = append(s.control, queuedEvent{f, s.cfg.Now()})
-	s.queuesMu.Unlock()
-	s.wakeLoop()
-}
-
-func (s *Service) wakeLoop() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
-// offer adds a submission to the mailbox. If it returns false, the submission did not
-// enter, and the result says what the caller is told.
-func (s *Service) offer(sub Submission) (Result, bool) {
-	now := s.cfg.Now()
-	s.queuesMu.Lock()
-	r, ok := s.mailbox.Offer(now, sub)
-	queued, wait := s.mailbox.Len(), s.mailbox.ExpectedWait(now)
-	s.queuesMu.Unlock()
-	if !ok {
-		s.mailboxRefused.Inc(1)
-		s.cfg.Log.Info().Str("Job", r.ID).Str("Queue", sub.Job.Queue).Str("Reason", r.Reason).Int("Queued", queued).
-			Int64("WaitMs", wait.Milliseconds()).Int64("RetryAfterMs", r.RetryAfter.Milliseconds()).Msg("JobRefused")
-		return r, false
-	}
-	s.wakeLoop()
-	return Result{}, true
-}
-
-// withdraw removes a submission from the mailbox and runs cancelTaken after it was taken.
-func (s *Service) withdraw(session SessionID, caller uint64, job string, cancelTaken func(h *Host, now time.Time)) {
-	s.queuesMu.Lock()
-	withdrawn := s.mailbox.Withdraw(session, caller, job)
-	s.queuesMu.Unlock()
-	if len(withdrawn) == 0 {
-		s.enqueueControl(cancelTaken)
-	}
-}
-
-// nextEvent returns the event to handle next: what follows from the last one, then
-// control, then work, then a submission. ok is false if there is none.
-func (s *Service) nextEvent() (e queuedEvent, l lane, ok bool) {
-	if len(s.followUps) > 0 {
-		e, s.followUps = s.followUps[0], s.followUps[1:]
-		return e, laneWork, true
-	}
-	s.queuesMu.Lock()
-	defer s.queuesMu.Unlock()
-	if len(s.control) > 0 {
-		e, s.control = s.control[0], s.control[1:]
-		return e, laneWork, true
-	}
-	select {
-	case e = <-s.work.C():
-		return e, laneWork, true
-	default:
-	}
-	sub, ok := s.mailbox.Take(s.cfg.Now())
-	if !ok {
-		return queuedEvent{}, laneWork, false
-	}
-	return queuedEvent{func(h *Host, now time.Time) { sub.Run(h, now, sub.Job) }, sub.EnteredAt}, laneSubmissions, true
-}
-
-// loop runs all events on the Host, one at a time, and carries out the actions that
-// follow, until ctx ends. A tick comes before other events, but not twice in a row while
-// others wait.
-func (s *Service) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	last, ticked := s.cfg.Now(), false
-	for ctx.Err() == nil {
-		var e queuedEvent
-		l, ok := laneWork, false
-		tick := func() { e, ok, ticked = queuedEvent{s.tick, s.cfg.Now()}, true, true }
-		if !ticked {
-			select {
-			case <-ticker.C:
-				tick()
-			default:
-			}
-		}
-		if !ok {
-			e, l, ok = s.nextEvent()
-			ticked = false
-		}
-		var liveness []queuedEvent
-		if !ok {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				tick()
-			case <-s.wake:
-				continue
-			case e = <-s.work.C():
-			case v := <-s.liveness.C():
-				liveness = append(liveness, v)
-			}
-		}
-		now := s.cfg.Now()
-		if now.Sub(last) > stallThreshold {
-			time.Sleep(stallGracePeriod)
-			now = s.cfg.Now()
-		}
-		last = now
-		for range len(s.liveness.C()) {
-			liveness = append(liveness, <-s.liveness.C())
-		}
-		s.handle(now, liveness, e, l)
-	}
-}
-
-// handle runs liveness events and an event of lane l, which may be empty, and carries
-// out the actions that follow.
-func (s *Service) handle(now time.Time, liveness []queuedEvent, e queuedEvent, l lane) {
-	run := make([]func(*Host, time.Time), len(liveness))
-	for i, v := range liveness {
-		run[i] = v.run
-	}
-	for _, a := range s.host.HandleEvents(now, run, e.run) {
-		s.perform(now, a)
-	}
-	if hostsNeeded := s.host.pool.IsOwner(); hostsNeeded != s.hostsNeeded {
-		s.hostsNeeded = hostsNeeded
-		s.kvstore.SetHostsNeeded(hostsNeeded)
-	}
-	if s.host.pool.TakeEvacuationsReread() {
-		s.kvstore.RereadEvacuations()
-	}
-	ended := s.cfg.Now()
-	if l == laneSubmissions {
-		s.queuesMu.Lock()
-		s.mailbox.Done(ended)
-		s.queuesMu.Unlock()
-	}
-	for _, v := range liveness {
-		s.meter.record(laneLiveness, v.queuedAt, now, now, len(s.liveness.C()))
-	}
-	if e.run != nil {
-		s.meter.record(l, e.queuedAt, now, ended, s.queued(l))
-	}
-	s.meter.report(ended, s.host.pool.Jobs())
-}
-
-// queued returns the number of events that wait in a lane.
-func (s *Service) queued(l lane) int {
-	s.queuesMu.Lock()
-	defer s.queuesMu.Unlock()
-	if l == laneSubmissions {
-		return s.mailbox.Len()
-	}
-	return len(s.work.C()) + len(s.control)
-}
-
 func (s *Service) tick(h *Host, now time.Time) {
 	h.Tick(now)
 	s.queuesMu.Lock()
@@ -384,24 +205,6 @@
 	s.mu.Unlock()
 }
 
-// sendMessage queues a message on a stream. It reports false if the stream can't take it,
-// and closes the stream then.
-func (s *Service) sendMessage(st *peer.Stream, m message) bool {
-	b, err := cbor.Marshal(m)
-	if err != nil {
-		s.cfg.Log.Error().Err(err).Msg("MessageEncodingFailed")
-		return false
-	}
-	if !st.Send(b) {
-		// Sessions rely on messages that arrive in order and without gaps, so the
-		// stream is closed when it can't take one.
-		s.cfg.Log.Warn().Str("Peer", st.Peer).Msg("StreamFull")
-		st.Close()
-		return false
-	}
-	return true
-}
-
 func (s *Service) perform(now time.Time, a HostAction) {
 	switch {
 	case a.Start != nil:
@@ -466,20 +269,6 @@
 	}
 }
 
-func (s *Service) followUp(now time.Time, f func(h *Host, now time.Time)) {
-	s.followUps = append(s.followUps, queuedEvent{f, now})
-}
-
-// dropSubmissions removes the submissions of a session that has ended.
-func (s *Service) dropSubmissions(id SessionID) {
-	if id == localSession {
-		return // The session was never opened.
-	}
-	s.queuesMu.Lock()
-	defer s.queuesMu.Unlock()
-	s.mailbox.DropSession(id)
-}
-
 func (s *Service) sendPoll(sent time.Time, poll *ServerPoll) {
 	run := func(ctx context.Context) {
 		r := s.cfg.Commands.Poll(ctx, poll.Server, poll.Command)
@@ -494,113 +283,6 @@
 	s.commandQueues.runPoll(poll.Server, run)
 }
 
-// openSession opens a session with a candidate and reports the outcome as an event.
-func (s *Service) openSession(c Candidate) {
-	ctx, cancel := context.WithTimeout(s.ctx, openTimeout)
-	defer cancel()
-	// Only the loop uses current and ended. The stream may end before the loop
-	// handles its opening, or after another stream has replaced it.
-	var current *peer.Stream
-	ended := false
-	receive := func(b []byte) {
-		var m message
-		if err := cbor.Unmarshal(b, &m); err != nil {
-			s.cfg.Log.Warn().Str("Peer", c.Incarnation).Err(err).Msg("MessageMalformed")
-			return
-		}
-		s.enqueueIn(s.liveness, func(h *Host, now time.Time) {
-			// A heartbeat counts only on the stream that carries the session.
-			if m.Heartbeat == nil || s.ownerStreams[c.Incarnation] == current {
-				h.handleOwnerMessage(now, c.Incarnation, m)
-			}
-		})
-	}
-	closed := func() {
-		s.enqueueControl(func(h *Host, now time.Time) {
-			ended = true
-			if current != nil {
-				s.ownerStreamEnded(h, now, current)
-			}
-		})
-	}
-	st, err := s.peers.OpenStream(ctx, c.Address, c.Incarnation, streamName, receive, closed)
-	if err != nil {
-		reason := "Unreachable"
-		var other *peer.IncarnationError
-		if errors.As(err, &other) {
-			reason = "IncarnationEnded"
-		}
-		s.enqueue(func(h *Host, now time.Time) { h.entry.HandleSessionClosed(now, c.Incarnation, reason) })
-		return
-	}
-	s.enqueueIn(s.liveness, func(h *Host, now time.Time) {
-		switch {
-		case ended && s.ownerStreams[c.Incarnation] == nil:
-			h.entry.HandleSessionClosed(now, c.Incarnation, "SessionBroke")
-		case ended:
-		case h.entry.HandleSessionOpened(now, c.Incarnation):
-			current = st
-			s.ownerStreams[c.Incarnation] = st
-		default:
-			st.Close()
-		}
-	})
-}
-
-// acceptSession adds a session that an entry host has opened. It returns the
-// functions that handle the messages and the end of its stream.
-func (s *Service) acceptSession(st *peer.Stream) (receive func([]byte), closed func()) {
-	// The loop sets the ID before it sends the first message on the session.
-	var opened atomic.Uint64
-	s.enqueueIn(s.liveness, func(h *Host, now time.Time) {
-		id := h.sessions.Open(now, st.Peer)
-		opened.Store(uint64(id))
-		s.sessionStreams[id] = st
-	})
-	receive = func(b []byte) {
-		var m message
-		if err := cbor.Unmarshal(b, &m); err != nil {
-			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
-			return
-		}
-		s.receiveFromEntry(st, SessionID(opened.Load()), m)
-	}
-	closed = func() {
-		s.enqueueControl(func(h *Host, now time.Time) {
-			id := SessionID(opened.Load())
-			delete(s.sessionStreams, id)
-			s.dropSubmissions(id)
-			h.handleIncomingSessionClosed(now, id)
-		})
-	}
-	return receive, closed
-}
-
-// receiveFromEntry passes a message of an entry host on a session to the lane that it
-// belongs to. id is 0 if the loop has not opened the session yet.
-func (s *Service) receiveFromEntry(st *peer.Stream, id SessionID, m message) {
-	switch {
-	case m.Submit != nil:
-		r, ok := Result{ID: m.Submit.ID, Outcome: Returned, Reason: "NotOwner"}, false
-		if err := m.Submit.Validate(); err != nil {
-			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
-			r.Outcome, r.Reason = Refused, "Malformed"
-		} else if id != 0 {
-			r, ok = s.offer(Submission{Session: id, Job: *m.Submit, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, id, j) }})
-		}
-		if !ok {
-			s.sendMessage(st, message{Result: &r})
-		}
-	case id == 0:
-		// An entry host sends nothing else before the first heartbeat.
-		s.cfg.Log.Warn().Str("Peer", st.Peer).Msg("MessageMalformed")
-	case m.Cancel != "":
-		s.withdraw(id, 0, m.Cancel, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
-	default:
-		s.enqueueIn(s.liveness, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
-	}
-}
-
 func (s *Service) publishOwner() []byte {
 	if s.Status().Owner != s.cfg.Self.Incarnation {
 		return nil
@@ -655,59 +337,6 @@
 	})
 }
 
-// Submit submits a caller's job. It calls answer with the result, at most once, either
-// before it returns or from the loop, so answer must not block. It returns the function
-// to call when the caller has left before the result.
-func (s *Service) Submit(job Job, answer func(Result)) (left func()) {
-	arrived := s.cfg.Now()
-	s.submitted.Inc(1)
-	finish := func(r Result) {
-		s.answered.Inc(1)
-		s.latency.Update(s.cfg.Now().Sub(arrived).Milliseconds())
-		metrics.GetOrRegisterCounter("Worker.Outcome."+r.Outcome.String(), s.cfg.Metrics).Inc(1)
-		answer(r)
-	}
-	// Only the loop uses waiter, which stays 0 if the host refuses the job.
-	var waiter WaiterID
-	caller := s.lastCaller.Add(1)
-	cancelled := func() { finish(Result{ID: job.ID, Outcome: Refused, Reason: "Cancelled"}) }
-	r, ok := s.offer(Submission{Session: localSession, Caller: caller, Job: job, Cancelled: cancelled, Run: func(h *Host, now time.Time, j Job) {
-		id, ok := h.Submit(now, j)
-		if !ok {
-			answer(Result{ID: j.ID, Outcome: Refused, Reason: "HostLeaves", RetryAfter: time.Second})
-			return
-		}
-		waiter = id
-		s.waiters[id] = finish
-	}})
-	if !ok {
-		finish(r)
-		return func() {}
-	}
-	return func() {
-		s.withdraw(localSession, caller, job.ID, func(h *Host, now time.Time) {
-			if s.waiters[waiter] != nil {
-				delete(s.waiters, waiter)
-				h.entry.CallerLeft(now, waiter)
-			}
-		})
-	}
-}
-
-// CancelJob cancels a job that callers of this host wait for, at the owner that has
-// it, and answers all of them.
-func (s *Service) CancelJob(id string) {
-	s.queuesMu.Lock()
-	withdrawn := s.mailbox.Withdraw(localSession, 0, id)
-	s.queuesMu.Unlock()
-	for _, sub := range withdrawn {
-		if sub.Cancelled != nil {
-			sub.Cancelled()
-		}
-	}
-	s.enqueueControl(func(h *Host, now time.Time) { h.entry.CancelJob(now, id) })
-}
-
 // Ready reports whether the load balancer should send callers here: the host isn't
 // leaving and some owner can accept their jobs.
 func (s *Service) Ready() bool {
--- /dev/null
+++ b/internal/worker/service_submit.go
@@ -0,0 +1,60 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Submit submits a caller's job. It calls answer with the result, at most once, either
+// before it returns or from the loop, so answer must not block. It returns the function
+// to call when the caller has left before the result.
+func (s *Service) Submit(job Job, answer func(Result)) (left func()) {
+	arrived := s.cfg.Now()
+	s.submitted.Inc(1)
+	finish := func(r Result) {
+		s.answered.Inc(1)
+		s.latency.Update(s.cfg.Now().Sub(arrived).Milliseconds())
+		metrics.GetOrRegisterCounter("Worker.Outcome."+r.Outcome.String(), s.cfg.Metrics).Inc(1)
+		answer(r)
+	}
+	// Only the loop uses waiter, which stays 0 if the host refuses the job.
+	var waiter WaiterID
+	caller := s.lastCaller.Add(1)
+	cancelled := func() { finish(Result{ID: job.ID, Outcome: Refused, Reason: "Cancelled"}) }
+	r, ok := s.offer(Submission{Session: localSession, Caller: caller, Job: job, Cancelled: cancelled, Run: func(h *Host, now time.Time, j Job) {
+		id, ok := h.Submit(now, j)
+		if !ok {
+			answer(Result{ID: j.ID, Outcome: Refused, Reason: "HostLeaves", RetryAfter: time.Second})
+			return
+		}
+		waiter = id
+		s.waiters[id] = finish
+	}})
+	if !ok {
+		finish(r)
+		return func() {}
+	}
+	return func() {
+		s.withdraw(localSession, caller, job.ID, func(h *Host, now time.Time) {
+			if s.waiters[waiter] != nil {
+				delete(s.waiters, waiter)
+				h.entry.CallerLeft(now, waiter)
+			}
+		})
+	}
+}
+
+// CancelJob cancels a job that callers of this host wait for, at the owner that has
+// it, and answers all of them.
+func (s *Service) CancelJob(id string) {
+	s.queuesMu.Lock()
+	withdrawn := s.mailbox.Withdraw(localSession, 0, id)
+	s.queuesMu.Unlock()
+	for _, sub := range withdrawn {
+		if sub.Cancelled != nil {
+			sub.Cancelled()
+		}
+	}
+	s.enqueueControl(func(h *Host, now time.Time) { h.entry.CancelJob(now, id) })
+}
