worker: a queue without a share has a finite wait

Found in review: before an owner has accepted anything, no queue has a share. With tasks waiting, the room was divided by the sum of no shares, the grant and the wait became no numbers, and the wait came out as -292 years, so that any job was accepted. The new test failed with that figure. Queues without any share now count alike.

--- a/internal/worker/shares.go
+++ b/internal/worker/shares.go
@@ -274,18 +274,29 @@
 }
 
 // divide adds room to the grants of queues in proportion to their shares, up to what they
-// ask for. It returns what is left.
+// ask for. It returns what is left. As long as nothing was accepted no queue has a share, and
+// all count alike.
 func divide(now time.Time, queues []*queueShare, room float64) float64 {
 	queues = slices.Clone(queues)
-	need := func(q *queueShare) float64 { return (q.asks(now) - q.grant) / q.share }
+	var all float64
+	for _, q := range queues {
+		all += q.share
+	}
+	weight := func(q *queueShare) float64 {
+		if all <= 0 {
+			return 1
+		}
+		return q.share
+	}
+	need := func(q *queueShare) float64 { return (q.asks(now) - q.grant) / weight(q) }
 	slices.SortStableFunc(queues, func(a, b *queueShare) int { return cmp.Compare(need(a), need(b)) })
-	var shares float64
+	var weights float64
 	for _, q := range queues {
-		shares += q.share
+		weights += weight(q)
 	}
 	for _, q := range queues {
-		part := min(q.asks(now)-q.grant, room*q.share/shares)
-		shares -= q.share
+		part := min(q.asks(now)-q.grant, room*weight(q)/weights)
+		weights -= weight(q)
 		q.grant += part
 		room -= part
 	}
--- a/internal/worker/shares_test.go
+++ b/internal/worker/shares_test.go
@@ -141,3 +141,18 @@
 		})
 	}
 }
+
+// TestWaitIsFiniteBeforeAnythingWasAccepted guards against a wait that is no number, with which
+// a new owner accepts any job.
+func TestWaitIsFiniteBeforeAnythingWasAccepted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewShares()
+	q := s.queue("a")
+	s.Demand(now, q, 0, 100)
+	s.Demand(now, s.queue("b"), 0, 10)
+	q.waiting = 50
+	s.Update(now, 10, true, false)
+	if wait, _ := s.Wait(q, 1); wait <= 0 || wait > time.Minute {
+		t.Errorf("the wait for 50 core-seconds on 10 cores is %v", wait)
+	}
+}
