--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -10,8 +10,8 @@
 )
 
 // Submit accepts a caller's job, which arrived job.Age ago, and returns the WaiterID with
-// which its result will be delivered. If the host already has a job with this ID, the caller waits for
-// the result of that one.
+// which its result will be delivered. If the host already has a job with this ID, the
+// caller waits for the result of that one.
 func (e *Entry) Submit(now time.Time, job Job) WaiterID {
 	e.lastWaiter++
 	id := e.lastWaiter
--- a/internal/worker/shares.go
+++ b/internal/worker/shares.go
@@ -7,7 +7,7 @@
 // its core-seconds.
 //
 //  1. The weight of a queue is its usual demand in core-seconds a second, a slow moving
-//     average of what was accepted. While the room doesn't suffice it is learned slowlier,
+//     average of what was accepted. While the room doesn't suffice it is learned more slowly,
 //     since that is not usual. Each queue has at least minWeightShare.
 //  2. The share of a queue is the room times its weight over all weights, whether the
 //     others use theirs or not. A queue that uses less than its share comes before all
@@ -41,7 +41,7 @@
 
 const (
 	// usualTimeConstant is the time constant of the usual demand (rule 1).
-	// usualOverloadFactor is how much slowlier it is learned while the room doesn't suffice.
+	// usualOverloadFactor is how much more slowly it is learned while the room doesn't suffice.
 	usualTimeConstant   = 60 * time.Second
 	usualOverloadFactor = 0.125
 	// minWeightShare is the least weight of a queue with demand, as a share of all weights:
