worker: handle an attach that arrives before its path was opened

Cause: an attach is the first message on a new stream, and the lanes dropped what came before the loop had opened the stream's session. A busy owner was so dialed again each 70 ms by each entry host, which kept it busy. Both parts passed their own tests; in virtual time the loop is never behind its readers. The new test fails without the change.

Not shown yet: that this was the whole cause.

--- a/internal/worker/lanes_test.go
+++ b/internal/worker/lanes_test.go
@@ -197,6 +197,22 @@
 	}
 }
 
+// TestAttachBeforeLoopHasOpenedItsPath guards against an attach that is dropped while the
+// owner's loop is busy, after which the entry host dials path after path.
+func TestAttachBeforeLoopHasOpenedItsPath(t *testing.T) {
+	now := testStart
+	s := newLanesService(t.Context(), &now)
+	s.acceptSession(discardStream())
+	s.runUntilIdle()
+	id := s.host.sessions.last
+	receive, _ := s.acceptSession(discardStream())
+	receive(encode(t, message{Attach: &attach{Session: id, Number: 1}}))
+	s.runUntilIdle()
+	if path := s.host.sessions.pathOf(id); path == id {
+		t.Error("the session is still on its first path")
+	}
+}
+
 // TestMalformedMessages guards against a message of another host that ends the owner's
 // process or the session.
 func TestMalformedMessages(t *testing.T) {
--- a/internal/worker/service_streams.go
+++ b/internal/worker/service_streams.go
@@ -111,7 +111,7 @@
 			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 			return
 		}
-		s.receiveFromEntry(st, SessionID(opened.Load()), m)
+		s.receiveFromEntry(st, &opened, m)
 	}
 	closed = func() {
 		s.enqueueControl(func(h *Host, now time.Time) {
@@ -125,8 +125,9 @@
 }
 
 // receiveFromEntry passes a message of an entry host on a session to the lane that it
-// belongs to. id is 0 if the loop has not opened the session yet.
-func (s *Service) receiveFromEntry(st *peer.Stream, id SessionID, m message) {
+// belongs to. opened has the ID of the session, 0 if the loop has not opened it yet.
+func (s *Service) receiveFromEntry(st *peer.Stream, opened *atomic.Uint64, m message) {
+	id := SessionID(opened.Load())
 	switch {
 	case m.Submit != nil:
 		r, ok := Result{ID: m.Submit.ID, Outcome: Returned, Reason: "NotOwner"}, false
@@ -139,12 +140,11 @@
 		if !ok {
 			s.sendMessage(st, message{Result: &r})
 		}
-	case id == 0:
-		// An entry host sends nothing else before the first heartbeat.
-		s.cfg.Log.Warn().Str("Peer", st.Peer).Msg("MessageMalformed")
-	case m.Cancel != "":
+	case m.Cancel != "" && id != 0:
 		s.withdraw(id, 0, m.Cancel, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
 	default:
-		s.enqueueIn(s.liveness, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
+		// An attach is the first message on its stream. This lane keeps the order, so the
+		// loop opens the session before.
+		s.enqueueIn(s.liveness, func(h *Host, now time.Time) { h.handleEntryMessage(now, SessionID(opened.Load()), m) })
 	}
 }
