worker: wait for a path that is being opened instead of dialing another

Each entry host dialed a silent owner again each 70 ms, up to three times in a lease, also while the first connection was still being opened. Another dial is of use only where an attach got no answer or a connection failed; a busy owner has to open them all. The tests of paths, attaches and the simulation with silent streams pass.

--- a/internal/worker/session_path.go
+++ b/internal/worker/session_path.go
@@ -77,6 +77,8 @@
 	// number is that of the last path dialed, 0 if the path is not suspect.
 	number   uint64
 	dialedAt time.Time
+	// dialing is set while the connection for the attach is being opened.
+	dialing bool
 	// sent is the number of the last attach that was sent, 0 if none was. The owner may then
 	// use the new path already. It is lower than number while a further path is dialed.
 	sent uint64
@@ -130,11 +132,11 @@
 	if !silent && p.sent == 0 && !p.ackMissing(v.heartbeat.Number) {
 		return
 	}
-	if p.suspect() && now.Sub(p.dialedAt) < attachRetryInterval {
+	if p.suspect() && (p.dialing || now.Sub(p.dialedAt) < attachRetryInterval) {
 		return
 	}
 	e.lastAttach++
-	p.number, p.dialedAt = e.lastAttach, now
+	p.number, p.dialedAt, p.dialing = e.lastAttach, now, true
 	e.cfg.Log.Info().Str("Owner", v.candidate.Incarnation).Uint64("Attach", p.number).
 		Int64("SinceContactMs", now.Sub(v.lastContact).Milliseconds()).Bool("AckMissing", !silent).Msg("PathSuspect")
 	e.actions = append(e.actions, EntryAction{Dial: &PathDial{v.candidate, p.number}})
@@ -153,6 +155,9 @@
 // it, or nil if the path is no longer wanted.
 func (e *Entry) HandlePathOpened(owner string, number uint64) *message {
 	v := e.viewOf(owner)
+	if v != nil && v.path.number == number {
+		v.path.dialing = false
+	}
 	if v == nil || !v.path.suspect() || number <= max(v.path.sent, v.path.adopted) {
 		return nil
 	}
@@ -178,7 +183,12 @@
 // HandlePathFailed handles a new path that could not be opened. If another incarnation
 // listens at the address, the owner has ended.
 func (e *Entry) HandlePathFailed(now time.Time, owner string, number uint64, incarnationEnded bool) {
-	if v := e.viewOf(owner); v != nil && v.path.number == number && incarnationEnded {
+	v := e.viewOf(owner)
+	if v == nil || v.path.number != number {
+		return
+	}
+	v.path.dialing = false
+	if incarnationEnded {
 		e.HandleSessionClosed(now, owner, "IncarnationEnded")
 	}
 }
