worker: a job wider than the idle room waits for its own runs

Callers of a wide job would be refused by an idle failure domain: the time until the job's own tasks have room was counted from the runs in progress, of which there are none. What is free now is taken by tasks of the job and free again after their run time. The new test fails without the change.

daemon: the cost of an event of the virtual tests is set while hosts log; the race detector found it in TestVirtualOverload. It is atomic now.

--- a/internal/daemon/virtual_overload_test.go
+++ b/internal/daemon/virtual_overload_test.go
@@ -103,7 +103,9 @@
 		sc := &scenario{simulation: s, knownQueues: map[*simHost]int{}, startedAt: map[*simHost]time.Time{}, unavailable: map[*simHost]bool{}}
 		sc.configure()
 		time.Sleep(startupTime)
-		s.eventCost = eventCost
+		if eventCost != nil {
+			s.eventCost.Store(&eventCost)
+		}
 		var mu sync.Mutex
 		var answers []overloadAnswer
 		record := func(a overloadAnswer) {
--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -46,7 +46,7 @@
 	running, falselyDead sync.Map
 	// eventCost returns the processor time that the event of a log line costs the
 	// goroutine that logs it; nil means none. Virtual time charges none by itself.
-	eventCost func(line []byte) time.Duration
+	eventCost atomic.Pointer[func(line []byte) time.Duration]
 }
 
 // simHost is one entry host. Each start of its process is a new incarnation, and the
@@ -204,8 +204,8 @@
 			l.falselyDead.Store(fmt.Sprintf("%s declared %s dead, which has been running since %v", l.name, m[1], at), true)
 		}
 	}
-	if l.eventCost != nil {
-		if d := l.eventCost(b); d > 0 {
+	if cost := l.eventCost.Load(); cost != nil {
+		if d := (*cost)(b); d > 0 {
 			time.Sleep(d)
 		}
 	}
--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -118,7 +118,7 @@
 		return admission{accepted: true}
 	}
 	d := admission{limit: j.answerDeadline(maxLateObjectives).Sub(now) - j.criticalPath, sourceFactor: 1}
-	d.wait, d.own = p.shares.Wait(j.share, j.firstCores())
+	d.wait, d.own = p.shares.Wait(j.share, j.firstCores(), p.runTimeEstimator.runTime(&j.Job, 0).Seconds())
 	slack := j.latestStart().Sub(now)
 	switch {
 	case p.shares.overloaded:
--- a/internal/worker/shares.go
+++ b/internal/worker/shares.go
@@ -347,14 +347,16 @@
 }
 
 // Wait returns the expected wait until the tasks of a queue that wait now are started
-// (rule 5), and how long then another cores take to become free.
-func (s *Shares) Wait(q *queueShare, cores float64) (wait, own time.Duration) {
+// (rule 5), and how long then another cores take to become free. What is free now is taken by
+// some of these cores, and is free again after runTime seconds.
+func (s *Shares) Wait(q *queueShare, cores, runTime float64) (wait, own time.Duration) {
 	rate := s.rate(q)
 	if rate <= 0 {
 		return time.Second, 0
 	}
 	t := q.waiting / rate
-	return seconds(t), seconds(max(0, cores-(s.room-s.inUse)) / s.endRate())
+	free := max(s.room-s.inUse, 0)
+	return seconds(t), seconds(max(0, cores-free) / (s.endRate() + free/max(runTime, minCountedRunTime.Seconds())))
 }
 
 // endRate returns the cores a second that ending runs free.
--- a/internal/worker/shares_test.go
+++ b/internal/worker/shares_test.go
@@ -152,7 +152,19 @@
 	s.Demand(now, s.queue("b"), 0, 10)
 	q.waiting = 50
 	s.Update(now, 10, true, false)
-	if wait, _ := s.Wait(q, 1); wait <= 0 || wait > time.Minute {
+	if wait, _ := s.Wait(q, 1, 0.2); wait <= 0 || wait > time.Minute {
 		t.Errorf("the wait for 50 core-seconds on 10 cores is %v", wait)
 	}
 }
+
+// TestJobWiderThanIdleRoomIsNotRefused guards against the refusal of a job whose tasks fit on
+// idle servers in turns only: its own runs free the room that it waits for.
+func TestJobWiderThanIdleRoomIsNotRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewShares()
+	q := s.queue("a")
+	s.Update(now, 10, false, false)
+	if _, own := s.Wait(q, 40, 0.2); own > 700*time.Millisecond {
+		t.Errorf("40 cores for 0.2 s on 10 idle ones wait %v, want the 0.6 s of three turns before the last", own)
+	}
+}
