worker: no class of speed by chance while few runs have ended

With several classes a task may wait for servers that only seem faster. Cause: five samples made an average count, and their own deviation, often far below the true one, decided what is chance; a kind counted without any test.

A kind is now compared with the average server as a server is with its kind, and the deviation assumed of samples is at least the error of declared run times.

--- a/internal/worker/speed.go
+++ b/internal/worker/speed.go
@@ -7,9 +7,10 @@
 //  1. A sample is the natural logarithm of a run time divided by the run time that the
 //     estimator expects at the reference speed. Only runs that completed their task are
 //     samples, since a run that fails may fail early.
-//  2. Samples are averaged for each kind of server and for each server. A server counts
-//     as different from its kind only if its average differs from the kind's by more
-//     than maxChanceDeviation standard errors. Where all servers are alike, none does.
+//  2. Samples are averaged for each kind of server and for each server. A kind counts as
+//     different from the average server, and a server as different from its kind, only if
+//     the averages differ by more than maxChanceDeviation standard errors. Where all
+//     servers are alike, none does, also while little is known.
 //  3. A server that has turned slow or fast shows as speedChangeStreak samples in a row
 //     that all lie far on one side of its average. The average then starts anew from
 //     these samples. A single long run changes little.
@@ -41,8 +42,8 @@
 	// maxSpeedSample bounds a sample, so that one straggler doesn't distort an average.
 	maxSpeedSample = 2.3 // about ln 10
 	// minSampleDeviation is the least standard deviation assumed of samples. Declared
-	// run times are off by up to 40 %.
-	minSampleDeviation = 0.2
+	// run times are off by up to 40 %, and few samples show too small a deviation.
+	minSampleDeviation = 0.4
 	// speedClassWidth is the ratio of run times between neighboring classes of speed.
 	speedClassWidth = 1.25
 	// maxSpeedClass bounds the classes of speed in both directions.
@@ -72,6 +73,11 @@
 // known reports whether there are enough samples to rely on.
 func (a *sampleAverage) known() bool { return a.weight >= minSpeedSamples }
 
+// differs reports whether the average differs from a value by more than chance explains.
+func (a *sampleAverage) differs(value float64) bool {
+	return a.known() && math.Abs(a.mean-value) > maxChanceDeviation*a.standardError()
+}
+
 // serverSpeed is what is known of the speed of one server.
 type serverSpeed struct {
 	own sampleAverage
@@ -182,10 +188,10 @@
 func (m *speedModel) factor(kind string, s *serverSpeed) float64 {
 	k := m.kinds[kind]
 	mean := m.reference
-	if k != nil && k.all.known() {
+	if k != nil && k.all.differs(mean) {
 		mean = k.all.mean
 	}
-	if s.own.known() && math.Abs(s.own.mean-mean) > maxChanceDeviation*s.own.standardError() {
+	if s.own.differs(mean) {
 		mean = s.own.mean
 	}
 	return math.Exp(mean - m.reference)
--- a/internal/worker/speed_test.go
+++ b/internal/worker/speed_test.go
@@ -17,6 +17,8 @@
 	slow    float64
 	servers int
 	samples int
+	// recorded, if not nil, is called after each sample.
+	recorded func(m *speedModel, kind string, s *serverSpeed)
 }
 
 func (l speedLoad) play(seed uint64) (*speedModel, map[string][]*serverSpeed) {
@@ -40,6 +42,9 @@
 				}
 				declared := time.Duration((0.6 + 0.8*r.Float64()) * float64(200*time.Millisecond))
 				m.record(kind, s, time.Duration(f*float64(200*time.Millisecond)), declared)
+				if l.recorded != nil {
+					l.recorded(m, kind, s)
+				}
 			}
 		}
 	}
@@ -68,6 +73,23 @@
 	}
 }
 
+// TestAlikeServersAreOneClassFromTheStart guards against classes that follow chance while few
+// runs have ended.
+func TestAlikeServersAreOneClassFromTheStart(t *testing.T) {
+	samples, others := 0, 0
+	for seed := range uint64(20) {
+		speedLoad{factors: map[string]float64{"a": 1, "b": 1}, servers: 50, samples: 30, recorded: func(m *speedModel, kind string, s *serverSpeed) {
+			samples++
+			if speedClass(m.factor(kind, s)) != 0 {
+				others++
+			}
+		}}.play(seed)
+	}
+	if others > 0 {
+		t.Errorf("after %d of %d samples the server was of another class", others, samples)
+	}
+}
+
 func TestSlowServerIsToldFromItsKind(t *testing.T) {
 	m, servers := speedLoad{factors: map[string]float64{"a": 1, "b": 1}, slow: 5, servers: 20, samples: 20}.play(2)
 	if f := m.factor("a", servers["a"][0]); f < 3 {
