worker: log the tasks of a server whose lease expires, and refused connections

A command for an address that refuses the connection now has a verdict of its own, which ServerUnresponsive logs; LeaseExpired lists the tasks. No decision depends on the new verdict yet.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -57,7 +57,8 @@
 		return
 	}
 	if s.unresponsive && len(s.runs) > 0 && now.After(s.leaseUntil) {
-		p.cfg.Log.Warn().Str("Server", s.ID).Int("Runs", len(s.runs)).Msg("LeaseExpired")
+		p.cfg.Log.Warn().Str("Server", s.ID).Int("Runs", len(s.runs)).Strs("Tasks", s.runningTasks()).
+			Int64("UnresponsiveMs", now.Sub(s.unresponsiveSince).Milliseconds()).Msg("LeaseExpired")
 		s.keepExpired(now)
 		p.expireRuns(now, s)
 	}
@@ -103,6 +104,15 @@
 	}
 }
 
+// runningTasks returns the names of the tasks of the tracked runs.
+func (s *server) runningTasks() []string {
+	var names []string
+	for _, r := range s.sortedRuns() {
+		names = append(names, r.Task)
+	}
+	return names
+}
+
 func (s *server) sortedRuns() []*run {
 	if len(s.runs) == 0 {
 		return nil
@@ -181,7 +191,7 @@
 	switch reply.Verdict {
 	case Accepted:
 		r.state, r.sent = runRunning, now
-	case Unanswered:
+	case Unanswered, ConnectionRefused:
 		r.state = runUnconfirmed
 		s.setUnresponsive(now)
 	case RefusedToken:
@@ -207,7 +217,7 @@
 // observeReply records the clock of a reply. It reports false if the reply comes
 // from another incarnation of the server, which it then begins to acquire (rule 7).
 func (p *Pool) observeReply(now time.Time, s *server, reply Reply) bool {
-	if reply.Verdict == Unanswered || reply.Verdict == WrongIncarnation || reply.Clock == 0 {
+	if reply.Verdict == Unanswered || reply.Verdict == ConnectionRefused || reply.Verdict == WrongIncarnation || reply.Clock == 0 {
 		return true
 	}
 	if s.state != stateNotOwned && !s.clockReadAt.IsZero() && reply.Clock < s.clock-maxReplyDelay {
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -187,9 +187,12 @@
 	// WrongIncarnation means that another server or another incarnation of this one
 	// listens at the address.
 	WrongIncarnation
+	// ConnectionRefused means that nothing accepted a connection at the address. The
+	// server has not received the command and never will.
+	ConnectionRefused
 )
 
-var verdictNames = [...]string{"Unknown", "Accepted", "Fence", "Old", "Late", "Room", "Other", "WrongServer"}
+var verdictNames = [...]string{"Unknown", "Accepted", "Fence", "Old", "Late", "Room", "Other", "WrongServer", "ConnectionRefused"}
 
 // String returns the name that logs use.
 func (v Verdict) String() string { return verdictNames[min(int(v), len(verdictNames)-1)] }
