worker: failing test of tasks that crash their servers

The simulation learns servers that a task crashes: they refuse connections for 3.3 s and come back at their address with another ID.

--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -68,6 +68,7 @@
 	at.finished = true
 	j := at.job
 	w.answers++
+	j.lastOutcome = r.Outcome
 	if j.answered != nil {
 		j.answered(r)
 	}
@@ -207,6 +208,9 @@
 				Need: worker.Resources{CPUMilli: need/2 + w.rand.IntN(need), MemoryMB: 10},
 			}},
 		}
+		if w.faults.CrashingJobs > 0 && w.rand.Float64() < w.faults.CrashingJobs {
+			j.crashingTask = fmt.Sprintf("%s.0.0.%d", j.job.ID, w.rand.IntN(j.job.Steps[0].Count))
+		}
 		w.jobs[j.job.ID] = j
 		w.submit(j)
 	})
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -258,6 +258,10 @@
 		return s != nil && !s.removed && !w.now.Before(s.downUntil) && !w.now.Before(s.cutUntil[h.index])
 	}
 	w.after(commandTimeout, func() { answer(worker.Reply{}) })
+	if s != nil && s.refusing && !w.now.Before(s.cutUntil[h.index]) {
+		w.after(2*linkDelay, func() { answer(worker.Reply{Verdict: worker.ConnectionRefused}) })
+		return
+	}
 	late := w.rand.Float64() < w.faults.Late
 	lost := w.rand.Float64() < w.faults.Lost
 	delay := w.delay()
@@ -273,7 +277,7 @@
 			return
 		}
 		r := worker.Reply{Verdict: worker.WrongIncarnation}
-		if s.StartedAt().Equal(expectedStart) {
+		if s.StartedAt().Equal(expectedStart) && s.Info.ID == id {
 			r = execute(s)
 		}
 		w.check()
@@ -314,11 +318,19 @@
 		return s != nil && !s.removed && !w.now.Before(s.downUntil) && !w.now.Before(s.cutUntil[h.index])
 	}
 	w.after(poll.Command.Wait+pollTimeout, func() { answer(worker.Reply{}) })
+	if s != nil && s.refusing && !w.now.Before(s.cutUntil[h.index]) {
+		w.after(2*linkDelay, func() { answer(worker.Reply{Verdict: worker.ConnectionRefused}) })
+		return
+	}
 	lost := w.rand.Float64() < w.faults.Lost
 	w.after(w.delay(), func() {
 		if !reach() {
 			return
 		}
+		if s.Info.ID != poll.Server.ID {
+			answer(worker.Reply{Verdict: worker.WrongIncarnation})
+			return
+		}
 		r := s.Poll(w.now, poll.Command)
 		w.check()
 		send := func(r worker.Reply) {
@@ -335,7 +347,7 @@
 			send(r)
 			return
 		}
-		waiting := &simPoll{reply: send, lastSeen: poll.Command.LastSeen}
+		waiting := &simPoll{reply: send, broken: func() { answer(worker.Reply{}) }, lastSeen: poll.Command.LastSeen}
 		s.waitingPolls = append(s.waitingPolls, waiting)
 		w.after(poll.Command.Wait, func() { w.answerPoll(s, waiting) })
 	})
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -23,6 +23,8 @@
 //   - Room: the tasks on a server never need more than its capacity.
 //   - Single: no task runs on two live servers at the same time.
 //   - Refused: if all attempts of a job were refused, none of its tasks was started.
+//   - Crashes: a task that crashes its servers is started at most maxStartsAfterCrashes times
+//     after maxCrashes servers have crashed under it.
 //
 // It does not check a fourth one, Whole: when a job is answered as completed, every task
 // of it is done. The simulation of package daemon does.
@@ -40,9 +42,12 @@
 	unchecked bool
 	servers   []*simServer
 	byID      map[string]*simServer
-	jobs      map[string]*simJob
-	faults    simFaults
-	trace     []string
+	// crashes has the number of servers that crashed under each task, startsAfter that of
+	// the starts of a task after maxCrashes of them.
+	crashes, startsAfter map[string]int
+	jobs                 map[string]*simJob
+	faults               simFaults
+	trace                []string
 	// Counts of the results that callers received.
 	completed, onTime, failed, refused, lost, answers int
 	nextJob                                           int
@@ -67,6 +72,8 @@
 	Steady bool
 	// Silences is the rate at which some of the open streams go silent for good.
 	Silences float64
+	// CrashingJobs is the share of the jobs with a task that crashes its server.
+	CrashingJobs float64
 	// CallerLeaves is the share of callers that leave within 400 ms if they have no result
 	// by then.
 	CallerLeaves float64
@@ -175,7 +182,11 @@
 // simServer is a simulated backend server.
 type simServer struct {
 	*standin.LeasedServer
-	downUntil    time.Time
+	downUntil time.Time
+	// refusing is set while the server is down because a task crashed it: its address
+	// refuses connections. lives counts its incarnations.
+	refusing     bool
+	lives        int
 	removed      bool
 	cutUntil     map[int]time.Time
 	waitingPolls []*simPoll
@@ -187,7 +198,9 @@
 
 // simPoll is a poll that waits at a server for ended runs.
 type simPoll struct {
-	reply    func(worker.Reply)
+	reply func(worker.Reply)
+	// broken reports that the connection of the poll was closed.
+	broken   func()
 	lastSeen uint64
 	done     bool
 }
@@ -216,6 +229,10 @@
 	answered func(worker.Result)
 	// startedWork is the sum of the run times of all runs that were started.
 	startedWork time.Duration
+	// lastOutcome is that of the last result that the caller received.
+	lastOutcome worker.Outcome
+	// crashingTask is the name of the task that crashes its server, if there is one.
+	crashingTask string
 }
 
 // simAttempt is one submission of a job at a host.
@@ -250,6 +267,7 @@
 	w := &simulation{
 		t: t, rand: rand.New(rand.NewPCG(c.seed, c.seed)), now: time.Unix(simStartUnix, 0), jobs: map[string]*simJob{},
 		hostCuts: map[[2]int]time.Time{}, byID: map[string]*simServer{}, unchecked: c.unchecked,
+		crashes: map[string]int{}, startsAfter: map[string]int{},
 		faults: c.faults, log: event.New(io.Discard, "error"),
 	}
 	for d := range c.domains {
@@ -282,6 +300,7 @@
 			if j.firstStart.IsZero() {
 				j.firstStart = w.now
 			}
+			w.startedTask(s, j, k)
 			if j.runs != nil {
 				n, err := strconv.Atoi(k.Task[strings.LastIndex(k.Task, ".")+1:])
 				if err != nil {
