worker: a refused command extends no lease

A refused start held its task for the same time. A command whose connection was refused was not delivered, so what it extended is taken back, and the run of a refused start doesn't exist. Commands without an answer still count as received.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -151,6 +151,7 @@
 	r := &run{
 		RunKey: RunKey{t.name, t.lastRun}, need: t.job.Steps[t.step].Need, task: t, sent: now, token: s.token, deadline: s.deadline(now),
 	}
+	r.extension = s.lastExtension
 	t.assignedServer, t.currentRun = s, r
 	s.addRun(r)
 	p.fleet.serverChanged(s)
@@ -191,9 +192,13 @@
 	switch reply.Verdict {
 	case Accepted:
 		r.state, r.sent = runRunning, now
-	case Unanswered, ConnectionRefused:
+	case Unanswered:
 		r.state = runUnconfirmed
 		s.setUnresponsive(now)
+	case ConnectionRefused:
+		s.notDelivered(now, r.extension)
+		s.setUnresponsive(now)
+		p.runEnded(now, s, r, RunStopped)
 	case RefusedToken:
 		p.handleFenced(now, s)
 	case RefusedOldRun:
@@ -265,10 +270,11 @@
 	if s.immediatePolling {
 		return
 	}
-	s.immediatePolling = true
+	s.immediatePolling, s.immediateExtension = true, 0
 	command := PollCommand{Token: s.token, LastSeen: s.lastSeen}
 	if s.state == stateReady && s.mayRenewLease(now) && len(s.runs) > 0 {
 		command.Deadline = s.deadline(now)
+		s.immediateExtension = s.lastExtension
 	}
 	p.actions = append(p.actions, Action{Poll: &ServerPoll{Server: s.Server, Command: command, Immediate: true}})
 }
@@ -280,8 +286,9 @@
 		return
 	}
 	p.fleet.serverChanged(s)
+	extension := s.pollExtension
 	if immediate {
-		s.immediatePolling = false
+		s.immediatePolling, extension = false, s.immediateExtension
 	} else {
 		s.polling = false
 	}
@@ -294,6 +301,9 @@
 		if !s.unresponsive {
 			p.cfg.Log.Warn().Str("Server", id).Stringer("Verdict", reply.Verdict).Int("Runs", len(s.runs)).Msg("ServerUnresponsive")
 		}
+		if reply.Verdict == ConnectionRefused {
+			s.notDelivered(now, extension)
+		}
 		// The first failed poll is repeated immediately, the next ones with a backoff.
 		s.nextPollAt = now.Add(s.pollRetryDelay)
 		s.setUnresponsive(now)
--- /dev/null
+++ b/internal/worker/lease_refused_test.go
@@ -0,0 +1,82 @@
+package worker
+
+import (
+	"testing"
+	"time"
+)
+
+// TestRefusedCommandsDontExtendLease guards against tasks of a crashed server that wait for
+// the end of a lease which only commands that never arrived have extended.
+func TestRefusedCommandsDontExtendLease(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.AssumeOwnership(p.now, nil)
+	a, b := testServer("a", false), testServer("b", false)
+	a.ID, b.ID = "a", "b"
+	p.pool.SetServers(p.now, []Server{a, b})
+	p.advance(time.Millisecond, "a", "b")
+	p.pool.Submit(p.now, 1, testJob("1"))
+	p.advanceFor(time.Second, "a", "b")
+	if len(p.starts) != 1 {
+		t.Fatalf("%d starts, want one", len(p.starts))
+	}
+	crashed, other := p.starts[0].Server.Address, "b"
+	if crashed == other {
+		other = "a"
+	}
+	p.refusing = map[string]bool{crashed: true}
+	crashedAt := p.now
+	for len(p.starts) == 1 && p.now.Sub(crashedAt) < 5*time.Second {
+		p.advance(tickInterval, other)
+	}
+	// The last command that the server has received granted leaseDuration, by a clock that
+	// may be slow by maxClockDriftPercent.
+	longest := leaseDuration*100/(100-maxClockDriftPercent) + 2*tickInterval
+	if took := p.now.Sub(crashedAt); len(p.starts) != 2 || took > longest {
+		t.Errorf("the task was started again %v after the crash (%d starts), want at most %v", took, len(p.starts), longest)
+	}
+}
+
+// TestRefusedStartIsPlacedElsewhere guards against a task that waits for the end of a lease
+// although its start command was never delivered.
+func TestRefusedStartIsPlacedElsewhere(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.AssumeOwnership(p.now, nil)
+	a, b := testServer("a", false), testServer("b", false)
+	a.ID, b.ID = "a", "b"
+	p.pool.SetServers(p.now, []Server{a, b})
+	p.advance(time.Millisecond, "a", "b")
+	p.refusing = map[string]bool{"a": true}
+	p.pool.Submit(p.now, 1, testJob("1"))
+	p.advance(time.Millisecond, "b")
+	p.advance(time.Millisecond, "b")
+	if n := len(p.starts); n != 2 || p.starts[1].Server.Address != "b" {
+		t.Errorf("%d starts, want the second one on the other server", n)
+	}
+}
+
+// TestUnansweredCommandsExtendLease guards against a second run of a task whose server is
+// only silent: what was sent to it may have extended its lease.
+func TestUnansweredCommandsExtendLease(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.AssumeOwnership(p.now, nil)
+	a, b := testServer("a", false), testServer("b", false)
+	a.ID, b.ID = "a", "b"
+	p.pool.SetServers(p.now, []Server{a, b})
+	p.advance(time.Millisecond, "a", "b")
+	p.pool.Submit(p.now, 1, testJob("1"))
+	p.advanceFor(time.Second, "a", "b")
+	silent, other := p.starts[0].Server.Address, "b"
+	if silent == other {
+		other = "a"
+	}
+	var lastPoll time.Time
+	for len(p.starts) == 1 && p.now.Sub(testStart) < 10*time.Second {
+		if s := p.pool.servers[silent]; s.extendedAt.After(lastPoll) {
+			lastPoll = s.extendedAt
+		}
+		p.advance(tickInterval, other)
+	}
+	if since := p.now.Sub(lastPoll); since < leaseDuration {
+		t.Errorf("the task was started again %v after the last command that may have extended its lease", since)
+	}
+}
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -24,6 +24,8 @@
 	answers []Result
 	// loseStarts is the number of further start commands that get lost.
 	loseStarts int
+	// refusing holds the addresses that refuse connections.
+	refusing map[string]bool
 }
 
 func newPoolTester(t *testing.T) *poolTester {
@@ -58,6 +60,9 @@
 
 func (p *poolTester) perform(a Action, answering []string) {
 	reply := func(address string) Reply {
+		if p.refusing[address] {
+			return Reply{Verdict: ConnectionRefused}
+		}
 		for _, o := range answering {
 			if o == address {
 				return Reply{Verdict: Accepted, Clock: p.now.Sub(testStart) + time.Second, StartedAtMs: 1, Running: p.running[address], EndedRuns: p.ended[address]}
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -26,7 +26,8 @@
 //  6. Every command that extends the lease raises leaseUntil. This is the time, by
 //     this host's clock, at which the lease has certainly expired unless another
 //     command extends it. The server's clock may run slow by
-//     maxClockDriftPercent.
+//     maxClockDriftPercent. A command whose connection was refused has extended
+//     nothing, and a run whose start it was doesn't exist.
 //  7. A reply comes from another incarnation of the server if its start time
 //     differs, or if its clock is behind the known one by more than a late reply
 //     explains. The new incarnation may have executed commands that were meant
@@ -38,6 +39,7 @@
 //     run failed, the failure counts for its task as any other.
 
 import (
+	"slices"
 	"time"
 )
 
@@ -129,8 +131,10 @@
 	sent time.Time
 	// token is the fencing token of the start command.
 	token uint64
-	// deadline is the deadline of the start command, by the server's clock.
-	deadline time.Duration
+	// deadline is the deadline of the start command, by the server's clock, extension its
+	// extension of the lease.
+	deadline  time.Duration
+	extension uint64
 	// stopRequestedAt is when the owner decided to stop the run, stopSentAt when it
 	// last sent a stop command, and stopAckedAt when the server last acknowledged
 	// one. They are zero if that has not happened.
@@ -154,8 +158,11 @@
 	// clock is the server's clock, as read from a reply that arrived at clockReadAt.
 	clock       time.Duration
 	clockReadAt time.Time
-	// leaseUntil is the time by which the lease has expired (rule 6).
-	leaseUntil time.Time
+	// leaseUntil is the time by which the lease has expired (rule 6). extensions has what
+	// may have extended it up to then.
+	leaseUntil    time.Time
+	extensions    []leaseExtension
+	lastExtension uint64
 	// extendedAt is when a command that extends the lease was last sent.
 	extendedAt time.Time
 	runs       map[RunKey]*run
@@ -167,9 +174,12 @@
 	// polling and immediatePolling report whether a long poll and an immediate poll
 	// are in flight; there is at most one of each.
 	polling, immediatePolling bool
-	pollSentAt                time.Time
-	nextPollAt                time.Time
-	pollRetryDelay            time.Duration
+	// pollExtension and immediateExtension are the extensions by the polls in flight, 0 if
+	// they extend nothing.
+	pollExtension, immediateExtension uint64
+	pollSentAt                        time.Time
+	nextPollAt                        time.Time
+	pollRetryDelay                    time.Duration
 	// unresponsive is true from an unanswered command until the next answered poll.
 	unresponsive bool
 	// unresponsiveSince is when unresponsive last became true.
@@ -216,11 +226,21 @@
 	return false
 }
 
+// leaseExtension is the extension of a lease up to a time by a command.
+type leaseExtension struct {
+	id    uint64
+	until time.Time
+}
+
 // deadline returns the lease deadline for a command sent now, by the server's
-// clock, and raises leaseUntil accordingly (rule 6).
+// clock, and raises leaseUntil accordingly (rule 6). lastExtension is then the ID of the
+// extension.
 func (s *server) deadline(now time.Time) time.Duration {
 	since := now.Sub(s.clockReadAt)
 	until := s.clockReadAt.Add((since + leaseDuration) * 100 / (100 - maxClockDriftPercent))
+	s.extensions = slices.DeleteFunc(s.extensions, func(e leaseExtension) bool { return now.After(e.until) })
+	s.lastExtension++
+	s.extensions = append(s.extensions, leaseExtension{s.lastExtension, until})
 	if until.After(s.leaseUntil) {
 		s.leaseUntil = until
 	}
@@ -228,6 +248,22 @@
 	return s.clock + since + leaseDuration
 }
 
+// notDelivered takes back an extension of the lease, 0 for none, because the server has not
+// received the command (rule 6).
+func (s *server) notDelivered(now time.Time, extension uint64) {
+	n := slices.IndexFunc(s.extensions, func(e leaseExtension) bool { return e.id == extension })
+	if n < 0 || !s.leaseUntil.After(now) {
+		return
+	}
+	s.extensions = slices.Delete(s.extensions, n, n+1)
+	s.leaseUntil = now
+	for _, e := range s.extensions {
+		if e.until.After(s.leaseUntil) {
+			s.leaseUntil = e.until
+		}
+	}
+}
+
 // updateClock updates the known clock of the server from a reply that arrived now.
 // Replies may arrive out of order, so it ignores a reading that is behind the
 // known clock plus the shortest time that can have passed on the server since,
@@ -255,6 +291,7 @@
 // leaseUntil.
 func (s *server) nextPoll(now time.Time) PollCommand {
 	c := PollCommand{Token: s.token, LastSeen: s.lastSeen}
+	s.pollExtension = 0
 	switch {
 	case s.state == stateAcquiring:
 		c.Wait = pollWaitAcquiring
@@ -267,6 +304,7 @@
 		c.Wait = pollWaitBusy
 		if s.mayRenewLease(now) {
 			c.Deadline = s.deadline(now)
+			s.pollExtension = s.lastExtension
 		}
 		if s.resolvingRun() {
 			c.Wait = 0
