worker: count the crashes of servers under each task, across owners

Cause: a run that ends with its server went back to the queue as stopped, uncounted, and whatever an owner knew ended with it. Now an owner records which tasks were on a server that crashed: one that refuses connections until its lease has expired. Another incarnation at its address confirms the crash, the same one dismisses it; silence alone is none. A task with two confirmed crashes, one of them with no other possible cause, or with three, is given up and its job fails. Possible causes are told apart by running them: a task that ends by itself is cleared, one that was under two crashes or has most of the blame runs alone on a server, a bounded number at a time; the others start again at once. If a task can't start in the time of its caller, the job ends as lost at once. Records travel as sets, with heartbeats to all entry hosts and with submissions to owners, so a successor and other domains know them. Ruled out: counting at the entry host alone (it doesn't know what else ran there), and a rerun of all runs alone (an idle server for each). Servers that fail together have a common cause, which is no task.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -60,6 +60,7 @@
 		p.cfg.Log.Warn().Str("Server", s.ID).Int("Runs", len(s.runs)).Strs("Tasks", s.runningTasks()).
 			Int64("UnresponsiveMs", now.Sub(s.unresponsiveSince).Milliseconds()).Msg("LeaseExpired")
 		s.keepExpired(now)
+		p.noteServerLost(now, s, false)
 		p.expireRuns(now, s)
 	}
 	for _, r := range s.sortedRuns() {
@@ -197,7 +198,7 @@
 		s.setUnresponsive(now)
 	case ConnectionRefused:
 		s.notDelivered(now, r.extension)
-		s.setUnresponsive(now)
+		s.setRefused(now)
 		p.runEnded(now, s, r, RunStopped)
 	case RefusedToken:
 		p.handleFenced(now, s)
@@ -259,6 +260,8 @@
 		}
 	case RefusedToken:
 		p.handleFenced(now, s)
+	case ConnectionRefused:
+		s.setRefused(now)
 	default:
 		s.setUnresponsive(now)
 	}
@@ -301,8 +304,12 @@
 		if !s.unresponsive {
 			p.cfg.Log.Warn().Str("Server", id).Stringer("Verdict", reply.Verdict).Int("Runs", len(s.runs)).Msg("ServerUnresponsive")
 		}
-		if reply.Verdict == ConnectionRefused {
+		switch reply.Verdict {
+		case ConnectionRefused:
 			s.notDelivered(now, extension)
+			s.setRefused(now)
+		case WrongIncarnation:
+			p.anotherIncarnationSeen(now, s)
 		}
 		// The first failed poll is repeated immediately, the next ones with a backoff.
 		s.nextPollAt = now.Add(s.pollRetryDelay)
@@ -317,6 +324,13 @@
 // applyRunLists applies the run lists in the reply to a poll (rules 3, 4 and 7; rule 2
 // while the server is being acquired). sent is when the poll was sent.
 func (p *Pool) applyRunLists(now time.Time, s *server, sent time.Time, reply Reply) {
+	if reply.StartedAtMs != 0 && s.incarnation != 0 && reply.StartedAtMs != s.incarnation {
+		p.noteServerLost(now, s, true)
+	}
+	if reply.StartedAtMs != 0 {
+		s.incarnation = reply.StartedAtMs
+		p.incarnationSeen(now, s.ID, s.Address, reply.StartedAtMs)
+	}
 	if s.startedAtMs != 0 && reply.StartedAtMs != 0 && reply.StartedAtMs != s.startedAtMs {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("StartedAtMs", reply.StartedAtMs).Msg("ServerRestarted")
 		p.acquire(now, s, 0)
@@ -328,7 +342,7 @@
 	if s.unresponsive {
 		p.cfg.Log.Info().Str("Server", s.ID).Msg("ServerResponsive")
 	}
-	s.unresponsive, s.pollRetryDelay, s.nextPollAt = false, 0, time.Time{}
+	s.unresponsive, s.refusedAt, s.pollRetryDelay, s.nextPollAt = false, time.Time{}, 0, time.Time{}
 	if !p.observeReply(now, s, reply) {
 		return
 	}
--- /dev/null
+++ b/internal/worker/crash.go
@@ -0,0 +1,517 @@
+package worker
+
+// What an owner does about tasks that crash their servers. It answers this load: one job in
+// ten has a task that crashes each server that starts it, the server is back after some
+// seconds, and its other runs are lost with it. The rules are:
+//
+//  1. A server that refuses connections until its lease has expired is taken for crashed.
+//     If servers without runs, or more than two, begin to refuse within commonCauseWindow, the
+//     crash counts, but no task is blamed for it. Silence is no sign of a crash: the server may be cut off. The crash is
+//     confirmed when another incarnation is seen at the server's address, and dismissed when
+//     the same one answers. Without a sign, a confirmed crash counts all the same, but only
+//     if the server was lost while its lease was in force: its runs had not lapsed before.
+//  2. Each run on a crashed server is a possible cause until a run of its task ends by
+//     itself. How the blame for a crash is divided follows from how often tasks of each queue
+//     were under one (crash_blame.go).
+//  3. A task is started alone on its server once it was under two crashes, or if its job has
+//     at least half of the blame for one. Others start again beside others, at once: most of
+//     them are no cause. The number of servers away and of tasks that run alone is bounded.
+//  4. A task under which two servers have crashed, one of them without another possible
+//     cause, is given up, and its job fails. So is one under which three have crashed. While
+//     the crashes that are needed for that are only suspected, the task is not started.
+//  5. If a task is not expected to start in the time that the caller waits, its job ends as
+//     lost at once.
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// commonCauseWindow is the time within which servers that fail together are noticed.
+	commonCauseWindow = 50 * time.Millisecond
+	// aloneShare is the share of the servers that may be away, or run a task alone, when
+	// another task is started alone (rule 3).
+	aloneShare = 0.125
+	// minAloneBlame is the blame from which on a task starts alone.
+	minAloneBlame = 0.5
+	// maxCrashAway is how long a crashed server counts as away if nothing is heard of it.
+	maxCrashAway = 10 * time.Second
+	// returnSampleWeight is the weight of a new sample in the mean time that crashed servers
+	// are away.
+	returnSampleWeight = 0.2
+)
+
+// caution says how a task may be started.
+type caution uint8
+
+const (
+	// cautionNone means that the task starts beside others.
+	cautionNone caution = iota
+	// cautionAlone means that the task starts alone on a server.
+	cautionAlone
+	// cautionHeld means that the task is not started (rule 4).
+	cautionHeld
+)
+
+// possibleCause is a run that was on a server when it crashed.
+type possibleCause struct {
+	task string
+	job  string
+	// queue is nil if another owner started the run.
+	queue *queueShare
+	// cleared is set when a run of the task has ended by itself.
+	cleared bool
+	// blame is the share of the blame for the crash.
+	blame float64
+}
+
+// serverCrash is the loss of a server with runs.
+type serverCrash struct {
+	server      string
+	address     string
+	startedAtMs int64
+	// lostAt is when the server first didn't answer, at when it was taken for crashed.
+	lostAt, at time.Time
+	// refused reports whether it refused connections, common whether others did so at the
+	// same time.
+	refused, common bool
+	state           crashState
+	// away reports whether the server may still come back.
+	away   bool
+	cores  float64
+	causes []*possibleCause
+}
+
+// suspicious reports whether tasks are blamed for the crash.
+func (c *serverCrash) suspicious() bool { return c.refused && !c.common && c.state != crashDismissed }
+
+// crashes is what a pool knows about crashes.
+type crashes struct {
+	log  *CrashLog
+	list []*serverCrash
+	// causesOf has the possible causes by task.
+	causesOf map[string][]*possibleCause
+	// waiting has the tasks that are ready and cautious; they are not in the queue.
+	waiting []*task
+	// alone is the number of runs that have a server for themselves.
+	alone int
+	// meanAway is the mean time that crashed servers were away, 0 if none has come back.
+	meanAway time.Duration
+	rates    crashRates
+	// blameOutdated is set when the blame has to be divided again.
+	blameOutdated bool
+}
+
+func newCrashes(log *CrashLog) crashes {
+	if log == nil {
+		log = NewCrashLog()
+	}
+	return crashes{log: log, causesOf: map[string][]*possibleCause{}, rates: crashRates{}}
+}
+
+// noteServerLost records that the runs of a server have ended with it or with its lease.
+func (p *Pool) noteServerLost(now time.Time, s *server, restarted bool) {
+	lostAt := now
+	if s.unresponsive {
+		lostAt = s.unresponsiveSince
+	}
+	if len(s.runs) == 0 || s.Leaving || lostAt.After(s.leaseUntil) {
+		return
+	}
+	c := &serverCrash{
+		server: s.ID, address: s.Address, startedAtMs: s.incarnation, lostAt: lostAt, at: now,
+		refused: restarted || !s.refusedAt.IsZero(), away: !restarted, cores: float64(s.Capacity.CPUMilli) / 1000,
+	}
+	c.common = p.hasCommonCause(s)
+	for _, r := range s.sortedRuns() {
+		c.causes = append(c.causes, &possibleCause{task: r.Task, job: jobOfTask(r.Task), queue: r.share})
+	}
+	for _, x := range c.causes {
+		p.crashes.causesOf[x.task] = append(p.crashes.causesOf[x.task], x)
+	}
+	p.crashes.list = append(p.crashes.list, c)
+	p.crashes.blameOutdated = true
+	p.cfg.Log.Warn().Str("Server", s.ID).Strs("Tasks", s.runningTasks()).Bool("Refused", c.refused).Bool("CommonCause", c.common).
+		Bool("Restarted", restarted).Int64("SinceLostMs", now.Sub(lostAt).Milliseconds()).Msg("ServerLost")
+	if restarted {
+		p.setCrashState(now, c, crashConfirmed)
+	} else if c.refused {
+		p.logCrash(now, c)
+	}
+}
+
+// hasCommonCause reports whether the crash of a server has a cause that concerns other servers:
+// some without runs, or more than two, refuse connections since about the same time.
+func (p *Pool) hasCommonCause(s *server) bool {
+	n := 1
+	for _, o := range p.orderedServers {
+		if o == s || s.refusedAt.IsZero() || o.refusedAt.IsZero() || o.refusedAt.Sub(s.refusedAt).Abs() > commonCauseWindow {
+			continue
+		}
+		if n++; n > 2 || o.idleWhenRefused {
+			return true
+		}
+	}
+	return false
+}
+
+// logCrash writes a crash to the records of its possible causes.
+func (p *Pool) logCrash(now time.Time, c *serverCrash) {
+	left := 0
+	for _, x := range c.causes {
+		if !x.cleared {
+			left++
+		}
+	}
+	for _, x := range c.causes {
+		if !x.cleared {
+			p.crashes.log.add(now, x.task, taskCrash{Server: c.server, Address: c.address, StartedAtMs: c.startedAtMs, State: c.state, Alone: left == 1 && !c.common})
+		}
+	}
+}
+
+// setCrashState records that a crash is confirmed or dismissed (rule 1).
+func (p *Pool) setCrashState(now time.Time, c *serverCrash, state crashState) {
+	if c.state != crashSuspected {
+		return
+	}
+	if c.away && state == crashConfirmed {
+		away := now.Sub(c.lostAt)
+		if p.crashes.meanAway == 0 {
+			p.crashes.meanAway = away
+		}
+		p.crashes.meanAway += time.Duration(returnSampleWeight * float64(away-p.crashes.meanAway))
+	}
+	c.state, c.away = state, false
+	p.crashes.blameOutdated = true
+	p.cfg.Log.Info().Str("Server", c.server).Stringer("State", state).Int64("SinceLostMs", now.Sub(c.lostAt).Milliseconds()).Msg("CrashDecided")
+	p.logCrash(now, c)
+}
+
+// incarnationSeen records that an incarnation answered at an address. startedAtMs is 0 if
+// only known is that it is not the one with the ID.
+func (p *Pool) incarnationSeen(now time.Time, id, address string, startedAtMs int64) {
+	p.crashes.log.seen(now, id, "", address, startedAtMs)
+	for _, c := range p.crashes.list {
+		if c.state != crashSuspected || c.address != address && c.server != id {
+			continue
+		}
+		switch {
+		case c.server == id && startedAtMs != 0 && startedAtMs == c.startedAtMs:
+			p.setCrashState(now, c, crashDismissed)
+		case c.server != id || startedAtMs != 0 && c.startedAtMs != 0:
+			p.setCrashState(now, c, crashConfirmed)
+		}
+	}
+}
+
+// anotherIncarnationSeen records that another incarnation answers at a server's address.
+func (p *Pool) anotherIncarnationSeen(now time.Time, s *server) {
+	p.crashes.log.seen(now, "", s.ID, s.Address, 0)
+	for _, c := range p.crashes.list {
+		if c.server == s.ID && c.address == s.Address {
+			p.setCrashState(now, c, crashConfirmed)
+		}
+	}
+}
+
+// clearTask records that a run of a task has ended by itself, so that the task was not the
+// cause of a crash (rule 2).
+func (p *Pool) clearTask(now time.Time, name string) {
+	causes := p.crashes.causesOf[name]
+	if len(causes) == 0 {
+		return
+	}
+	for _, x := range causes {
+		x.cleared = true
+	}
+	p.crashes.blameOutdated = true
+	for _, c := range p.crashes.list {
+		if c.refused && c.state != crashDismissed && slices.ContainsFunc(c.causes, func(x *possibleCause) bool { return x.task == name }) {
+			p.logCrash(now, c)
+		}
+	}
+}
+
+// cautionOf returns how a task may be started (rules 3 and 4).
+func (p *Pool) cautionOf(name string) caution {
+	v := p.crashes.log.of(name)
+	switch n := v.suspected + v.confirmed; {
+	case n == 0:
+		return cautionNone
+	case v.undecided() || v.guilty():
+		return cautionHeld
+	case n >= minCrashes:
+		return cautionAlone
+	}
+	p.divideBlame()
+	causes := p.crashes.causesOf[name]
+	if len(causes) == 0 || p.jobBlame(name) >= minAloneBlame {
+		return cautionAlone // Only an earlier owner knows what else ran there.
+	}
+	return cautionNone
+}
+
+// jobBlame returns the largest share of the blame for a crash that a task has, together with
+// the other tasks of its job.
+func (p *Pool) jobBlame(name string) float64 {
+	most := 0.0
+	for _, c := range p.crashes.list {
+		if !c.suspicious() || !slices.ContainsFunc(c.causes, func(x *possibleCause) bool { return x.task == name && !x.cleared }) {
+			continue
+		}
+		sum := 0.0
+		for _, x := range c.causes {
+			if x.job == jobOfTask(name) {
+				sum += x.blame
+			}
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// makeReady makes a task wait for its next run: in the queue, or among the cautious tasks. A
+// task that was under a crash gets a server for itself if that takes no waiting.
+func (p *Pool) makeReady(now time.Time, t *task) {
+	if t.caution = p.cautionOf(t.name); t.caution != cautionNone {
+		p.crashes.waiting = append(p.crashes.waiting, t)
+		p.cfg.Log.Info().Str("Task", t.name).Bool("Held", t.caution == cautionHeld).Float64("Blame", p.jobBlame(t.name)).Msg("TaskSuspected")
+		return
+	}
+	if p.crashes.causesOf[t.name] != nil && p.mayStartAlone() && p.trackedRuns[t.name] == 0 && !p.awaitsServerList(now) && !p.startsForbidden(now) {
+		if s := p.emptyServer(now, t); s != nil {
+			p.startAlone(now, s, t)
+			return
+		}
+	}
+	p.queue.addReady(t.job, t.step, 1)
+	p.addWaiting(t.job, t.job.taskWork[t.step])
+}
+
+// holdBackCautious takes the cautious tasks of a new job out of the queue, or fails the job if
+// one of its tasks was given up before.
+func (p *Pool) holdBackCautious(now time.Time, j *job) {
+	if len(p.crashes.log.byJob[j.ID]) == 0 {
+		return
+	}
+	if p.hasGuiltyTask(j) {
+		p.failGuilty(now, j)
+		return
+	}
+	for step := range j.tasks {
+		if j.ready(step) {
+			p.holdBackStep(j, step)
+		}
+	}
+}
+
+// holdBackStep takes the cautious tasks of a step that is ready out of the queue.
+func (p *Pool) holdBackStep(j *job, step int) {
+	if len(p.crashes.log.byJob[j.ID]) == 0 {
+		return
+	}
+	for _, t := range j.tasks[step] {
+		if t.caution = p.cautionOf(t.name); t.caution == cautionNone {
+			continue
+		}
+		p.queue.addReady(j, step, -1)
+		p.addWaiting(j, -j.taskWork[step])
+		p.crashes.waiting = append(p.crashes.waiting, t)
+	}
+}
+
+// reviewCautious looks at the tasks whose records have changed, fails the jobs with a task
+// that is given up, and ends those whose task can't start in time (rules 4 and 5).
+func (p *Pool) reviewCautious(now time.Time) {
+	for _, id := range p.crashes.log.takeChanged() {
+		if j := p.jobs[id]; j != nil && p.hasGuiltyTask(j) {
+			p.failGuilty(now, j)
+		}
+	}
+	if len(p.crashes.waiting) == 0 {
+		return
+	}
+	waiting := p.crashes.waiting
+	p.crashes.waiting = nil
+	for _, t := range waiting {
+		if p.jobs[t.job.ID] != t.job {
+			continue
+		}
+		t.caution = p.cautionOf(t.name)
+		switch {
+		case t.caution == cautionNone:
+			p.queue.addReady(t.job, t.step, 1)
+			p.addWaiting(t.job, t.job.taskWork[t.step])
+		case p.draining || p.canNotStartInTime(now, t):
+			p.abandon(now, t.job, "TaskSuspected")
+		default:
+			p.crashes.waiting = append(p.crashes.waiting, t)
+		}
+	}
+}
+
+// hasGuiltyTask reports whether a task of the job is given up (rule 4).
+func (p *Pool) hasGuiltyTask(j *job) bool {
+	return slices.ContainsFunc(p.crashes.log.byJob[j.ID], func(name string) bool { return p.crashes.log.of(name).guilty() })
+}
+
+func (p *Pool) failGuilty(now time.Time, j *job) {
+	for _, name := range p.crashes.log.byJob[j.ID] {
+		if v := p.crashes.log.of(name); v.guilty() {
+			p.cfg.Log.Warn().Str("Task", name).Int("Crashes", v.confirmed).Bool("Alone", v.alone).Msg("TaskGivenUp")
+		}
+	}
+	p.endJob(now, j, Result{Outcome: Failed, Reason: "TaskCrashesServers"})
+}
+
+// canNotStartInTime reports whether a cautious task is expected to start only when its caller
+// no longer waits (rule 5).
+func (p *Pool) canNotStartInTime(now time.Time, t *task) bool {
+	if v := p.crashes.log.of(t.name); t.caution == cautionHeld && now.Sub(v.suspectedSince) > maxCrashAway {
+		return true // Nothing has been heard of the servers.
+	}
+	if t.job.Budget <= 0 {
+		return false
+	}
+	earliest := now
+	if t.caution == cautionHeld {
+		earliest = p.decidedBy(t.name)
+	} else if !p.mayStartAlone() {
+		earliest = p.nextReturn(now)
+	}
+	if now.After(earliest) || p.crashes.meanAway == 0 {
+		earliest = now
+	}
+	return earliest.Add(p.runTimeEstimator.runTime(&t.job.Job, t.step)).After(t.job.arrived.Add(t.job.Budget))
+}
+
+// decidedBy returns when the crashes of a task are expected to be confirmed or dismissed.
+func (p *Pool) decidedBy(name string) time.Time {
+	var latest time.Time
+	for _, c := range p.crashes.list {
+		if c.state == crashSuspected && slices.ContainsFunc(c.causes, func(x *possibleCause) bool { return x.task == name }) {
+			if at := c.lostAt.Add(p.crashes.meanAway); at.After(latest) {
+				latest = at
+			}
+		}
+	}
+	return latest
+}
+
+// nextReturn returns when the next crashed server is expected back.
+func (p *Pool) nextReturn(now time.Time) time.Time {
+	var next time.Time
+	for _, c := range p.crashes.list {
+		if at := c.lostAt.Add(p.crashes.meanAway); c.away && c.refused && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	if next.IsZero() {
+		return now
+	}
+	return next
+}
+
+// mayStartAlone reports whether the bound of rule 3 permits another task to run alone.
+func (p *Pool) mayStartAlone() bool {
+	n := p.crashes.alone
+	for _, c := range p.crashes.list {
+		if c.away && c.refused {
+			n++
+		}
+	}
+	servers := 0
+	for _, s := range p.orderedServers {
+		if s.listed || s.state != stateNotOwned {
+			servers++
+		}
+	}
+	return n < max(1, int(aloneShare*float64(servers)))
+}
+
+// placeAlone starts cautious tasks on servers without runs: those with the least blame first.
+func (p *Pool) placeAlone(now time.Time) {
+	if len(p.crashes.waiting) == 0 || !p.mayStartAlone() {
+		return
+	}
+	slices.SortFunc(p.crashes.waiting, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(p.jobBlame(a.name), p.jobBlame(b.name)), a.job.arrived.Compare(b.job.arrived), cmp.Compare(a.name, b.name))
+	})
+	waiting := p.crashes.waiting
+	p.crashes.waiting = nil
+	for _, t := range waiting {
+		if p.jobs[t.job.ID] != t.job {
+			continue
+		}
+		if s := p.emptyServer(now, t); s != nil && t.caution == cautionAlone && p.trackedRuns[t.name] == 0 && p.mayStartAlone() {
+			p.startAlone(now, s, t)
+			continue
+		}
+		p.crashes.waiting = append(p.crashes.waiting, t)
+	}
+}
+
+// emptyServer returns the smallest server without runs on which the task fits, or nil.
+func (p *Pool) emptyServer(now time.Time, t *task) *server {
+	p.fleet.advance(now)
+	var best *server
+	for s := range p.fleet.idle {
+		if s.Service != t.job.Service || len(s.runs) > 0 || !s.accepts(now) || !t.job.Steps[t.step].Need.Fits(s.free()) || !s.mayRun(t.job, t.step) {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(s.Capacity.CPUMilli, best.Capacity.CPUMilli), cmp.Compare(s.number, best.number)) < 0 {
+			best = s
+		}
+	}
+	return best
+}
+
+// startAlone starts a task on a server without runs, which gets no other task until the run
+// has ended.
+func (p *Pool) startAlone(now time.Time, s *server, t *task) {
+	// The task was not in the queue; a start takes it out of there.
+	p.queue.addReady(t.job, t.step, 1)
+	p.addWaiting(t.job, t.job.taskWork[t.step])
+	p.start(now, s, t)
+	t.currentRun.alone = true
+	s.reserved = true
+	p.crashes.alone++
+	p.cfg.Log.Info().Str("Task", t.name).Str("Server", s.ID).Float64("Blame", p.jobBlame(t.name)).Msg("TaskStartedAlone")
+}
+
+// endAlone makes a server available again that a run had for itself.
+func (p *Pool) endAlone(s *server, r *run) {
+	if r.alone {
+		s.reserved = false
+		p.crashes.alone--
+	}
+}
+
+// forgetCrashes forgets what is too old.
+func (p *Pool) forgetCrashes(now time.Time) {
+	p.crashes.log.forget(now)
+	n := 0
+	for _, c := range p.crashes.list {
+		if c.away && now.Sub(c.at) > maxCrashAway {
+			c.away = false
+			p.crashes.blameOutdated = true
+		}
+		if now.Sub(c.at) <= blameTimeConstant {
+			p.crashes.list[n] = c
+			n++
+			continue
+		}
+		for _, x := range c.causes {
+			p.crashes.causesOf[x.task] = slices.DeleteFunc(p.crashes.causesOf[x.task], func(o *possibleCause) bool { return o == x })
+			if len(p.crashes.causesOf[x.task]) == 0 {
+				delete(p.crashes.causesOf, x.task)
+			}
+		}
+		p.crashes.blameOutdated = true
+	}
+	clear(p.crashes.list[n:])
+	p.crashes.list = p.crashes.list[:n]
+}
--- /dev/null
+++ b/internal/worker/crash_blame.go
@@ -0,0 +1,110 @@
+package worker
+
+import "time"
+
+// How the blame for the crashes of servers is divided among the tasks that ran there. The
+// tasks of one queue are taken for alike: the share of its runs that crash a server is
+// estimated together with the blame, since each follows from the other. A task that was
+// under an earlier crash is more likely the cause than any other.
+
+const (
+	// blameTimeConstant is how long crashes and runs count in the rates.
+	blameTimeConstant = 30 * time.Second
+	// priorCrashes and priorRuns are what a rate begins with, so that a queue with few runs
+	// isn't taken for harmless or for dangerous.
+	priorCrashes = 0.02
+	priorRuns    = 20
+	// ownCrashRate is the rate at which servers crash by themselves, as if it were a run
+	// beside the others. It is twice the rate of a queue of which nothing is known.
+	ownCrashRate = 0.002
+	// repeatedCrashRate is the rate of a task that was under another crash.
+	repeatedCrashRate = 0.5
+	// blameIterations is the number of iterations; the division hardly changes after a few.
+	blameIterations = 8
+)
+
+// crashRate is how many runs of a queue ended by themselves, and the sum of the blame for
+// crashes that its tasks have.
+type crashRate struct {
+	runs  movingSum
+	blame float64
+}
+
+// without returns the share of the queue's runs that crash a server, apart from some blame.
+func (r *crashRate) without(blame float64) float64 {
+	rest := max(r.blame-blame, 0)
+	return (priorCrashes + rest) / (priorRuns + rest + r.runs.value)
+}
+
+type crashRates map[*queueShare]*crashRate
+
+// of returns the rate of a queue, which is nil for the runs of another owner.
+func (r crashRates) of(q *queueShare) *crashRate {
+	if r[q] == nil {
+		r[q] = &crashRate{}
+	}
+	return r[q]
+}
+
+// ended records that a run of a queue has ended by itself.
+func (r crashRates) ended(now time.Time, q *queueShare) {
+	r.of(q).runs.add(now, 1, blameTimeConstant)
+}
+
+// divideBlame divides the blame for all crashes anew, if that is needed.
+func (p *Pool) divideBlame() {
+	if !p.crashes.blameOutdated {
+		return
+	}
+	p.crashes.blameOutdated = false
+	rates := p.crashes.rates
+	for _, r := range rates {
+		r.blame = 0
+	}
+	for _, c := range p.crashes.list {
+		for _, x := range c.causes {
+			x.blame = 0
+		}
+	}
+	for range blameIterations {
+		sums := map[*queueShare]float64{}
+		for _, c := range p.crashes.list {
+			if !c.suspicious() {
+				continue
+			}
+			p.divideBlameOf(c)
+			for _, x := range c.causes {
+				sums[x.queue] += x.blame
+			}
+		}
+		for q, r := range rates {
+			r.blame = sums[q]
+		}
+	}
+}
+
+// divideBlameOf divides the blame for a crash by the rates, to which the crash itself doesn't
+// count: a first crash says little about a queue.
+func (p *Pool) divideBlameOf(c *serverCrash) {
+	own := map[*queueShare]float64{}
+	for _, x := range c.causes {
+		own[x.queue] += x.blame
+	}
+	rateOf := func(x *possibleCause) float64 {
+		if x.cleared {
+			return 0
+		}
+		rate := p.crashes.rates.of(x.queue).without(own[x.queue])
+		if v := p.crashes.log.of(x.task); v.suspected+v.confirmed > 1 {
+			rate = max(rate, repeatedCrashRate)
+		}
+		return rate
+	}
+	all := ownCrashRate
+	for _, x := range c.causes {
+		all += rateOf(x)
+	}
+	for _, x := range c.causes {
+		x.blame = rateOf(x) / all
+	}
+}
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -183,6 +183,8 @@
 	Log  *log.Logger
 	// Now is the time at which the host started.
 	Now time.Time
+	// Crashes is the crash log of the host; nil means one of its own.
+	Crashes *CrashLog
 }
 
 // Entry is the state machine that sends the jobs of this host's callers to owners
@@ -228,6 +230,9 @@
 
 // NewEntry returns an Entry that knows no other host.
 func NewEntry(c EntryConfig) *Entry {
+	if c.Crashes == nil {
+		c.Crashes = NewCrashLog()
+	}
 	return &Entry{
 		cfg: c, views: map[string]*ownerView{}, draining: map[string]*ownerView{}, backoffUntil: map[string]time.Time{},
 		leavingHosts: map[string]bool{}, usual: usualDemand{}, jobs: map[string]*entryJob{},
--- a/internal/worker/fleet.go
+++ b/internal/worker/fleet.go
@@ -180,7 +180,7 @@
 	if s.health.ejectedUntil.After(f.now) {
 		return false, s.health.ejectedUntil
 	}
-	return s.usable() && (!s.health.onProbation || len(s.runs) == 0), time.Time{}
+	return s.usable() && !s.reserved && (!s.health.onProbation || len(s.runs) == 0), time.Time{}
 }
 
 // isIndexed reports whether the groups and totals are up to date with a server.
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -88,6 +88,7 @@
 	pool         *Pool
 	entry        *Entry
 	sessions     Sessions
+	crashes      *CrashLog
 	leaving      bool
 	leavingSince time.Time
 	actions      []HostAction
@@ -97,10 +98,12 @@
 
 // NewHost returns a Host that knows no other host.
 func NewHost(c HostConfig) *Host {
+	crashes := NewCrashLog()
 	return &Host{
-		cfg:   c,
-		pool:  NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime}),
-		entry: NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now}),
+		cfg:     c,
+		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, Crashes: crashes}),
+		entry:   NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now, Crashes: crashes}),
+		crashes: crashes,
 	}
 }
 
@@ -165,8 +168,9 @@
 }
 
 // SubmitQueued submits a job that has waited in the mailbox and that came on a path, which
-// may carry no session any more.
-func (h *Host) SubmitQueued(now time.Time, path SessionID, j Job) {
+// may carry no session any more. crashes has the records of the job that came with it.
+func (h *Host) SubmitQueued(now time.Time, path SessionID, j Job, crashes []crashRecord) {
+	h.crashes.merge(now, crashes)
 	if path == localSession {
 		h.pool.Submit(now, localSession, j)
 		return
@@ -208,6 +212,7 @@
 		}
 		m := h.sessions.heartbeatMessage(id, &hb)
 		m.Message.Closed = closed
+		m.Message.Crashes = h.sessions.newCrashes(id, h.crashes)
 		h.actions = append(h.actions, HostAction{Reply: m})
 	}
 }
@@ -282,6 +287,7 @@
 func (h *Host) handleOwnerMessage(now time.Time, owner string, m message) {
 	switch {
 	case m.Heartbeat != nil:
+		h.crashes.merge(now, m.Crashes)
 		h.entry.handleClosedQueues(owner, m.Closed)
 		h.entry.handleSessionHeartbeat(now, owner, m)
 	case m.Result != nil:
@@ -307,6 +313,7 @@
 			h.pool.LearnUsual(now, id, m.Usual)
 		}
 	case m.Submit != nil:
+		h.crashes.merge(now, m.Crashes)
 		h.sessions.forgetResult(id, m.Submit.ID)
 		h.pool.Submit(now, id, *m.Submit)
 	case m.Cancel != "":
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -19,6 +19,9 @@
 	// ignore both.
 	Closed []closedQueue `cbor:"10,keyasint,omitempty"`
 	Usual  []queueUsual  `cbor:"11,keyasint,omitempty"`
+	// Crashes accompanies a Heartbeat, with new records, and a Submit, with those of the job
+	// (crashlog.go).
+	Crashes []crashRecord `cbor:"12,keyasint,omitempty"`
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -62,7 +62,7 @@
 	}
 	job := j.job
 	job.Age = now.Sub(j.submittedAt)
-	e.send(best, message{Submit: &job})
+	e.send(best, message{Submit: &job, Crashes: e.cfg.Crashes.ofJob(job.ID)})
 }
 
 // bestOwner returns the owner with the shortest wait among those that the job was not
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -31,6 +31,7 @@
 			s = nil
 		}
 		if s == nil {
+			p.incarnationSeen(now, info.ID, info.Address, 0)
 			s = &server{Server: info, runs: map[RunKey]*run{}}
 			p.servers[info.ID] = s
 			p.orderedServers = append(p.orderedServers, s)
@@ -93,6 +94,7 @@
 	if s.listed || s.state != stateNotOwned && (!s.unresponsive || !now.After(s.leaseUntil)) {
 		return
 	}
+	p.noteServerLost(now, s, false)
 	p.expireRuns(now, s)
 	p.cfg.Log.Info().Str("Server", s.ID).Msg("ServerGone")
 	if p.servers[s.ID] == s {
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -31,6 +31,7 @@
 	}
 	p.queue.advance(now)
 	p.placeWaiting(now)
+	p.placeAlone(now)
 	p.queue.settle()
 }
 
@@ -100,7 +101,7 @@
 // them. It reports whether there was one for each.
 func (p *Pool) placeStep(now time.Time, j *job, step int) bool {
 	for _, t := range j.tasks[step] {
-		if t.done || t.assignedServer != nil || p.trackedRuns[t.name] > 0 {
+		if t.done || t.assignedServer != nil || t.caution != cautionNone || p.trackedRuns[t.name] > 0 {
 			continue
 		}
 		s := p.chooseServer(now, j, step)
@@ -138,7 +139,7 @@
 // its free resources. A start command renews the lease, so rule 5 of server.go
 // applies to it.
 func (s *server) accepts(now time.Time) bool {
-	return s.usable() && s.health.allows(now, len(s.runs)) && s.mayRenewLease(now)
+	return s.usable() && !s.reserved && s.health.allows(now, len(s.runs)) && s.mayRenewLease(now)
 }
 
 // chooseServer returns the server to start a task of the step on, or nil if there
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -97,6 +97,8 @@
 	// be started any more in an evacuated failure domain; 0 means that there are no
 	// evacuations (evacuation.go).
 	EvacuationApplyTime time.Duration
+	// Crashes is the crash log of the host; nil means one of its own.
+	Crashes *CrashLog
 }
 
 // task is one task of a job.
@@ -110,6 +112,8 @@
 	lastRun  int
 	failures int
 	done     bool
+	// caution says how the task may be started (crash.go).
+	caution caution
 	// assignedServer and currentRun are the server that runs the task and the run
 	// there; nil while there is none.
 	assignedServer *server
@@ -199,6 +203,7 @@
 	evacuation     evacuation
 	shares         *Shares
 	refusedJobs    refusedJobs
+	crashes        crashes
 	// usualFrom has the sessions that told this owner the usual demand.
 	usualFrom map[SessionID]bool
 	actions   []Action
@@ -221,7 +226,7 @@
 	return &Pool{
 		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), fleet: newFleet(), trackedRuns: map[string]int{},
 		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, speeds: newSpeedModel(), failureMedian: map[string]failureMedian{},
-		shares: NewShares(), usualFrom: map[SessionID]bool{},
+		shares: NewShares(), crashes: newCrashes(c.Crashes), usualFrom: map[SessionID]bool{},
 	}
 }
 
@@ -264,6 +269,7 @@
 	p.queue.add(now, j)
 	p.shares.Admitted(now, j.share, session, j.work)
 	p.addWaiting(j, j.work)
+	p.holdBackCautious(now, j)
 	p.place(now)
 }
 
@@ -419,6 +425,8 @@
 		p.fleet.ticked(now, s)
 	}
 	p.forgetRunNumbers(now)
+	p.forgetCrashes(now)
+	p.reviewCautious(now)
 	p.updateShares(now)
 	p.refuseTooLate(now)
 	p.tickEvacuation(now)
--- a/internal/worker/pool_runs.go
+++ b/internal/worker/pool_runs.go
@@ -13,12 +13,17 @@
 // server's share of failed runs (health.go, rule 3).
 func (p *Pool) runEnded(now time.Time, s *server, r *run, outcome RunOutcome) {
 	s.removeRun(r)
+	p.endAlone(s, r)
 	p.fleet.serverChanged(s)
 	s.lastRunEndedAt = now
 	p.untrackRun(r.Task)
 	if r.share != nil {
 		p.shares.Started(r.share, -r.cores(), r.runTime)
 	}
+	if outcome != RunStopped {
+		p.crashes.rates.ended(now, r.share)
+		p.clearTask(now, r.Task)
+	}
 	t := r.task
 	if t == nil {
 		return
@@ -61,14 +66,18 @@
 	p.cfg.Log.Info().Str("Task", t.name).Int("Run", r.Run).Str("Server", s.ID).Int("Failures", t.failures).Msg("RunFailed")
 }
 
-// retryOrFail makes a task whose run has ended wait for its next run, or fails the job.
+// retryOrFail makes a task whose run has ended wait for its next run, or fails the job if
+// the task has failed or crashed its servers too often.
 func (p *Pool) retryOrFail(now time.Time, t *task) {
 	if t.outOfAttempts() {
 		p.endJob(now, t.job, Result{Outcome: Failed, Reason: "TaskFailed"})
 		return
 	}
-	p.queue.addReady(t.job, t.step, 1)
-	p.addWaiting(t.job, t.job.taskWork[t.step])
+	if p.hasGuiltyTask(t.job) {
+		p.failGuilty(now, t.job)
+		return
+	}
+	p.makeReady(now, t)
 }
 
 // outOfAttempts reports whether as many runs of the task have failed as its job allows.
@@ -106,6 +115,7 @@
 		all = all && j.remaining[i] == 0
 		if slices.Contains(j.Steps[i].After, step) && j.ready(i) {
 			p.queue.addReady(j, i, j.Steps[i].Count)
+			p.holdBackStep(j, i)
 		}
 	}
 	if all {
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -126,6 +126,8 @@
 	// task is nil if no job needs the run: it belongs to another owner, or its job
 	// has ended.
 	task *task
+	// alone is set if the run has the server for itself.
+	alone bool
 	// sent is when the start command was sent. Once the state is runRunning, it is
 	// when this host learned that the run exists.
 	sent time.Time
@@ -184,6 +186,15 @@
 	unresponsive bool
 	// unresponsiveSince is when unresponsive last became true.
 	unresponsiveSince time.Time
+	// refusedAt is when it first refused a connection since then, zero if it has not.
+	refusedAt time.Time
+	// idleWhenRefused reports whether it had no runs then.
+	idleWhenRefused bool
+	// incarnation is the start time of the incarnation that answered last, as Unix time in
+	// milliseconds; 0 if none has answered since the server was given up.
+	incarnation int64
+	// reserved is set while a task runs alone on the server.
+	reserved bool
 	// listed reports whether the platform lists the server.
 	listed bool
 	// lastRunEndedAt is when a tracked run last ended.
@@ -212,7 +223,15 @@
 // setUnresponsive notes that the server didn't answer a command.
 func (s *server) setUnresponsive(now time.Time) {
 	if !s.unresponsive {
-		s.unresponsive, s.unresponsiveSince = true, now
+		s.unresponsive, s.unresponsiveSince, s.refusedAt = true, now, time.Time{}
+	}
+}
+
+// setRefused notes that the server's address refused a connection.
+func (s *server) setRefused(now time.Time) {
+	s.setUnresponsive(now)
+	if s.refusedAt.IsZero() {
+		s.refusedAt, s.idleWhenRefused = now, len(s.runs) == 0
 	}
 }
 
@@ -344,4 +363,5 @@
 	s.clock, s.clockReadAt = 0, time.Time{}
 	s.expired = nil
 	s.pollRetryDelay = 0
+	s.incarnation = 0
 }
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -258,7 +258,7 @@
 			f(a.Answer.Result)
 		}
 	case a.Enqueue != nil:
-		sub := Submission{Session: localSession, Job: *a.Enqueue, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, localSession, j) }}
+		sub := Submission{Session: localSession, Job: *a.Enqueue, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, localSession, j, nil) }}
 		if r, ok := s.offer(sub); !ok {
 			s.followUp(now, func(h *Host, now time.Time) { h.entry.HandleResult(now, s.cfg.Self.Incarnation, r) })
 		}
--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -40,6 +40,8 @@
 	number uint64
 	acked  uint64
 	kept   []sentResult
+	// crashesSent is the number of the last change of the crash log that was sent on the path.
+	crashesSent uint64
 }
 
 // setPath makes a stream carry a session.
@@ -120,7 +122,7 @@
 	delete(s.byPath, o.path)
 	o.formerPaths = append(o.formerPaths, o.path)
 	s.setPath(o, path)
-	o.attachState.number, o.attachedAt = a.Number, o.number
+	o.attachState.number, o.attachedAt, o.crashesSent = a.Number, o.number, 0
 	s.Ack(o.id, a.Ack)
 	o.nextHeartbeatAt, s.nextTickAt = now, now
 	return o
@@ -132,6 +134,14 @@
 	return &SessionMessage{o.path, message{Heartbeat: hb, Session: id, Acked: o.acked}}
 }
 
+// newCrashes returns the records of the crash log that were not sent on the session's path.
+func (s *Sessions) newCrashes(id SessionID, l *CrashLog) []crashRecord {
+	o, _ := s.find(id)
+	var list []crashRecord
+	list, o.crashesSent = l.since(o.crashesSent)
+	return list
+}
+
 // takeKept removes the kept results of a session and returns those of the given jobs.
 func (o *session) takeKept(jobs []string) []Result {
 	var list []Result
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -301,6 +301,9 @@
 				j.firstStart = w.now
 			}
 			w.startedTask(s, j, k)
+			if k.Task == j.crashingTask {
+				return time.Minute, false
+			}
 			if j.runs != nil {
 				n, err := strconv.Atoi(k.Task[strings.LastIndex(k.Task, ".")+1:])
 				if err != nil {
