worker: a queue pays for the servers that its tasks crash

Callers of all queues were refused while one queue's tasks crashed servers, and those of that queue least of all, as it has the highest priority. Cause: a crashed server reduced the room of all alike.

--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -81,6 +81,9 @@
 			return refuse("FitsNowhere", maxRetryAfter)
 		}
 	}
+	if p.updateShares(now); j.share.crashClosed {
+		return refuse("QueueCrashesServers", jittered(p.crashedServersBack(now), j.ID))
+	}
 	if !j.returned {
 		p.shares.Demand(now, j.share, j.Priority, j.work)
 	}
@@ -182,6 +185,7 @@
 // updateShares recomputes the shares of the queues.
 func (p *Pool) updateShares(now time.Time) {
 	p.fleet.indexChanged()
+	p.divideBlame()
 	p.shares.Update(now, float64(p.fleet.usableCPU)/1000, p.hadQueue, p.queueSaturated())
 }
 
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -21,6 +21,8 @@
 //     the crashes that are needed for that are only suspected, the task is not started.
 //  5. If a task is not expected to start in the time that the caller waits, its job ends as
 //     lost at once.
+//  6. A queue pays for the servers that its tasks have crashed, from its share of the room
+//     (shares.go, rule 8).
 
 import (
 	"cmp"
@@ -415,6 +417,12 @@
 	return next
 }
 
+// crashedServersBack returns the time until the next crashed server is expected back, within
+// the bounds of Retry-After.
+func (p *Pool) crashedServersBack(now time.Time) time.Duration {
+	return min(max(p.nextReturn(now).Sub(now), minRetryAfter), maxRetryAfter)
+}
+
 // mayStartAlone reports whether the bound of rule 3 permits another task to run alone.
 func (p *Pool) mayStartAlone() bool {
 	n := p.crashes.alone
--- a/internal/worker/crash_blame.go
+++ b/internal/worker/crash_blame.go
@@ -81,6 +81,7 @@
 			r.blame = sums[q]
 		}
 	}
+	p.chargeCrashes()
 }
 
 // divideBlameOf divides the blame for a crash by the rates, to which the crash itself doesn't
@@ -108,3 +109,28 @@
 		x.blame = rateOf(x) / all
 	}
 }
+
+// chargeCrashes charges the queues with the servers that their tasks keep away: a queue that
+// has at least half of the blame for a crash pays for its part of the server.
+func (p *Pool) chargeCrashes() {
+	for _, q := range p.shares.list {
+		q.crashed, q.crashedServers = 0, 0
+	}
+	for _, c := range p.crashes.list {
+		if !c.away || !c.suspicious() {
+			continue
+		}
+		parts := map[*queueShare]float64{}
+		for _, x := range c.causes {
+			if x.queue != nil {
+				parts[x.queue] += x.blame
+			}
+		}
+		for q, part := range parts {
+			if part >= minAloneBlame {
+				q.crashed += part * c.cores
+				q.crashedServers += part
+			}
+		}
+	}
+}
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -67,10 +67,12 @@
 		}
 		last = w.job
 		d, starts := w.demand, w.job.starts
-		placed := p.placeStep(now, w.job, w.step)
+		// The jobs of a demand that have started come before the others.
+		closed := w.job.share.crashClosed && !w.job.started
+		placed := !closed && p.placeStep(now, w.job, w.step)
 		next, ok := d.steps.Next(w)
 		othersMayFit := w.job.Steps[w.step].MaxPerServer > 0 || len(p.fleet.rooms(w.job.Service)) > 1
-		if !ok || !placed && (!othersMayFit || !p.fitsSomewhere(now, d)) {
+		if !ok || closed || !placed && (!othersMayFit || !p.fitsSomewhere(now, d)) {
 			heap.Pop(&first)
 		} else {
 			first[0] = next
--- a/internal/worker/shares.go
+++ b/internal/worker/shares.go
@@ -28,6 +28,11 @@
 //  7. A refused caller is told to return when what was refused before it has been served at
 //     returnRateShare of its queue's grant, with jitter.
 //
+//  8. A queue pays for the servers that its tasks have crashed, while they are away: their room
+//     counts as if the queue used it. Once these are at least minClosingCrashes servers and the
+//     whole share of the queue, none of its jobs is started until one of them is back. So a
+//     queue takes no more room from the others than it is due.
+//
 // Shares are soft state of one owner. A successor starts from the usual demand that entry
 // hosts tell it (usual.go).
 
@@ -77,6 +82,9 @@
 	maxSources = 256
 	// maxShareQueues bounds the queues with a share. Jobs of further queues have a common one.
 	maxShareQueues = 64
+	// minClosingCrashes is the number of crashed servers below which a queue is not closed: one
+	// may have crashed for another reason.
+	minClosingCrashes = 2
 	// otherQueues is the name of that common share.
 	otherQueues = "*"
 	// minCountedRunTime bounds the rate at which a run counts as ending.
@@ -130,6 +138,10 @@
 	closedUntil time.Time
 	// refused is the number of jobs refused.
 	refused uint64
+	// crashed is the cores of the servers that the queue's tasks keep away, crashedServers their
+	// number, crashClosed whether the queue is closed because of them (rule 8).
+	crashed, crashedServers float64
+	crashClosed             bool
 }
 
 // Shares holds the shares of all queues of an owner. It is not safe for concurrent use.
@@ -224,9 +236,38 @@
 			q.share = s.room * max(q.usual, minWeightShare*weights) / raised
 		}
 	}
+	s.payForCrashes()
 	s.computeGrants(now)
 }
 
+// payForCrashes takes the room of crashed servers from the shares of the queues whose tasks
+// have crashed them (rule 8).
+func (s *Shares) payForCrashes() {
+	crashed := 0.0
+	for _, q := range s.list {
+		crashed += q.crashed
+	}
+	if crashed == 0 || s.room <= 0 {
+		for _, q := range s.list {
+			q.crashClosed = false
+		}
+		return
+	}
+	left := 0.0
+	for _, q := range s.list {
+		due := q.share * (s.room + crashed) / s.room
+		q.crashClosed = q.crashedServers >= minClosingCrashes && q.crashed >= due
+		q.share = max(due-q.crashed, 0)
+		left += q.share
+	}
+	if left <= 0 {
+		return
+	}
+	for _, q := range s.list {
+		q.share *= s.room / left
+	}
+}
+
 // updateDebts charges what the queues used since the last update (rule 4).
 func (s *Shares) updateDebts(dt float64) {
 	waiting := 0
