worker: refused connections until the lease ends are evidence of a crash

Callers that wait 1.5 s never got the answer that their job is given up: a crash was confirmed when the server was back, 3.3 s after it, so the job ended as lost, and the callers missed it. A server that refuses connections until its lease has expired, alone at that time, is evidence enough for the count; silence, and servers that fail together, are not. If the same incarnation answers after all, the crash is dismissed.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -4,12 +4,13 @@
 // ten has a task that crashes each server that starts it, the server is back after some
 // seconds, and its other runs are lost with it. The rules are:
 //
-//  1. A server that refuses connections until its lease has expired is taken for crashed.
-//     If servers without runs, or more than two, begin to refuse within commonCauseWindow, the
-//     crash counts, but no task is blamed for it. Silence is no sign of a crash: the server may be cut off. The crash is
-//     confirmed when another incarnation is seen at the server's address, and dismissed when
-//     the same one answers. Without a sign, a confirmed crash counts all the same, but only
-//     if the server was lost while its lease was in force: its runs had not lapsed before.
+//  1. A crash is evident if a server refuses connections until its lease has expired. If
+//     servers without runs, or more than two, begin to refuse within commonCauseWindow, it is
+//     only suspected, and no task is blamed: the host may be cut off, or a rack lost its power.
+//     Silence is no sign of a crash. A crash is confirmed when another incarnation is seen at
+//     the server's address, and dismissed when the same one answers. A confirmed one counts
+//     without any other sign, if the server was lost while its lease was in force: its runs
+//     had not lapsed before.
 //  2. Each run on a crashed server is a possible cause until a run of its task ends by
 //     itself. How the blame for a crash is divided follows from how often tasks of each queue
 //     were under one (crash_blame.go).
@@ -126,7 +127,9 @@
 		server: s.ID, address: s.Address, startedAtMs: s.incarnation, lostAt: lostAt, at: now,
 		refused: restarted || !s.refusedAt.IsZero(), away: !restarted, cores: float64(s.Capacity.CPUMilli) / 1000,
 	}
-	c.common = p.hasCommonCause(s)
+	if c.common = p.hasCommonCause(s); c.refused && !c.common {
+		c.state = crashEvident
+	}
 	for _, r := range s.sortedRuns() {
 		c.causes = append(c.causes, &possibleCause{task: r.Task, job: jobOfTask(r.Task), queue: r.share})
 	}
@@ -176,7 +179,7 @@
 
 // setCrashState records that a crash is confirmed or dismissed (rule 1).
 func (p *Pool) setCrashState(now time.Time, c *serverCrash, state crashState) {
-	if c.state != crashSuspected {
+	if c.state.final() {
 		return
 	}
 	if c.away && state == crashConfirmed {
@@ -197,7 +200,7 @@
 func (p *Pool) incarnationSeen(now time.Time, id, address string, startedAtMs int64) {
 	p.crashes.log.seen(now, id, "", address, startedAtMs)
 	for _, c := range p.crashes.list {
-		if c.state != crashSuspected || c.address != address && c.server != id {
+		if c.state.final() || c.address != address && c.server != id {
 			continue
 		}
 		switch {
@@ -240,7 +243,7 @@
 // cautionOf returns how a task may be started (rules 3 and 4).
 func (p *Pool) cautionOf(name string) caution {
 	v := p.crashes.log.of(name)
-	switch n := v.suspected + v.confirmed; {
+	switch n := v.count(); {
 	case n == 0:
 		return cautionNone
 	case v.undecided() || v.guilty():
@@ -363,7 +366,7 @@
 func (p *Pool) failGuilty(now time.Time, j *job) {
 	for _, name := range p.crashes.log.byJob[j.ID] {
 		if v := p.crashes.log.of(name); v.guilty() {
-			p.cfg.Log.Warn().Str("Task", name).Int("Crashes", v.confirmed).Bool("Alone", v.alone).Msg("TaskGivenUp")
+			p.cfg.Log.Warn().Str("Task", name).Int("Crashes", v.known).Bool("Alone", v.alone).Msg("TaskGivenUp")
 		}
 	}
 	p.endJob(now, j, Result{Outcome: Failed, Reason: "TaskCrashesServers"})
@@ -372,7 +375,7 @@
 // canNotStartInTime reports whether a cautious task is expected to start only when its caller
 // no longer waits (rule 5).
 func (p *Pool) canNotStartInTime(now time.Time, t *task) bool {
-	if v := p.crashes.log.of(t.name); t.caution == cautionHeld && now.Sub(v.suspectedSince) > maxCrashAway {
+	if v := p.crashes.log.of(t.name); t.caution == cautionHeld && now.Sub(v.changedAt) > maxCrashAway {
 		return true // Nothing has been heard of the servers.
 	}
 	if t.job.Budget <= 0 {
@@ -394,7 +397,7 @@
 func (p *Pool) decidedBy(name string) time.Time {
 	var latest time.Time
 	for _, c := range p.crashes.list {
-		if c.state == crashSuspected && slices.ContainsFunc(c.causes, func(x *possibleCause) bool { return x.task == name }) {
+		if !c.state.final() && slices.ContainsFunc(c.causes, func(x *possibleCause) bool { return x.task == name }) {
 			if at := c.lostAt.Add(p.crashes.meanAway); at.After(latest) {
 				latest = at
 			}
--- a/internal/worker/crash_blame.go
+++ b/internal/worker/crash_blame.go
@@ -96,7 +96,7 @@
 			return 0
 		}
 		rate := p.crashes.rates.of(x.queue).without(own[x.queue])
-		if v := p.crashes.log.of(x.task); v.suspected+v.confirmed > 1 {
+		if p.crashes.log.of(x.task).count() > 1 {
 			rate = max(rate, repeatedCrashRate)
 		}
 		return rate
--- a/internal/worker/crashlog.go
+++ b/internal/worker/crashlog.go
@@ -10,8 +10,9 @@
 //     the heartbeats of its sessions, and all of them on a new session or path.
 //  3. An entry host sends the records of a job along when it submits the job. So each owner
 //     that may start a task knows what earlier ones have seen, unless they died with it.
-//  4. A crash is suspected, confirmed by another incarnation at the server's address, or
-//     dismissed because the same incarnation answers. Both of the latter are final.
+//  4. A crash is suspected, or evident by what the owner saw (crash.go, rule 1). It is confirmed
+//     by another incarnation at the server's address, and dismissed if the same incarnation
+//     answers. Both of the latter are final.
 //
 // Records are soft state. They are forgotten crashRetention after their last change.
 
@@ -38,11 +39,15 @@
 
 const (
 	crashSuspected crashState = iota
+	crashEvident
 	crashConfirmed
 	crashDismissed
 )
 
-var crashStateNames = [...]string{"Suspected", "Confirmed", "Dismissed"}
+var crashStateNames = [...]string{"Suspected", "Evident", "Confirmed", "Dismissed"}
+
+// final reports whether the state can't change any more.
+func (s crashState) final() bool { return s >= crashConfirmed }
 
 // String returns the name that logs use.
 func (s crashState) String() string { return crashStateNames[min(int(s), len(crashStateNames)-1)] }
@@ -83,8 +88,9 @@
 	// of the task is outdated.
 	changes    []crashChange
 	lastChange uint64
-	// suspectedOn has the tasks with a suspected crash, by the server and by its address.
-	suspectedOn map[string]map[string]bool
+	// undecidedOn has the tasks with a crash whose state is not final, by the server and by its
+	// address.
+	undecidedOn map[string]map[string]bool
 	// changed has the jobs whose records have changed since the last takeChanged.
 	changed map[string]bool
 }
@@ -96,7 +102,7 @@
 
 // NewCrashLog returns an empty log.
 func NewCrashLog() *CrashLog {
-	return &CrashLog{tasks: map[string]*crashedTask{}, byJob: map[string][]string{}, suspectedOn: map[string]map[string]bool{}, changed: map[string]bool{}}
+	return &CrashLog{tasks: map[string]*crashedTask{}, byJob: map[string][]string{}, undecidedOn: map[string]map[string]bool{}, changed: map[string]bool{}}
 }
 
 // jobOfTask returns the ID of the job whose task has a name.
@@ -134,42 +140,42 @@
 		}
 		o.State, o.Alone = state, alone
 	}
-	l.indexSuspected(task, c, c.State == crashSuspected)
+	l.indexUndecided(task, c, !c.State.final())
 	l.lastChange++
 	t.change, t.changedAt = l.lastChange, now
 	l.changes = append(l.changes, crashChange{l.lastChange, task})
 	l.changed[jobOfTask(task)] = true
 }
 
-// indexSuspected notes that a crash under a task is only suspected, or no longer.
-func (l *CrashLog) indexSuspected(task string, c taskCrash, suspected bool) {
+// indexUndecided notes whether the state of a crash under a task may still change.
+func (l *CrashLog) indexUndecided(task string, c taskCrash, undecided bool) {
 	for _, key := range []string{c.Server, c.Address} {
-		switch tasks := l.suspectedOn[key]; {
-		case suspected && tasks == nil:
-			l.suspectedOn[key] = map[string]bool{task: true}
-		case suspected:
+		switch tasks := l.undecidedOn[key]; {
+		case undecided && tasks == nil:
+			l.undecidedOn[key] = map[string]bool{task: true}
+		case undecided:
 			tasks[task] = true
 		default:
 			delete(tasks, task)
 			if len(tasks) == 0 {
-				delete(l.suspectedOn, key)
+				delete(l.undecidedOn, key)
 			}
 		}
 	}
 }
 
 // seen records that an incarnation with an ID answers, or is listed, at an address, which
-// decides on the suspected crashes there (rule 4). startedAtMs is 0 if it is not known, and
+// decides on the crashes there (rule 4). startedAtMs is 0 if it is not known, and
 // the ID is empty if all that is known is that it isn't the one with the ID other.
 func (l *CrashLog) seen(now time.Time, id, other, address string, startedAtMs int64) {
 	for _, key := range []string{id, other, address} {
-		if len(l.suspectedOn[key]) == 0 {
+		if len(l.undecidedOn[key]) == 0 {
 			continue
 		}
-		for _, task := range slices.Sorted(maps.Keys(l.suspectedOn[key])) {
+		for _, task := range slices.Sorted(maps.Keys(l.undecidedOn[key])) {
 			for _, c := range slices.Clone(l.tasks[task].crashes) {
 				switch {
-				case c.State != crashSuspected || c.Server != id && c.Server != other && c.Address != address:
+				case c.State.final() || c.Server != id && c.Server != other && c.Address != address:
 					continue
 				case c.Server != id:
 					c.State = crashConfirmed
@@ -248,7 +254,7 @@
 			break
 		}
 		for _, crash := range t.crashes {
-			l.indexSuspected(c.task, crash, false)
+			l.indexUndecided(c.task, crash, false)
 		}
 		delete(l.tasks, c.task)
 		job := jobOfTask(c.task)
@@ -262,28 +268,28 @@
 
 // crashVerdict says what a task's crashes mean for its next start.
 type crashVerdict struct {
-	// suspectedSince is when the record of a task with a suspected crash last changed.
-	suspectedSince time.Time
-	// suspected and confirmed are the numbers of the crashes that were not dismissed.
-	suspected, confirmed int
+	// changedAt is when the record last changed.
+	changedAt time.Time
+	// suspected is the number of crashes that are only suspected, known that of those that are
+	// evident or confirmed.
+	suspected, known int
 	// alone says that the task was the only possible cause of one of them.
 	alone bool
 }
 
 // of returns the verdict on a task.
 func (l *CrashLog) of(task string) crashVerdict {
-	var v crashVerdict
 	t := l.tasks[task]
 	if t == nil {
-		return v
+		return crashVerdict{}
 	}
+	v := crashVerdict{changedAt: t.changedAt}
 	for _, c := range t.crashes {
 		switch c.State {
 		case crashSuspected:
 			v.suspected++
-			v.suspectedSince = t.changedAt
-		case crashConfirmed:
-			v.confirmed++
+		case crashEvident, crashConfirmed:
+			v.known++
 		case crashDismissed:
 			continue
 		}
@@ -302,11 +308,14 @@
 
 // guilty reports whether the task is given up.
 func (v crashVerdict) guilty() bool {
-	return v.confirmed >= minCrashes && v.alone || v.confirmed >= maxCrashes
+	return v.known >= minCrashes && v.alone || v.known >= maxCrashes
 }
 
+// count returns the number of crashes that were not dismissed.
+func (v crashVerdict) count() int { return v.suspected + v.known }
+
 // undecided reports whether the task would be guilty if its suspected crashes were confirmed.
 func (v crashVerdict) undecided() bool {
-	n := v.suspected + v.confirmed
+	n := v.count()
 	return !v.guilty() && (n >= minCrashes && v.alone || n >= maxCrashes)
 }
