--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -152,7 +152,7 @@
 	r := &run{
 		RunKey: RunKey{t.name, t.lastRun}, need: t.job.Steps[t.step].Need, task: t, sent: now, token: s.token, deadline: s.deadline(now),
 	}
-	r.extension = s.lastExtension
+	r.extension, r.dangerous = s.lastExtension, p.crashes.rates.dangerous(t.job.share)
 	t.assignedServer, t.currentRun = s, r
 	s.addRun(r)
 	p.fleet.serverChanged(s)
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -37,6 +37,10 @@
 	// aloneShare is the share of the servers that may be away, or run a task alone, when
 	// another task is started alone (rule 3).
 	aloneShare = 0.125
+	// minAlone is the number that is permitted in a small domain with minServersPerAlone servers
+	// for each: a task may wait there because another one's server is away.
+	minAlone           = 2
+	minServersPerAlone = 3
 	// minAloneBlame is the blame from which on a task starts alone.
 	minAloneBlame = 0.5
 	// maxCrashAway is how long a crashed server counts as away if nothing is heard of it.
@@ -440,7 +444,7 @@
 			servers++
 		}
 	}
-	return n < max(1, int(aloneShare*float64(servers)))
+	return n < max(1, min(minAlone, servers/minServersPerAlone), int(aloneShare*float64(servers)))
 }
 
 // placeAlone starts cautious tasks on servers without runs: those with the least blame first.
--- a/internal/worker/crash_blame.go
+++ b/internal/worker/crash_blame.go
@@ -21,6 +21,9 @@
 	repeatedCrashRate = 0.5
 	// blameIterations is the number of iterations; the division hardly changes after a few.
 	blameIterations = 8
+	// minDangerousBlame is the blame for crashes from which on the tasks of a queue are kept
+	// apart, unless servers crash as often by themselves.
+	minDangerousBlame = 1
 )
 
 // crashRate is how many runs of a queue ended by themselves, and the sum of the blame for
@@ -51,6 +54,28 @@
 	r.of(q).runs.add(now, 1, blameTimeConstant)
 }
 
+// dangerous reports whether the tasks of a queue are kept apart from those of others, because
+// its tasks crash servers.
+func (r crashRates) dangerous(q *queueShare) bool {
+	x := r[q]
+	return x != nil && x.blame >= minDangerousBlame && x.without(0) >= ownCrashRate
+}
+
+// exposure returns how little a server is suited for a task of a queue, because a crash would
+// take runs of other queues along: 0 if it would not, 2 for the runs of other queues at risk.
+func (p *Pool) exposure(s *server, q *queueShare) int {
+	if len(p.crashes.list) == 0 || len(s.runs) == 0 {
+		return 0
+	}
+	switch dangerous := p.crashes.rates.dangerous(q); {
+	case dangerous && s.dangerousRuns < len(s.runs):
+		return 2
+	case !dangerous && s.dangerousRuns > 0:
+		return 1
+	}
+	return 0
+}
+
 // divideBlame divides the blame for all crashes anew, if that is needed.
 func (p *Pool) divideBlame() {
 	if !p.crashes.blameOutdated {
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -14,7 +14,9 @@
 //  3. A task that fits on no server does not block smaller tasks behind it.
 //  4. Where servers differ in speed, rule 2 holds within a class of speed, and
 //     speed_choice.go says which class a task gets.
-//  5. Servers whose runs fail, that refuse starts, or that don't answer are
+//  5. While the tasks of a queue crash servers, they are kept apart from those of other
+//     queues as far as servers are free (crash_blame.go).
+//  6. Servers whose runs fail, that refuse starts, or that don't answer are
 //     skipped, see health.go.
 
 import (
@@ -163,12 +165,21 @@
 // bestFit returns the server of a group to start a task of the step on, or nil.
 func (p *Pool) bestFit(now time.Time, group groupKey, j *job, step int) *server {
 	st := &j.Steps[step]
+	var best *server
+	least := 0
 	for s := range p.fleet.candidates(now, group, st.Need) {
-		if s.mayRun(j, step) {
+		if !s.mayRun(j, step) {
+			continue
+		}
+		e := p.exposure(s, j.share)
+		if e == 0 {
 			return s
 		}
+		if best == nil || e < least {
+			best, least = s, e
+		}
 	}
-	return nil
+	return best
 }
 
 // mayRun reports whether the label and the limit of the step permit a task on the server.
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -126,6 +126,8 @@
 	// task is nil if no job needs the run: it belongs to another owner, or its job
 	// has ended.
 	task *task
+	// dangerous is set if tasks of the queue crashed servers when the run started.
+	dangerous bool
 	// alone is set if the run has the server for itself.
 	alone bool
 	// sent is when the start command was sent. Once the state is runRunning, it is
@@ -193,6 +195,9 @@
 	// incarnation is the start time of the incarnation that answered last, as Unix time in
 	// milliseconds; 0 if none has answered since the server was given up.
 	incarnation int64
+	// dangerousRuns is the number of runs of queues whose tasks crashed servers when they
+	// started.
+	dangerousRuns int
 	// reserved is set while a task runs alone on the server.
 	reserved bool
 	// listed reports whether the platform lists the server.
@@ -347,12 +352,18 @@
 func (s *server) addRun(r *run) {
 	s.runs[r.RunKey] = r
 	s.used = s.used.Add(r.need)
+	if r.dangerous {
+		s.dangerousRuns++
+	}
 }
 
 // removeRun stops tracking a run.
 func (s *server) removeRun(r *run) {
 	delete(s.runs, r.RunKey)
 	s.used = s.used.Sub(r.need)
+	if r.dangerous {
+		s.dangerousRuns--
+	}
 }
 
 // reset makes the server not owned and clears what is known of its incarnation.
