worker: follow a server's capacity that shrinks and grows

Starts, whole jobs, indexes and shares followed the list of servers already, which an owner reads each second. Three things did not, each found by a failing case of TestCapacityThatShrinksAndGrows: callers whose job fits on no server any more waited until it was too late, instead of being refused at once (no answer within 100 ms); the load of an owner counted what runs take up above a shrunk capacity as less than none (-14 cores), so that entry hosts and classes of speed saw less room than there is; and a server became one of another kind, which has the capacity in its name, so that its learned speed was lost and kinds piled up.

--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -241,6 +241,33 @@
 	return work
 }
 
+// refuseUnplaceable refuses the jobs that have not started and have a task that fits on no
+// server any more (rule 1), because the servers have become fewer or smaller.
+func (p *Pool) refuseUnplaceable(now time.Time) {
+	var list []*job
+	for service, q := range p.queue.services {
+		if !p.fleet.known(service) {
+			continue
+		}
+		for d := range q.demands.All() {
+			if p.fleet.fitsEmpty(service, &Step{Need: d.need, Requires: d.requires}) {
+				continue
+			}
+			for w := range d.steps.All() {
+				if !w.job.started {
+					list = append(list, w.job)
+				}
+			}
+		}
+	}
+	sortByArrival(list)
+	for _, j := range list {
+		if p.jobs[j.ID] == j {
+			p.endJob(now, j, Result{Outcome: Refused, Reason: "FitsNowhere", RetryAfter: maxRetryAfter})
+		}
+	}
+}
+
 // refuseTooLate refuses the jobs that can no longer be answered in time (rule 4).
 func (p *Pool) refuseTooLate(now time.Time) {
 	for n, j := range p.queue.tooLateBy(now, p.queueSaturated()) {
--- a/internal/worker/fleet.go
+++ b/internal/worker/fleet.go
@@ -78,7 +78,7 @@
 	// ejected, by the end of that.
 	due, ejected *timedServers
 	// usable is the number of usable servers, freeCPU the sum of their free processor
-	// capacity.
+	// capacity. A server that has shrunk below what its runs take up has none.
 	usable, freeCPU int
 	// usableCPU is the sum of the processor capacity of the usable servers.
 	usableCPU int
@@ -202,7 +202,7 @@
 	x := &s.indexedServer
 	if x.usable {
 		f.usable--
-		f.freeCPU -= x.free.CPUMilli
+		f.freeCPU -= max(x.free.CPUMilli, 0)
 		f.usableCPU -= x.capacity.CPUMilli
 	}
 	if !x.ejectedUntil.IsZero() {
@@ -214,7 +214,7 @@
 		}
 		if x.usable {
 			addCount(g.usable, x.capacity.CPUMilli, -1)
-			g.freeCPU -= x.free.CPUMilli
+			g.freeCPU -= max(x.free.CPUMilli, 0)
 			g.totalCPU -= x.capacity.CPUMilli
 		}
 	}
@@ -258,7 +258,7 @@
 	x.free, x.usable = s.free(), s.usable()
 	if x.usable {
 		f.usable++
-		f.freeCPU += x.free.CPUMilli
+		f.freeCPU += max(x.free.CPUMilli, 0)
 		f.usableCPU += x.capacity.CPUMilli
 	}
 	x.isFree, x.ejectedUntil = f.mayStart(s)
@@ -271,7 +271,7 @@
 		}
 		if x.usable {
 			addCount(g.usable, x.capacity.CPUMilli, 1)
-			g.freeCPU += x.free.CPUMilli
+			g.freeCPU += max(x.free.CPUMilli, 0)
 			g.totalCPU += x.capacity.CPUMilli
 		}
 	}
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -41,7 +41,12 @@
 		if s.Leaving != info.Leaving {
 			p.cfg.Log.Info().Str("Server", info.ID).Bool("Leaving", info.Leaving).Msg("ServerLeaving")
 		}
+		if s.Capacity != info.Capacity {
+			p.cfg.Log.Info().Str("Server", info.ID).Int("CPUMilli", info.Capacity.CPUMilli).Int("PreviousCPUMilli", s.Capacity.CPUMilli).
+				Int("UsedCPUMilli", s.used.CPUMilli).Msg("ServerCapacityChanged")
+		}
 		s.Server, s.listed = info, true
+		s.largestCPUMilli = max(s.largestCPUMilli, info.Capacity.CPUMilli)
 		p.fleet.serverChanged(s)
 	}
 	for _, s := range p.orderedServers {
@@ -51,6 +56,7 @@
 	p.orderedServers = slices.DeleteFunc(p.orderedServers, func(s *server) bool { return s.gone })
 	p.countKinds()
 	p.acquireServers(now)
+	p.refuseUnplaceable(now)
 	p.place(now)
 }
 
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -213,6 +213,8 @@
 	speed      serverSpeed
 	speedClass int
 	speedKind  string
+	// largestCPUMilli is the largest processor capacity that was listed for the server.
+	largestCPUMilli int
 	indexedServer
 }
 
--- a/internal/worker/speed_choice.go
+++ b/internal/worker/speed_choice.go
@@ -91,14 +91,15 @@
 	return order
 }
 
-// kind returns the kind of a server, which its first label and its capacity name. The
-// other labels, such as its rack, say nothing of its speed.
-func (s *Server) kind() string {
+// kind returns the kind of a server, which its first label and its largest capacity name: a
+// server that shrinks for a while is as fast as before. The other labels, such as its rack,
+// say nothing of its speed.
+func (s *server) kind() string {
 	label := ""
 	if len(s.Labels) > 0 {
 		label = s.Labels[0]
 	}
-	return label + "/" + strconv.Itoa(s.Capacity.CPUMilli)
+	return label + "/" + strconv.Itoa(s.largestCPUMilli)
 }
 
 // countKinds counts the servers of each kind.
