worker: a task is given up only if nothing else can have crashed a server

A run is now lost once, and a task is given up only if it was the sole possible cause of one of two crashes; with two it starts alone, so that a further one decides.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -18,8 +18,8 @@
 //     at least half of the blame for one. Others start again beside others, at once: most of
 //     them are no cause. The number of servers away and of tasks that run alone is bounded.
 //  4. A task under which two servers have crashed, one of them without another possible
-//     cause, is given up, and its job fails. So is one under which three have crashed. While
-//     the crashes that are needed for that are only suspected, the task is not started.
+//     cause, is given up, and its job fails. While the crashes that are needed for that are only
+//     suspected, the task is not started.
 //  5. If a task is not expected to start in the time that the caller waits, its job ends as
 //     lost at once.
 //  6. A queue pays for the servers that its tasks have crashed, from its share of the room
@@ -135,7 +135,13 @@
 		c.state = crashEvident
 	}
 	for _, r := range s.sortedRuns() {
-		c.causes = append(c.causes, &possibleCause{task: r.Task, job: jobOfTask(r.Task), queue: r.share})
+		if !r.lost {
+			r.lost = true
+			c.causes = append(c.causes, &possibleCause{task: r.Task, job: jobOfTask(r.Task), queue: r.share})
+		}
+	}
+	if len(c.causes) == 0 {
+		return
 	}
 	for _, x := range c.causes {
 		p.crashes.causesOf[x.task] = append(p.crashes.causesOf[x.task], x)
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -143,8 +143,8 @@
 	if got := c.outcomeOf("beside"); got != "" {
 		t.Errorf("the job beside it ended as %q, want it to go on", got)
 	}
-	if n := c.startsOf("deadly.0.0.0"); n > maxCrashes {
-		t.Errorf("the crashing task was started %d times, want %d at most", n, maxCrashes)
+	if n := c.startsOf("deadly.0.0.0"); n > minCrashes+1 {
+		t.Errorf("the crashing task was started %d times, want %d at most", n, minCrashes+1)
 	}
 }
 
--- a/internal/worker/crashlog.go
+++ b/internal/worker/crashlog.go
@@ -298,24 +298,17 @@
 	return v
 }
 
-const (
-	// minCrashes is the number of crashed servers after which a task may be given up, as the
-	// users state it, if it was the only possible cause of one of the crashes. maxCrashes is
-	// the number after which it is given up in any case.
-	minCrashes = 2
-	maxCrashes = 3
-)
+// minCrashes is the number of crashed servers after which a task may be given up, as the users
+// state it, if it was the only possible cause of one of the crashes.
+const minCrashes = 2
 
 // guilty reports whether the task is given up.
-func (v crashVerdict) guilty() bool {
-	return v.known >= minCrashes && v.alone || v.known >= maxCrashes
-}
+func (v crashVerdict) guilty() bool { return v.known >= minCrashes && v.alone }
 
 // count returns the number of crashes that were not dismissed.
 func (v crashVerdict) count() int { return v.suspected + v.known }
 
 // undecided reports whether the task would be guilty if its suspected crashes were confirmed.
 func (v crashVerdict) undecided() bool {
-	n := v.count()
-	return !v.guilty() && (n >= minCrashes && v.alone || n >= maxCrashes)
+	return !v.guilty() && v.count() >= minCrashes && v.alone
 }
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -128,6 +128,8 @@
 	task *task
 	// dangerous is set if tasks of the queue crashed servers when the run started.
 	dangerous bool
+	// lost is set once the loss of its server was noted.
+	lost bool
 	// alone is set if the run has the server for itself.
 	alone bool
 	// sent is when the start command was sent. Once the state is runRunning, it is
