--- a/internal/daemon/virtual_faults_test.go
+++ b/internal/daemon/virtual_faults_test.go
@@ -136,6 +136,21 @@
 		sc.servers.SetFaults(standin.ServerFaults{FailPercent: 10})
 		return func() { sc.servers.SetFaults(standin.ServerFaults{}) }
 	}},
+	// Some of the jobs have tasks that crash each server that starts them.
+	"CrashingTasks": {false, func(sc *scenario) func() {
+		sc.crashingPercent.Store(4)
+		return func() {
+			sc.crashingPercent.Store(0)
+			// Callers still wait for such jobs, and servers are away.
+			time.Sleep(requestTimeout + crashedServerDowntime)
+		}
+	}},
+	// The capacity of a server shrinks and grows again.
+	"CapacityChanges": {false, func(sc *scenario) func() {
+		n := sc.rand.IntN(1 << 16)
+		sc.servers.SetCapacity(n, 40)
+		return func() { sc.servers.SetCapacity(n, 100) }
+	}},
 	"ServerLeaves": {true, func(sc *scenario) func() {
 		n := sc.rand.IntN(1 << 16)
 		sc.servers.SetLeaving(n, true)
--- a/internal/daemon/virtual_scenario_test.go
+++ b/internal/daemon/virtual_scenario_test.go
@@ -9,7 +9,9 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,6 +77,8 @@
 	unavailable map[*simHost]bool
 	counts      map[string]int
 	failures    []string
+	// crashingPercent is the percentage of the jobs whose tasks crash their servers.
+	crashingPercent atomic.Int32
 	// withoutHosts is the time without any running host, plus the time that callers
 	// still waited to send again.
 	withoutHosts time.Duration
@@ -105,11 +109,14 @@
 
 const (
 	// settleTime is how long after an unplanned fault checks 4 to 6 don't apply.
-	settleTime      = 3 * time.Second
-	startupTime     = 4 * time.Second
-	maxApplyTime    = 2 * time.Second
-	maxDrainTime    = 2 * time.Second
-	maxRecoveryTime = 12 * time.Second
+	settleTime  = 3 * time.Second
+	startupTime = 4 * time.Second
+	// crashedServerDowntime is the longest time that a server is away which a task has
+	// crashed.
+	crashedServerDowntime = 3500 * time.Millisecond
+	maxApplyTime          = 2 * time.Second
+	maxDrainTime          = 2 * time.Second
+	maxRecoveryTime       = 12 * time.Second
 	// resendDelay is how long a caller waits before it sends a job again.
 	resendDelay       = 1300 * time.Millisecond
 	requestTimeout    = 4 * time.Second
@@ -251,6 +258,10 @@
 // reports whether the response had status 200.
 func (sc *scenario) submitJob(r *rand.Rand, id string, queue, runTimeMs, tasks int) bool {
 	body := fmt.Sprintf(simJobFormat, runTimeMs, tasks, runTimeMs)
+	crashing := int32(r.IntN(100)) < sc.crashingPercent.Load()
+	if crashing {
+		body = strings.Replace(body, `","best-effort"`, ` crash","best-effort"`, 1)
+	}
 	refused := 0
 	for attempt := range 5 {
 		h := sc.pickHost(r)
@@ -270,6 +281,12 @@
 		case status == 200:
 			sc.count("200")
 			sc.checkQueueKnown(h, incarnation, queue, sent, true)
+			if got.body == `{"state":"failed"}` {
+				sc.count("failed")
+				if !crashing && sc.kinds["CrashingTasks"].begin != nil && len(sc.kinds) == 2 {
+					sc.failf("Crashes: job %s, whose tasks crash no server, was answered as failed", id)
+				}
+			}
 			if done := sc.servers.DoneTasks(id); done != tasks && got.body == `{"state":"completed"}` {
 				sc.failf("Whole: job %s was answered as completed with %d of %d tasks done", id, done, tasks)
 			}
