--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -86,6 +86,10 @@
 			return c.busy() && c.Log.shareLost(c.Owner, c.EndedAt.Add(-surroundLimit), c.EndedAt, "ServerUnresponsive", "LeaseExpired") >= lostServersShare
 		},
 	},
+	{
+		"QueueCrashesServers", Refused, "tasks of the job's queue had crashed so many servers that the queue has no room until one is back",
+		"ServerLost, TaskGivenUp on the owner; the queue's tasks", func(c Case) bool { return c.Reason == "QueueCrashesServers" },
+	},
 	{
 		"NoServer", Refused, "the owner had no server of the job's service", "ServerListed, ServerGone, ServerAcquired on the owner",
 		func(c Case) bool { return c.Reason == "NoServer" },
@@ -178,6 +182,14 @@
 		"OwnerLostEntryHost", Failed, "the owner took the entry host for lost and stopped the job", "SessionExpired on the owner",
 		func(c Case) bool { return anyOf(c.Reason, "EntryHostSilent", "EntryHostGone") },
 	},
+	{
+		"TaskCrashesServers", Failed, "servers crashed under a task of the job, which was given up", "ServerLost, TaskGivenUp by Task; the job",
+		func(c Case) bool { return c.Reason == "TaskCrashesServers" },
+	},
+	{
+		"TaskSuspected", Failed, "a task of the job was on a server that crashed, and could not start alone, or be decided on, in the caller's time",
+		"ServerLost, TaskSuspected by Task; CrashDecided by Server", func(c Case) bool { return c.Reason == "TaskSuspected" },
+	},
 	{
 		"FailingServer", Failed, "a task failed too often, on a server that fails more than others", "RunFailed by Server; ServerEjected",
 		func(c Case) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -75,6 +75,11 @@
 	"ServersLeft":        {received, "0.1 b1 ServerLeaving Server=s1 Leaving=true", full(""), answered("Refused", "QueueFull")},
 	"ServersLost":        {received, "0.1 b1 ServerUnresponsive Server=s1", full(""), answered("Refused", "QueueFull")},
 	"NoServer":           {received, answered("Refused", "NoServer")},
+
+	"QueueCrashesServers": {received, answered("Refused", "QueueCrashesServers")},
+	"TaskCrashesServers":  {received, answered("Failed", "TaskCrashesServers")},
+	"TaskSuspected":       {received, answered("Lost", "TaskSuspected")},
+
 	"WaitedThenRefused":  {received, ended("Refused", "WaitedTooLong", 390, 50, -1, -1, 0), full(" Saturated=true"), answered("Refused", "QueueFull")},
 	"WaitedTooLong":      {received, ended("Refused", "WaitedTooLong", 390, 50, -1, -1, 0), answered("Refused", "WaitedTooLong")},
 	"QueueSaturated":     {received, full(" Saturated=true"), answered("Refused", "QueueFull")},
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -361,7 +361,8 @@
 			p.queue.addReady(t.job, t.step, 1)
 			p.addWaiting(t.job, t.job.taskWork[t.step])
 		case p.draining || p.canNotStartInTime(now, t):
-			p.abandon(now, t.job, "TaskSuspected")
+			// Even if this owner has started nothing, the task has run: it was under a crash.
+			p.endJob(now, t.job, Result{Outcome: Lost, Reason: "TaskSuspected"})
 		default:
 			p.crashes.waiting = append(p.crashes.waiting, t)
 		}
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -249,12 +249,28 @@
 	}
 }
 
+// TestSuspectedJobIsNotSaidNotToHaveRun guards against a refusal as not run of a job that is
+// submitted again, after a task of it was on servers that crashed.
+func TestSuspectedJobIsNotSaidNotToHaveRun(t *testing.T) {
+	c := newCrashTester(t, 8)
+	for n, server := range []string{"gone0", "gone1"} {
+		c.pool.crashes.log.add(c.now, "job.0.0.0", taskCrash{Server: server, Address: server, StartedAtMs: 1, Alone: n == 0})
+	}
+	c.submit("job", "queue", 1)
+	c.run(maxCrashAway + time.Second)
+	if got := c.outcomeOf("job"); got != "Lost TaskSuspected" || len(c.starts) != 0 {
+		t.Errorf("the job ended as %q after %d starts, want Lost without any", got, len(c.starts))
+	}
+}
+
 // TestMalformedCrashRecordsAreIgnored guards against a message of another host that changes
 // what a host believes, or ends its process.
 func TestMalformedCrashRecordsAreIgnored(t *testing.T) {
 	l := NewCrashLog()
 	l.merge(testStart, []crashRecord{
-		{}, {Task: "no dot", Crashes: []taskCrash{{State: 77}}}, {Task: "....", Crashes: []taskCrash{{}}},
+		{},
+		{Task: "no dot", Crashes: []taskCrash{{State: 77}}},
+		{Task: "....", Crashes: []taskCrash{{}}},
 		{Task: "a.0.0.0", Crashes: make([]taskCrash, 100000)},
 	})
 	for n := range 2 * maxCrashedTasks {
@@ -263,8 +279,11 @@
 	if len(l.tasks) > maxCrashedTasks {
 		t.Errorf("%d records, want %d at most", len(l.tasks), maxCrashedTasks)
 	}
-	if v := l.of("no dot"); v.count() != 0 {
-		t.Errorf("an unknown state counts: %+v", v)
+	l.seen(testStart, "server", "", "address", 1)
+	for _, task := range []string{"no dot", "....", "a.0.0.0"} {
+		if v := l.of(task); v.count() != 0 {
+			t.Errorf("a malformed crash under %s counts: %+v", task, v)
+		}
 	}
 	l.forget(testStart.Add(2 * crashRetention))
 	if len(l.tasks)+len(l.byJob)+len(l.undecidedOn)+len(l.changes) > 0 {
--- a/internal/worker/crashlog.go
+++ b/internal/worker/crashlog.go
@@ -113,8 +113,8 @@
 
 // add merges a crash into the record of a task (rules 1 and 4).
 func (l *CrashLog) add(now time.Time, task string, c taskCrash) {
-	if c.State > crashDismissed {
-		return
+	if task == "" || c.Server == "" || c.State > crashDismissed {
+		return // Another host has sent what no owner records.
 	}
 	t := l.tasks[task]
 	if t == nil {
