worker: only evident and confirmed crashes fail a job

Its task ran on a server that crashed with another task, and then alone on one that a firewall cut off: its connections went silent, new ones were refused, and its run lapsed. Refusal until the lease ends had been taken for proof of a crash. Two things are needed now. The server must have closed its connections before it refused new ones; silence first means a cut. And another incarnation must have been seen at its address. A task is still held back as soon as two crashes are suspected, and its job ends as lost when its caller can't wait for the decision. TestRefusalsOfACutAreNotCrashes fails with the old evidence.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -194,6 +194,9 @@
 	case Accepted:
 		r.state, r.sent = runRunning, now
 	case Unanswered:
+		r.state = runUnconfirmed
+		s.setSilent(now)
+	case ConnectionClosed:
 		r.state = runUnconfirmed
 		s.setUnresponsive(now)
 	case ConnectionRefused:
@@ -223,7 +226,7 @@
 // observeReply records the clock of a reply. It reports false if the reply comes
 // from another incarnation of the server, which it then begins to acquire (rule 7).
 func (p *Pool) observeReply(now time.Time, s *server, reply Reply) bool {
-	if reply.Verdict == Unanswered || reply.Verdict == ConnectionRefused || reply.Verdict == WrongIncarnation || reply.Clock == 0 {
+	if reply.Clock == 0 || slices.Contains([]Verdict{Unanswered, ConnectionRefused, ConnectionClosed, WrongIncarnation}, reply.Verdict) {
 		return true
 	}
 	if s.state != stateNotOwned && !s.clockReadAt.IsZero() && reply.Clock < s.clock-maxReplyDelay {
@@ -262,6 +265,8 @@
 		p.handleFenced(now, s)
 	case ConnectionRefused:
 		s.setRefused(now)
+	case Unanswered:
+		s.setSilent(now)
 	default:
 		s.setUnresponsive(now)
 	}
@@ -308,6 +313,8 @@
 		case ConnectionRefused:
 			s.notDelivered(now, extension)
 			s.setRefused(now)
+		case Unanswered:
+			s.setSilent(now)
 		case WrongIncarnation:
 			p.anotherIncarnationSeen(now, s)
 		}
--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -4,13 +4,13 @@
 // ten has a task that crashes each server that starts it, the server is back after some
 // seconds, and its other runs are lost with it. The rules are:
 //
-//  1. A crash is evident if a server refuses connections until its lease has expired. If
-//     servers without runs, or more than two, begin to refuse within commonCauseWindow, it is
-//     only suspected, and no task is blamed: the host may be cut off, or a rack lost its power.
-//     Silence is no sign of a crash. A crash is confirmed when another incarnation is seen at
-//     the server's address, and dismissed when the same one answers. A confirmed one counts
-//     without any other sign, if the server was lost while its lease was in force: its runs
-//     had not lapsed before.
+//  1. A crash is evident if the server closes its connections, and refuses new ones until its
+//     lease has expired, or if another incarnation answers before that. Silence is no sign of
+//     a crash, nor are refusals that begin with silence: the server may be cut off, and its
+//     runs lapse there. If servers without runs, or more than two, begin to refuse within
+//     commonCauseWindow, no task is blamed: a rack may have lost its power. A crash is confirmed
+//     when another incarnation is seen at the server's address, and dismissed when the same one
+//     answers. It doesn't count if the lease had expired before the server was first missed.
 //  2. Each run on a crashed server is a possible cause until a run of its task ends by
 //     itself. How the blame for a crash is divided follows from how often tasks of each queue
 //     were under one (crash_blame.go).
@@ -18,8 +18,8 @@
 //     at least half of the blame for one. Others start again beside others, at once: most of
 //     them are no cause. The number of servers away and of tasks that run alone is bounded.
 //  4. A task under which two servers have crashed, one of them without another possible
-//     cause, is given up, and its job fails. While the crashes that are needed for that are only
-//     suspected, the task is not started.
+//     cause, is given up, and its job fails. Only crashes that are evident and confirmed count
+//     for that. While others would be needed, the task is not started.
 //  5. If a task is not expected to start in the time that the caller waits, its job ends as
 //     lost at once.
 //  6. A queue pays for the servers that its tasks have crashed, from its share of the room
@@ -81,9 +81,9 @@
 	startedAtMs int64
 	// lostAt is when the server first didn't answer, at when it was taken for crashed.
 	lostAt, at time.Time
-	// refused reports whether it refused connections, common whether others did so at the
-	// same time.
-	refused, common bool
+	// evident reports whether rule 1 takes it for crashed, common whether other servers failed
+	// at the same time.
+	evident, common bool
 	state           crashState
 	// away reports whether the server may still come back.
 	away   bool
@@ -92,7 +92,7 @@
 }
 
 // suspicious reports whether tasks are blamed for the crash.
-func (c *serverCrash) suspicious() bool { return c.refused && !c.common && c.state != crashDismissed }
+func (c *serverCrash) suspicious() bool { return c.evident && !c.common && c.state != crashDismissed }
 
 // crashes is what a pool knows about crashes.
 type crashes struct {
@@ -129,11 +129,9 @@
 	}
 	c := &serverCrash{
 		server: s.ID, address: s.Address, startedAtMs: s.incarnation, lostAt: lostAt, at: now,
-		refused: restarted || !s.refusedAt.IsZero(), away: !restarted, cores: float64(s.Capacity.CPUMilli) / 1000,
-	}
-	if c.common = p.hasCommonCause(s); c.refused && !c.common {
-		c.state = crashEvident
+		evident: s.crashEvident(now, restarted), away: !restarted, cores: float64(s.Capacity.CPUMilli) / 1000,
 	}
+	c.common = p.hasCommonCause(s)
 	for _, r := range s.sortedRuns() {
 		if !r.lost {
 			r.lost = true
@@ -148,15 +146,24 @@
 	}
 	p.crashes.list = append(p.crashes.list, c)
 	p.crashes.blameOutdated = true
-	p.cfg.Log.Warn().Str("Server", s.ID).Strs("Tasks", s.runningTasks()).Bool("Refused", c.refused).Bool("CommonCause", c.common).
+	p.cfg.Log.Warn().Str("Server", s.ID).Strs("Tasks", s.runningTasks()).Bool("Evident", c.evident).Bool("CommonCause", c.common).
 		Bool("Restarted", restarted).Int64("SinceLostMs", now.Sub(lostAt).Milliseconds()).Msg("ServerLost")
 	if restarted {
 		p.setCrashState(now, c, crashConfirmed)
-	} else if c.refused {
+	} else if c.evident {
 		p.logCrash(now, c)
 	}
 }
 
+// crashEvident reports whether the loss of the server that is noted now is evidently a crash
+// (rule 1).
+func (s *server) crashEvident(now time.Time, restarted bool) bool {
+	if restarted {
+		return !now.After(s.leaseUntil)
+	}
+	return !s.refusedAt.IsZero() && !s.silentFirst
+}
+
 // hasCommonCause reports whether the crash of a server has a cause that concerns other servers:
 // some without runs, or more than two, refuse connections since about the same time.
 func (p *Pool) hasCommonCause(s *server) bool {
@@ -182,7 +189,7 @@
 	}
 	for _, x := range c.causes {
 		if !x.cleared {
-			p.crashes.log.add(now, x.task, taskCrash{Server: c.server, Address: c.address, StartedAtMs: c.startedAtMs, State: c.state, Alone: left == 1 && !c.common})
+			p.crashes.log.add(now, x.task, taskCrash{Server: c.server, Address: c.address, StartedAtMs: c.startedAtMs, State: c.state, Evident: c.evident, Alone: left == 1 && !c.common})
 		}
 	}
 }
@@ -244,7 +251,7 @@
 	}
 	p.crashes.blameOutdated = true
 	for _, c := range p.crashes.list {
-		if c.refused && c.state != crashDismissed && slices.ContainsFunc(c.causes, func(x *possibleCause) bool { return x.task == name }) {
+		if c.evident && c.state != crashDismissed && slices.ContainsFunc(c.causes, func(x *possibleCause) bool { return x.task == name }) {
 			p.logCrash(now, c)
 		}
 	}
@@ -256,7 +263,7 @@
 	switch n := v.count(); {
 	case n == 0:
 		return cautionNone
-	case v.undecided() || v.guilty():
+	case v.held() || v.guilty():
 		return cautionHeld
 	case n >= minCrashes:
 		return cautionAlone
@@ -386,8 +393,8 @@
 // canNotStartInTime reports whether a cautious task is expected to start only when its caller
 // no longer waits (rule 5).
 func (p *Pool) canNotStartInTime(now time.Time, t *task) bool {
-	if v := p.crashes.log.of(t.name); t.caution == cautionHeld && now.Sub(v.changedAt) > maxCrashAway {
-		return true // Nothing has been heard of the servers.
+	if v := p.crashes.log.of(t.name); t.caution == cautionHeld && (v.suspected == 0 || now.Sub(v.changedAt) > maxCrashAway) {
+		return true // Nothing more will be known, or nothing has been heard of the servers.
 	}
 	if t.job.Budget <= 0 {
 		return false
@@ -421,7 +428,7 @@
 func (p *Pool) nextReturn(now time.Time) time.Time {
 	var next time.Time
 	for _, c := range p.crashes.list {
-		if at := c.lostAt.Add(p.crashes.meanAway); c.away && c.refused && (next.IsZero() || at.Before(next)) {
+		if at := c.lostAt.Add(p.crashes.meanAway); c.away && c.evident && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 	}
@@ -441,7 +448,7 @@
 func (p *Pool) mayStartAlone() bool {
 	n := p.crashes.alone
 	for _, c := range p.crashes.list {
-		if c.away && c.refused {
+		if c.away && c.evident {
 			n++
 		}
 	}
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -101,11 +102,18 @@
 func TestTaskThatCrashedTwoServersFailsItsJob(t *testing.T) {
 	c := newCrashTester(t, 8)
 	c.submit("deadly", "queue", 1)
-	c.crash(c.addressOf("deadly.0.0.0"))
+	first := c.addressOf("deadly.0.0.0")
+	c.crash(first)
 	if n := c.startsOf("deadly.0.0.0"); n != 2 {
 		t.Fatalf("%d starts after a crash, want a second one: the server may have crashed by itself", n)
 	}
-	c.crash(c.addressOf("deadly.0.0.0"))
+	second := c.addressOf("deadly.0.0.0")
+	c.crash(second)
+	if n := c.startsOf("deadly.0.0.0"); n != 2 || c.outcomeOf("deadly") != "" {
+		t.Fatalf("%d starts after two crashes, the job ended as %q; want it held until the crashes are confirmed", n, c.outcomeOf("deadly"))
+	}
+	c.comeBack(first)
+	c.comeBack(second)
 	if got := c.outcomeOf("deadly"); got != "Failed TaskCrashesServers" {
 		t.Errorf("the job ended as %q, want Failed", got)
 	}
@@ -173,6 +181,30 @@
 	}
 }
 
+// TestRefusalsOfACutAreNotCrashes guards against the failure of a task whose servers a firewall
+// cuts off: first in silence, then with refusals. One of them restarts behind the cut.
+func TestRefusalsOfACutAreNotCrashes(t *testing.T) {
+	c := newCrashTester(t, 8)
+	c.submit("job", "queue", 1)
+	for range 3 {
+		cut := c.addressOf("job.0.0.0")
+		var others []string
+		for _, s := range c.servers {
+			if s.Address != cut && !c.refusing[s.Address] {
+				others = append(others, s.Address)
+			}
+		}
+		c.advanceFor(300*time.Millisecond, others...)
+		c.running[cut] = nil
+		c.crash(cut)
+		c.comeBack(cut)
+	}
+	c.run(maxCrashAway)
+	if got := c.outcomeOf("job"); strings.HasPrefix(got, "Failed") {
+		t.Errorf("the job ended as %q, want it not to fail", got)
+	}
+}
+
 // TestServersThatFailTogetherBlameNoTask guards against suspecting the tasks of a rack that
 // lost its power, or of servers that a firewall rejects.
 func TestServersThatFailTogetherBlameNoTask(t *testing.T) {
@@ -235,8 +267,11 @@
 func TestSuccessorKnowsCrashes(t *testing.T) {
 	first, second := newCrashTester(t, 8), newCrashTester(t, 8)
 	first.submit("deadly", "queue", 1)
-	first.crash(first.addressOf("deadly.0.0.0"))
-	first.crash(first.addressOf("deadly.0.0.0"))
+	for range 2 {
+		a := first.addressOf("deadly.0.0.0")
+		first.crash(a)
+		first.comeBack(a)
+	}
 	records, _ := first.pool.crashes.log.since(0)
 	entry := NewCrashLog()
 	for range 2 { // A record may arrive twice.
--- a/internal/worker/crashlog.go
+++ b/internal/worker/crashlog.go
@@ -10,9 +10,8 @@
 //     the heartbeats of its sessions, and all of them on a new session or path.
 //  3. An entry host sends the records of a job along when it submits the job. So each owner
 //     that may start a task knows what earlier ones have seen, unless they died with it.
-//  4. A crash is suspected, or evident by what the owner saw (crash.go, rule 1). It is confirmed
-//     by another incarnation at the server's address, and dismissed if the same incarnation
-//     answers. Both of the latter are final.
+//  4. A crash is suspected, confirmed by another incarnation at the server's address, or
+//     dismissed because the same incarnation answers. Both of the latter are final.
 //
 // Records are soft state. They are forgotten crashRetention after their last change.
 
@@ -39,12 +38,11 @@
 
 const (
 	crashSuspected crashState = iota
-	crashEvident
 	crashConfirmed
 	crashDismissed
 )
 
-var crashStateNames = [...]string{"Suspected", "Evident", "Confirmed", "Dismissed"}
+var crashStateNames = [...]string{"Suspected", "Confirmed", "Dismissed"}
 
 // final reports whether the state can't change any more.
 func (s crashState) final() bool { return s >= crashConfirmed }
@@ -59,6 +57,9 @@
 	Address     string
 	StartedAtMs int64
 	State       crashState
+	// Evident says that the server was seen to crash while the run was there (crash.go, rule
+	// 1). Otherwise the run may have lapsed before.
+	Evident bool
 	// Alone says that every other task that ran there has turned out not to be the cause,
 	// or that there was none.
 	Alone bool
@@ -134,11 +135,12 @@
 		t.crashes = append(t.crashes, c)
 	default:
 		o := &t.crashes[n]
-		state, alone := max(o.State, c.State), o.Alone || c.Alone
-		if o.State == state && o.Alone == alone {
+		merged := *o
+		merged.State, merged.Alone, merged.Evident = max(o.State, c.State), o.Alone || c.Alone, o.Evident || c.Evident
+		if *o == merged {
 			return
 		}
-		o.State, o.Alone = state, alone
+		*o = merged
 	}
 	l.indexUndecided(task, c, !c.State.final())
 	l.lastChange++
@@ -270,9 +272,9 @@
 type crashVerdict struct {
 	// changedAt is when the record last changed.
 	changedAt time.Time
-	// suspected is the number of crashes that are only suspected, known that of those that are
-	// evident or confirmed.
-	suspected, known int
+	// suspected is the number of crashes that may still be confirmed or dismissed, lapsed that
+	// of the confirmed ones before which the run may have lapsed, and known that of the others.
+	suspected, lapsed, known int
 	// alone says that the task was the only possible cause of one of them.
 	alone bool
 }
@@ -288,8 +290,12 @@
 		switch c.State {
 		case crashSuspected:
 			v.suspected++
-		case crashEvident, crashConfirmed:
-			v.known++
+		case crashConfirmed:
+			if c.Evident {
+				v.known++
+			} else {
+				v.lapsed++
+			}
 		case crashDismissed:
 			continue
 		}
@@ -306,9 +312,9 @@
 func (v crashVerdict) guilty() bool { return v.known >= minCrashes && v.alone }
 
 // count returns the number of crashes that were not dismissed.
-func (v crashVerdict) count() int { return v.suspected + v.known }
+func (v crashVerdict) count() int { return v.suspected + v.lapsed + v.known }
 
-// undecided reports whether the task would be guilty if its suspected crashes were confirmed.
-func (v crashVerdict) undecided() bool {
+// held reports whether the task is not started, although it is not guilty.
+func (v crashVerdict) held() bool {
 	return !v.guilty() && v.count() >= minCrashes && v.alone
 }
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -192,6 +192,9 @@
 	unresponsiveSince time.Time
 	// refusedAt is when it first refused a connection since then, zero if it has not.
 	refusedAt time.Time
+	// silentFirst is set if commands had gone without an answer before, on connections that
+	// stayed open.
+	silentFirst bool
 	// idleWhenRefused reports whether it had no runs then.
 	idleWhenRefused bool
 	// incarnation is the start time of the incarnation that answered last, as Unix time in
@@ -232,10 +235,16 @@
 // setUnresponsive notes that the server didn't answer a command.
 func (s *server) setUnresponsive(now time.Time) {
 	if !s.unresponsive {
-		s.unresponsive, s.unresponsiveSince, s.refusedAt = true, now, time.Time{}
+		s.unresponsive, s.unresponsiveSince, s.refusedAt, s.silentFirst = true, now, time.Time{}, false
 	}
 }
 
+// setSilent notes that the server didn't answer a command, without closing the connection.
+func (s *server) setSilent(now time.Time) {
+	s.setUnresponsive(now)
+	s.silentFirst = s.silentFirst || s.refusedAt.IsZero()
+}
+
 // setRefused notes that the server's address refused a connection.
 func (s *server) setRefused(now time.Time) {
 	s.setUnresponsive(now)
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -272,8 +272,14 @@
 	if s != nil {
 		expectedStart = s.StartedAt()
 	}
+	closed := func() {
+		if s != nil && s.refusing && !w.now.Before(s.cutUntil[h.index]) {
+			w.after(linkDelay, func() { answer(worker.Reply{Verdict: worker.ConnectionClosed}) })
+		}
+	}
 	w.after(delay, func() {
 		if !reach() {
+			closed()
 			return
 		}
 		r := worker.Reply{Verdict: worker.WrongIncarnation}
@@ -283,9 +289,11 @@
 		w.check()
 		if !late && !lost {
 			w.after(w.delay(), func() {
-				if reach() {
-					answer(r)
+				if !reach() {
+					closed()
+					return
 				}
+				answer(r)
 			})
 		}
 	})
@@ -323,8 +331,14 @@
 		return
 	}
 	lost := w.rand.Float64() < w.faults.Lost
+	closed := func() {
+		if s != nil && s.refusing && !w.now.Before(s.cutUntil[h.index]) {
+			w.after(linkDelay, func() { answer(worker.Reply{Verdict: worker.ConnectionClosed}) })
+		}
+	}
 	w.after(w.delay(), func() {
 		if !reach() {
+			closed()
 			return
 		}
 		if s.Info.ID != poll.Server.ID {
@@ -338,16 +352,18 @@
 				return
 			}
 			w.after(w.delay(), func() {
-				if reach() {
-					answer(r)
+				if !reach() {
+					closed()
+					return
 				}
+				answer(r)
 			})
 		}
 		if r.Verdict != worker.Accepted || poll.Command.Wait == 0 || len(r.EndedRuns) > 0 {
 			send(r)
 			return
 		}
-		waiting := &simPoll{reply: send, broken: func() { answer(worker.Reply{}) }, lastSeen: poll.Command.LastSeen}
+		waiting := &simPoll{reply: send, broken: func() { answer(worker.Reply{Verdict: worker.ConnectionClosed}) }, lastSeen: poll.Command.LastSeen}
 		s.waitingPolls = append(s.waitingPolls, waiting)
 		w.after(poll.Command.Wait, func() { w.answerPoll(s, waiting) })
 	})
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -190,9 +190,12 @@
 	// ConnectionRefused means that nothing accepted a connection at the address. The
 	// server has not received the command and never will.
 	ConnectionRefused
+	// ConnectionClosed means that the server closed the connection without a response. It may
+	// have executed the command.
+	ConnectionClosed
 )
 
-var verdictNames = [...]string{"Unknown", "Accepted", "Fence", "Old", "Late", "Room", "Other", "WrongServer", "ConnectionRefused"}
+var verdictNames = [...]string{"Unknown", "Accepted", "Fence", "Old", "Late", "Room", "Other", "WrongServer", "ConnectionRefused", "ConnectionClosed"}
 
 // String returns the name that logs use.
 func (v Verdict) String() string { return verdictNames[min(int(v), len(verdictNames)-1)] }
