kvstore: a peer reads the list of hosts for one that the store doesn't serve

If its read fails or takes more than 0.4 s, a host now also asks a random peer, which reads the list and returns it; one that the store doesn't serve either refuses at once, so an outage adds one message a second for each owner and no call. A list older than the known one is dropped. Ruled out: passing lists on with heartbeats (117 servers each time), and holding starts back while the list is old (no service in an outage). The loop test has a peer service without peers now, as the loop asks it.

--- a/internal/kvstore/hosts.go
+++ b/internal/kvstore/hosts.go
@@ -94,15 +94,12 @@
 // listeners and the addresses of the entry hosts to the peer service. It returns the
 // error of the store.
 func (s *Service) updateHosts(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	list, err := s.cfg.Store.Hosts(callCtx, s.hostsVersion)
-	s.recordStoreResult(err)
+	list, err := s.readHostList(ctx)
 	if err != nil || list.Unchanged {
 		return err
 	}
 	slices.SortFunc(list.Hosts, func(a, b Host) int { return cmp.Compare(a.Name, b.Name) })
-	s.hostsVersion = list.Version
+	s.hostsVersion.Store(list.Version)
 	s.hosts.Update(func(old []Host) ([]Host, bool) {
 		if old != nil && slices.EqualFunc(old, list.Hosts, Host.Equal) {
 			return nil, false
--- a/internal/kvstore/loop_test.go
+++ b/internal/kvstore/loop_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavayoke/internal/event"
+	"guavayoke/internal/peer"
 )
 
 // TestLoopsStopAfterSlowCall guards against a loop that makes another call after its
@@ -25,6 +26,7 @@
 	s := New(Config{
 		Store: &Store{Hosts: call}, HostsInterval: callDuration / 2, Log: event.New(io.Discard, "error"),
 	})
+	s.peers = peer.New(peer.Config{}) // It knows no peer.
 	loops := map[string]func(ctx context.Context){
 		"Every": func(ctx context.Context) {
 			runEvery(ctx, callDuration/2, func() { _, _ = call(ctx, 0) })
--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -94,8 +94,8 @@
 	hosts   latest.Value[[]Host]
 	// evacuations is the newest set, which learnEvacuations takes from the register.
 	evacuations latest.Value[Evacuations]
-	// hostsVersion is the version of the last list of hosts. Only hostsLoop uses it.
-	hostsVersion uint64
+	// hostsVersion is the version of the last list of hosts. Only hostsLoop changes it.
+	hostsVersion atomic.Uint64
 
 	// mu guards the fields below. It may be locked while a function of applied or hosts
 	// runs, but not the other way round.
@@ -169,6 +169,7 @@
 	peers.HandleNotification(configurationName, func(from string, b []byte) { s.handlePeerVersion(ctx, from, b) })
 	peers.HandleNotification(questionName, s.handleQuestion)
 	peers.HandleCall(configurationName, s.serveRecord)
+	peers.HandleCall(hostsName, s.serveHosts)
 	if s.cfg.Evacuations {
 		peers.Publish(evacuationsName, s.publishEvacuations)
 		peers.HandleNotification(evacuationsName, s.handlePeerEvacuations)
@@ -245,14 +246,7 @@
 
 // askPeer asks a random peer for a version above the given one.
 func (s *Service) askPeer(above uint64) {
-	var up []peer.Member
-	for _, m := range s.peers.Members() {
-		if m.Up() {
-			up = append(up, m)
-		}
-	}
-	if len(up) > 0 {
-		m := up[s.cfg.Nonce()%uint64(len(up))]
+	if m, ok := s.randomPeer(); ok {
 		s.peers.Notify(m.Incarnation, questionName, encodeVersion(wireVersion{above, s.Evacuations().Revision}))
 	}
 }
