--- a/internal/worker/crashlog.go
+++ b/internal/worker/crashlog.go
@@ -226,8 +226,8 @@
 	return list
 }
 
-// since returns the records that have changed after a change, the number of the last change
-// among them, and whether there are more.
+// since returns the records that have changed after a change, up to maxRecordsInMessage, and the
+// number of the last change that they cover.
 func (l *CrashLog) since(change uint64) (list []crashRecord, last uint64) {
 	n, _ := slices.BinarySearchFunc(l.changes, change+1, func(c crashChange, number uint64) int { return int(c.number) - int(number) })
 	last = change
--- a/internal/worker/lease_refused_test.go
+++ b/internal/worker/lease_refused_test.go
@@ -5,15 +5,21 @@
 	"time"
 )
 
-// TestRefusedCommandsDontExtendLease guards against tasks of a crashed server that wait for
-// the end of a lease which only commands that never arrived have extended.
-func TestRefusedCommandsDontExtendLease(t *testing.T) {
+// newTwoServerTester returns a tester whose pool owns the servers a and b.
+func newTwoServerTester(t *testing.T) *poolTester {
 	p := newPoolTester(t)
 	p.pool.AssumeOwnership(p.now, nil)
 	a, b := testServer("a", false), testServer("b", false)
 	a.ID, b.ID = "a", "b"
 	p.pool.SetServers(p.now, []Server{a, b})
 	p.advance(time.Millisecond, "a", "b")
+	return p
+}
+
+// TestRefusedCommandsDontExtendLease guards against tasks of a crashed server that wait for
+// the end of a lease which only commands that never arrived have extended.
+func TestRefusedCommandsDontExtendLease(t *testing.T) {
+	p := newTwoServerTester(t)
 	p.pool.Submit(p.now, 1, testJob("1"))
 	p.advanceFor(time.Second, "a", "b")
 	if len(p.starts) != 1 {
@@ -39,12 +45,7 @@
 // TestRefusedStartIsPlacedElsewhere guards against a task that waits for the end of a lease
 // although its start command was never delivered.
 func TestRefusedStartIsPlacedElsewhere(t *testing.T) {
-	p := newPoolTester(t)
-	p.pool.AssumeOwnership(p.now, nil)
-	a, b := testServer("a", false), testServer("b", false)
-	a.ID, b.ID = "a", "b"
-	p.pool.SetServers(p.now, []Server{a, b})
-	p.advance(time.Millisecond, "a", "b")
+	p := newTwoServerTester(t)
 	p.refusing = map[string]bool{"a": true}
 	p.pool.Submit(p.now, 1, testJob("1"))
 	p.advance(time.Millisecond, "b")
@@ -57,12 +58,7 @@
 // TestUnansweredCommandsExtendLease guards against a second run of a task whose server is
 // only silent: what was sent to it may have extended its lease.
 func TestUnansweredCommandsExtendLease(t *testing.T) {
-	p := newPoolTester(t)
-	p.pool.AssumeOwnership(p.now, nil)
-	a, b := testServer("a", false), testServer("b", false)
-	a.ID, b.ID = "a", "b"
-	p.pool.SetServers(p.now, []Server{a, b})
-	p.advance(time.Millisecond, "a", "b")
+	p := newTwoServerTester(t)
 	p.pool.Submit(p.now, 1, testJob("1"))
 	p.advanceFor(time.Second, "a", "b")
 	silent, other := p.starts[0].Server.Address, "b"
