worker: a task that ended by itself is cleared of earlier crashes in its record

A sound task could be held, and its job lost, after two servers had crashed: its record kept the first crash although a run of it had ended by itself since, by its own fault. The local division of blame knew that, the record that decides did not. The crashes are now dismissed in it, and with it for all hosts. TestClearedTaskIsNotCounted: 3 starts before, 4 now.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -229,6 +229,7 @@
 // clearTask records that a run of a task has ended by itself, so that the task was not the
 // cause of a crash (rule 2).
 func (p *Pool) clearTask(now time.Time, name string) {
+	p.crashes.log.clear(now, name)
 	causes := p.crashes.causesOf[name]
 	if len(causes) == 0 {
 		return
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -156,6 +156,27 @@
 	}
 }
 
+// TestClearedTaskIsNotCounted guards against the failure of a task by a crash that another one
+// caused: its own run there had ended by itself at the next server, before a second crash.
+func TestClearedTaskIsNotCounted(t *testing.T) {
+	c := newCrashTester(t, 8)
+	c.submit("job", "queue", 1)
+	first := c.addressOf("job.0.0.0")
+	c.crash(first)
+	c.comeBack(first)
+	c.endRun(c.addressOf("job.0.0.0"), RunFailed)
+	c.run(time.Second)
+	second := c.addressOf("job.0.0.0")
+	c.crash(second)
+	c.comeBack(second)
+	if got := c.outcomeOf("job"); got != "" {
+		t.Errorf("the job ended as %q, want it to go on", got)
+	}
+	if n := c.startsOf("job.0.0.0"); n != 4 {
+		t.Errorf("%d starts, want four", n)
+	}
+}
+
 // TestSilentServersAreNotCrashes guards against counting a server that is cut off, or only
 // slow, as crashed by its tasks.
 func TestSilentServersAreNotCrashes(t *testing.T) {
--- a/internal/worker/crashlog.go
+++ b/internal/worker/crashlog.go
@@ -11,7 +11,8 @@
 //  3. An entry host sends the records of a job along when it submits the job. So each owner
 //     that may start a task knows what earlier ones have seen, unless they died with it.
 //  4. A crash is suspected, confirmed by another incarnation at the server's address, or
-//     dismissed because the same incarnation answers. Both of the latter are final.
+//     dismissed because the same incarnation answers, or because a run of the task ends by
+//     itself, so that it was not the cause. Both of the latter are final.
 //
 // Records are soft state. They are forgotten crashRetention after their last change.
 
@@ -149,6 +150,18 @@
 	l.changed[jobOfTask(task)] = true
 }
 
+// clear dismisses the crashes under a task that has turned out not to be their cause.
+func (l *CrashLog) clear(now time.Time, task string) {
+	t := l.tasks[task]
+	if t == nil {
+		return
+	}
+	for _, c := range slices.Clone(t.crashes) {
+		c.State = crashDismissed
+		l.add(now, task, c)
+	}
+}
+
 // indexUndecided notes whether the state of a crash under a task may still change.
 func (l *CrashLog) indexUndecided(task string, c taskCrash, undecided bool) {
 	for _, key := range []string{c.Server, c.Address} {
