explain: a host that has restarted isn't leaving any more

Cause: the search for HostLeaving went back a minute, over a DaemonStarted of the same host. So did that of OwnerEnded, by six seconds.

A cause now belongs to the process that was the host at the time: the search ends at its start. A job whose owner no longer knew the session (reason SessionExpired) counts as OwnerLostEntryHost, which it is, and had no entry in the table.

TestCauseOfRestartedHost failed before in its three cases (RefusedUnlogged, OwnerEnded, Unknown).

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -133,8 +133,8 @@
 	{
 		"RefusedUnlogged", Failed, "it came to a host that had been leaving for longer than it accepts requests; the refusal has no line",
 		"HostLeaving", func(c Case) bool {
-			leaving := c.Log.seen(c.Entry, "HostLeaving", c.ReceivedAt.Add(-time.Minute), c.ReceivedAt)
-			return !c.answered && len(leaving) > 0 && c.ReceivedAt.Sub(leaving[0].at) > leaveAcceptLimit
+			at, leaving := c.Log.leavingSince(c.Entry, c.ReceivedAt)
+			return !c.answered && leaving && c.ReceivedAt.Sub(at) > leaveAcceptLimit
 		},
 	},
 	{
@@ -152,8 +152,9 @@
 	},
 	{
 		"OwnerEnded", Failed, "the owner's process ended or was stopped", "DaemonStarted of the owner, HostLeaving", func(c Case) bool {
-			return c.ownerLost() && c.Owner != "" && (c.Log.around(c.Owner, "DaemonStarted", c.EndedAt, 0, time.Minute) ||
-				c.EndedAt.After(c.Log.lastLine[c.Owner]) || c.Log.around(c.Owner, "HostLeaving", c.EndedAt, 3*surroundLimit, 0))
+			at, leaving := c.Log.leavingSince(c.Owner, c.EndedAt)
+			return c.ownerLost() && c.Owner != "" && (len(c.Log.seen(c.Owner, "DaemonStarted", c.ReceivedAt, c.EndedAt.Add(time.Minute))) > 0 ||
+				c.EndedAt.After(c.Log.lastLine[c.Owner]) || leaving && c.EndedAt.Sub(at) <= 3*surroundLimit)
 		},
 	},
 	{
@@ -180,7 +181,7 @@
 	},
 	{
 		"OwnerLostEntryHost", Failed, "the owner took the entry host for lost and stopped the job", "SessionExpired on the owner",
-		func(c Case) bool { return anyOf(c.Reason, "EntryHostSilent", "EntryHostGone") },
+		func(c Case) bool { return anyOf(c.Reason, "EntryHostSilent", "EntryHostGone", "SessionExpired") },
 	},
 	{
 		"TaskCrashesServers", Failed, "servers crashed under a task of the job, which was given up", "ServerLost, TaskGivenUp by Task; the job",
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -145,6 +145,33 @@
 	}
 }
 
+// TestCauseOfRestartedHost guards against the leaving of an earlier process as a cause.
+func TestCauseOfRestartedHost(t *testing.T) {
+	tests := map[string]struct {
+		lines []string
+		want  string
+	}{
+		"entry host": {
+			[]string{"-9 a1 HostLeaving Jobs=0", "-6 a1 DaemonStarted Name=a1 Incarnation=ia4 FailureDomain=A", received}, "EntryHostLost",
+		},
+		"owner": {
+			[]string{
+				"-4 b1 HostLeaving Jobs=0", "-2 b1 DaemonStarted Name=b1 Incarnation=ib4 FailureDomain=B", received,
+				strings.Replace(answered("Lost", "SessionSilent"), "Owner=ib1", "Owner=ib4", 1),
+			}, "OwnerCutOff",
+		},
+		"session that the owner no longer knows": {[]string{received, answered("Lost", "SessionExpired")}, "OwnerLostEntryHost"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := collect(Config{}, slices.Concat(hosts, tt.lines)...).Account()
+			if len(a.Causes) != 1 || a.Causes[0].Cause != tt.want {
+				t.Errorf("got the causes %+v, want %s", a.Causes, tt.want)
+			}
+		})
+	}
+}
+
 // TestOrderOfLines checks that the account does not depend on the order of the lines.
 func TestOrderOfLines(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/explain/surroundings.go
+++ b/internal/explain/surroundings.go
@@ -255,6 +255,21 @@
 	return len(s.seen(host, event, at.Add(-before), at.Add(after))) > 0
 }
 
+// leavingSince returns when the process that was the host at a time began to leave. It
+// reports false if that process had not: an earlier one's leaving says nothing of it.
+func (s *Surroundings) leavingSince(host string, at time.Time) (time.Time, bool) {
+	for _, n := range slices.Backward(s.notes[host]) {
+		switch {
+		case n.at.After(at):
+		case n.event == "DaemonStarted":
+			return time.Time{}, false
+		case n.event == "HostLeaving":
+			return n.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // shareLost returns the share of a host's servers for which it saw one of the events in
 // a span of time.
 func (s *Surroundings) shareLost(host string, from, to time.Time, events ...string) float64 {
