load: reference policies beside what callers got

guavayoke-load reference plays the load of a run, from the logs of daemons or from a load file, through reference policies in virtual time, and prints by queue, width, domain and second what each would have served on time beside what callers got: an all-knowing queue without and with faults of servers, one that keeps each job in one domain, one that keeps it in its own, and queues that know what an owner may know, pooled and by domain. The losses add up from the first to what callers saw.

JobEnded tells RunMs and LongestRunMs, the run times of completed tasks, from which a load has them; logs of older versions are read with the time from the last start to the end instead.

Drawing moves out of cli into htmlplot, as both pages need it. gonum/stat gives regression, medians and deviations.

--- a/cmd/guavayoke-load/main.go
+++ b/cmd/guavayoke-load/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"guavayoke/internal/load"
+	"guavayoke/internal/reference"
 	"guavayoke/platform/regression"
 	"guavayoke/platform/soak"
 )
@@ -17,5 +18,6 @@
 	scores := load.Command{
 		Name: "regression", Summary: "scores of the users' deployments on their bench, beside the last committed ones", Main: regression.Main,
 	}
-	os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr, jobs, scores))
+	policies := load.Command{Name: reference.Name, Summary: reference.Summary, Main: reference.Main}
+	os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr, jobs, scores, policies))
 }
--- a/internal/cli/explain_page.go
+++ b/internal/cli/explain_page.go
@@ -12,6 +12,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"guavayoke/internal/explain"
+	"guavayoke/internal/htmlplot"
 )
 
 // maxCharted limits the causes that have a color of their own in the chart; there are seven colors.
@@ -112,5 +113,5 @@
 			break
 		}
 	}
-	return drawSVG(p, plotHeight*2)
+	return htmlplot.SVG(p, plotWidth, plotHeight*2)
 }
--- a/internal/cli/page.go
+++ b/internal/cli/page.go
@@ -8,10 +8,9 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
 	"guavayoke/internal/burn"
+	"guavayoke/internal/htmlplot"
 )
 
 const (
@@ -105,21 +104,5 @@
 		}
 		p.Add(plotter.NewGrid(), line, dots)
 	}
-	return drawSVG(p, plotHeight)
-}
-
-// drawSVG returns a plot as an SVG element of an HTML page.
-func drawSVG(p *plot.Plot, height vg.Length) (template.HTML, error) {
-	canvas := vgsvg.New(plotWidth, height)
-	p.Draw(draw.New(canvas))
-	var b bytes.Buffer
-	if _, err := canvas.WriteTo(&b); err != nil {
-		return "", fmt.Errorf("plot: %w", err)
-	}
-	svg := b.Bytes()
-	if i := bytes.Index(svg, []byte("<svg")); i > 0 {
-		// The XML declaration and the doctype are not allowed inside an HTML page.
-		svg = svg[i:]
-	}
-	return template.HTML(svg), nil
+	return htmlplot.SVG(p, plotWidth, plotHeight)
 }
--- a/internal/cli/reference/main.go
+++ b/internal/cli/reference/main.go
@@ -10,6 +10,7 @@
 	"os"
 
 	"guavayoke/internal/cli"
+	"guavayoke/internal/reference"
 )
 
 func main() {
@@ -17,7 +18,10 @@
 	commands := flag.String("commands", "", "`file` for the command reference")
 	flag.Parse()
 	write(*configuration, cli.WriteConfiguration)
-	write(*commands, cli.WriteCommands)
+	write(*commands, func(w io.Writer) {
+		cli.WriteCommands(w)
+		reference.WriteReference(w)
+	})
 }
 
 func write(file string, page func(io.Writer)) {
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -30,6 +30,7 @@
 // the commands and their replies are in commands.go.
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -133,8 +134,10 @@
 	// command, and starts is their number. They are logged when the job ends.
 	firstStart, lastStart time.Time
 	starts                int
-	// lastServer is the server of the run that ended last. It is logged when the job ends.
-	lastServer string
+	// lastServer is the server of the run that ended last, runTime the sum of the run times of
+	// completed tasks and longestRun the longest of them. They are logged when the job ends.
+	lastServer          string
+	runTime, longestRun time.Duration
 	// tasks holds the tasks of each step.
 	tasks [][]*task
 	// remaining is the number of tasks of each step that are not done.
@@ -380,10 +383,21 @@
 		Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Int64("ObjectiveMs", j.objective().Milliseconds()).
 		Int64("CriticalPathMs", j.criticalPath.Milliseconds()).Int64("FirstStartMs", j.msSinceArrival(j.firstStart)).Int64("LastStartMs", j.msSinceArrival(j.lastStart)).
 		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.jobs)).
-		Bool("Saturated", p.queueSaturated()).Str("Server", j.lastServer).Msg("JobEnded")
+		Bool("Saturated", p.queueSaturated()).Str("Server", j.lastServer).Float64("RunMs", j.meanRunMs()).
+		Int64("LongestRunMs", j.longestRun.Milliseconds()).Msg("JobEnded")
 	p.answer(j, r)
 }
 
+// meanRunMs returns the mean run time of the completed tasks in milliseconds, or 0 if there is
+// none.
+func (j *job) meanRunMs() float64 {
+	done := j.size()
+	for _, n := range j.remaining {
+		done -= n
+	}
+	return math.Round(10*j.runTime.Seconds()*1000/float64(max(done, 1))) / 10
+}
+
 // msSinceArrival returns the time from the job's arrival to at in milliseconds, or
 // -1 if at is the zero time.
 func (j *job) msSinceArrival(at time.Time) int64 {
--- a/internal/worker/pool_runs.go
+++ b/internal/worker/pool_runs.go
@@ -37,7 +37,10 @@
 		if t.failures == 0 {
 			s.health.recordFirstRun(false)
 		}
-		p.learnRunTime(&j.Job, t.step, s, now.Sub(r.sent))
+		took := now.Sub(r.sent)
+		j.runTime += took
+		j.longestRun = max(j.longestRun, took)
+		p.learnRunTime(&j.Job, t.step, s, took)
 		t.done = true
 		p.taskDone(now, j, t.step)
 	case RunFailed:
