worker: tasks of one job are one sample of a server's speed

Placing then holds jobs back for classes that don't exist (speed_choice.go, rule 4).

Eight tasks of a job that declared too little counted as eight samples, and three in a row on a server restarted its average from them.

A job is now one sample of a server, and one of a kind together. A streak counts only if it lies two deviations of the samples away.

--- a/internal/worker/speed.go
+++ b/internal/worker/speed.go
@@ -6,13 +6,15 @@
 //
 //  1. A sample is the natural logarithm of a run time divided by the run time that the
 //     estimator expects at the reference speed. Only runs that completed their task are
-//     samples, since a run that fails may fail early.
+//     samples, since a run that fails may fail early. The tasks of a job share the error of
+//     its declared run time: in the average of a kind they count as one sample together, in
+//     that of a server the first one counts.
 //  2. Samples are averaged for each kind of server and for each server. A kind counts as
 //     different from the average server, and a server as different from its kind, only if
 //     the averages differ by more than maxChanceDeviation standard errors. Where all
 //     servers are alike, none does, also while little is known.
 //  3. A server that has turned slow or fast shows as speedChangeStreak samples in a row
-//     that all lie far on one side of its average. The average then starts anew from
+//     that all lie far on one side of its average, as measured by their spread. The average then starts anew from
 //     these samples. A single long run changes little.
 //  4. The reference speed is the average of the kinds, weighted by their servers, so
 //     that estimates of run times keep their meaning whatever servers a queue uses.
@@ -36,9 +38,11 @@
 	// that counts as chance.
 	maxChanceDeviation = 4
 	// speedChangeStreak samples in a row whose ratio to the average exceeds
-	// speedChangeRatio, or falls below its inverse, mean that the speed has changed.
-	speedChangeStreak = 3
-	speedChangeRatio  = 1.8
+	// speedChangeRatio, or falls below its inverse, mean that the speed has changed. They must
+	// also differ from the average by speedChangeDeviations standard deviations.
+	speedChangeStreak     = 3
+	speedChangeRatio      = 1.8
+	speedChangeDeviations = 2
 	// maxSpeedSample bounds a sample, so that one straggler doesn't distort an average.
 	maxSpeedSample = 2.3 // about ln 10
 	// minSampleDeviation is the least standard deviation assumed of samples. Declared
@@ -57,17 +61,23 @@
 	weight float64
 }
 
-// add adds a sample. maxWeight bounds the weight of the past.
-func (a *sampleAverage) add(x, maxWeight float64) {
-	a.weight = math.Min(a.weight+1, maxWeight)
-	d := x - a.mean
-	a.mean += d / a.weight
-	a.variance += (d*(x-a.mean) - a.variance) / a.weight
+// add adds a sample that counts as much as weight samples, at most 1. maxWeight bounds the
+// weight of the past.
+func (a *sampleAverage) add(x, weight, maxWeight float64) {
+	a.weight = math.Min(a.weight+weight, maxWeight)
+	d, part := x-a.mean, weight/a.weight
+	a.mean += d * part
+	a.variance += (d*(x-a.mean) - a.variance) * part
+}
+
+// deviation returns the standard deviation of a sample.
+func (a *sampleAverage) deviation() float64 {
+	return math.Max(math.Sqrt(a.variance), minSampleDeviation)
 }
 
 // standardError returns the standard error of the mean.
 func (a *sampleAverage) standardError() float64 {
-	return math.Max(math.Sqrt(a.variance), minSampleDeviation) / math.Sqrt(math.Max(a.weight, 1))
+	return a.deviation() / math.Sqrt(math.Max(a.weight, 1))
 }
 
 // known reports whether there are enough samples to rely on.
@@ -85,6 +95,8 @@
 	// negative if they lie far below it. streakSum is their sum.
 	streak    int
 	streakSum float64
+	// lastJob is the ID of the job of the last sample.
+	lastJob string
 }
 
 // kindSpeed is what is known of the speed of all servers of a kind.
@@ -138,26 +150,29 @@
 	}
 }
 
-// record adds a run that completed its task on a server (rules 1 to 3). expected is the
-// run time at the reference speed.
-func (m *speedModel) record(kind string, s *serverSpeed, took, expected time.Duration) {
+// record adds a run that completed a task of a job on a server (rules 1 to 3). tasks is the
+// number of tasks of the job, expected the run time at the reference speed.
+func (m *speedModel) record(job string, tasks int, kind string, s *serverSpeed, took, expected time.Duration) {
 	if took <= 0 || expected <= 0 {
 		return
 	}
 	x := math.Max(-maxSpeedSample, math.Min(maxSpeedSample, math.Log(took.Seconds()/expected.Seconds())))
-	s.add(x)
+	if s.lastJob != job {
+		s.lastJob = job
+		s.add(x)
+	}
 	k := m.kind(kind)
 	if k.all.known() {
 		// A server that differs must not stand for its kind.
 		x = math.Max(k.all.mean-math.Log(speedChangeRatio), math.Min(k.all.mean+math.Log(speedChangeRatio), x))
 	}
-	k.all.add(x, maxKindSamples)
+	k.all.add(x, 1/float64(max(tasks, 1)), maxKindSamples)
 	m.updateReference()
 }
 
 // add adds a sample (rule 3).
 func (s *serverSpeed) add(x float64) {
-	far := s.own.known() && math.Abs(x-s.own.mean) > math.Log(speedChangeRatio)
+	far := s.own.known() && math.Abs(x-s.own.mean) > math.Max(math.Log(speedChangeRatio), speedChangeDeviations*s.own.deviation())
 	above := x > s.own.mean
 	switch {
 	case !far:
@@ -176,7 +191,7 @@
 		}
 	}
 	if s.streak < speedChangeStreak && s.streak > -speedChangeStreak {
-		s.own.add(x, maxServerSamples)
+		s.own.add(x, 1, maxServerSamples)
 		return
 	}
 	s.own = sampleAverage{mean: s.streakSum / speedChangeStreak, weight: minSpeedSamples}
--- a/internal/worker/speed_choice.go
+++ b/internal/worker/speed_choice.go
@@ -114,7 +114,7 @@
 
 // learnRunTime records the run time of a task of the step that a server has completed.
 func (p *Pool) learnRunTime(j *Job, step int, s *server, took time.Duration) {
-	p.speeds.record(s.speedKind, &s.speed, took, p.runTimeEstimator.runTime(j, step))
+	p.speeds.record(j.ID, j.Steps[step].Count, s.speedKind, &s.speed, took, p.runTimeEstimator.runTime(j, step))
 	factor := p.speeds.factor(s.speedKind, &s.speed)
 	p.runTimeEstimator.done(j, step, time.Duration(float64(took)/factor))
 	class := speedClass(factor)
--- a/internal/worker/speed_test.go
+++ b/internal/worker/speed_test.go
@@ -1,13 +1,19 @@
 package worker
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 )
 
+// declaredDeviation is the standard deviation of the logarithm of the run time over the declared
+// one, as logs of the deployment with wide jobs show it.
+const declaredDeviation = 0.43
+
 // speedLoad draws runs whose declared run time is off by up to 40 %, on servers of
 // several kinds with a speed each.
 type speedLoad struct {
@@ -17,6 +23,9 @@
 	slow    float64
 	servers int
 	samples int
+	// tasks is the number of tasks of a job, two on a server, which share the error of the
+	// declared run time; 0 means 1.
+	tasks int
 	// recorded, if not nil, is called after each sample.
 	recorded func(m *speedModel, kind string, s *serverSpeed)
 }
@@ -33,6 +42,7 @@
 		count[kind] = l.servers
 	}
 	m.setServers(count)
+	jobs, left, declared := 0, 0, time.Duration(0)
 	for n := range l.samples {
 		for _, kind := range []string{"a", "b"} {
 			for i, s := range servers[kind] {
@@ -40,8 +50,19 @@
 				if kind == "a" && i == 0 && l.slow > 0 && n >= l.samples/2 {
 					f = l.slow
 				}
-				declared := time.Duration((0.6 + 0.8*r.Float64()) * float64(200*time.Millisecond))
-				m.record(kind, s, time.Duration(f*float64(200*time.Millisecond)), declared)
+				for range min(max(l.tasks, 1), 2) {
+					if left == 0 {
+						jobs++
+						left = max(l.tasks, 1)
+						off := 0.6 + 0.8*r.Float64()
+						if l.tasks > 1 {
+							off = math.Exp(declaredDeviation * r.NormFloat64())
+						}
+						declared = time.Duration(off * float64(200*time.Millisecond))
+					}
+					left--
+					m.record(strconv.Itoa(jobs), max(l.tasks, 1), kind, s, time.Duration(f*float64(200*time.Millisecond)), declared)
+				}
 				if l.recorded != nil {
 					l.recorded(m, kind, s)
 				}
@@ -73,6 +94,26 @@
 	}
 }
 
+// TestWideJobsDoNotMakeServersDiffer guards against one wrong estimate that counts once for each
+// task of its job.
+func TestWideJobsDoNotMakeServersDiffer(t *testing.T) {
+	samples, others := 0, 0
+	for seed := range uint64(20) {
+		speedLoad{
+			factors: map[string]float64{"a": 1, "b": 1}, servers: 24, samples: 60, tasks: 8,
+			recorded: func(m *speedModel, kind string, s *serverSpeed) {
+				samples++
+				if speedClass(m.factor(kind, s)) != 0 {
+					others++
+				}
+			},
+		}.play(seed)
+	}
+	if others > samples/1000 {
+		t.Errorf("after %d of %d samples the server was of another class", others, samples)
+	}
+}
+
 // TestAlikeServersAreOneClassFromTheStart guards against classes that follow chance while few
 // runs have ended.
 func TestAlikeServersAreOneClassFromTheStart(t *testing.T) {
@@ -103,7 +144,7 @@
 func TestOneLongRunDoesNotMakeAServerSlow(t *testing.T) {
 	m, servers := speedLoad{factors: map[string]float64{"a": 1, "b": 1}, servers: 20, samples: 40}.play(3)
 	s := servers["a"][0]
-	m.record("a", s, 3*time.Second, 200*time.Millisecond)
+	m.record("long", 1, "a", s, 3*time.Second, 200*time.Millisecond)
 	if c := speedClass(m.factor("a", s)); c != 0 {
 		t.Errorf("after one long run the server is of class %d", c)
 	}
@@ -112,8 +153,8 @@
 func TestServerThatRecoversIsFastAgain(t *testing.T) {
 	m, servers := speedLoad{factors: map[string]float64{"a": 1, "b": 1}, slow: 5, servers: 20, samples: 20}.play(4)
 	s := servers["a"][0]
-	for range 8 {
-		m.record("a", s, 200*time.Millisecond, 200*time.Millisecond)
+	for n := range 8 {
+		m.record(fmt.Sprint("again", n), 1, "a", s, 200*time.Millisecond, 200*time.Millisecond)
 	}
 	if c := speedClass(m.factor("a", s)); c != 0 {
 		t.Errorf("the server is of class %d, factor %.2f", c, m.factor("a", s))
