worker: the tasks of a job that have ended tell how long the others should take

A task that ends on a slow server ends last, after its siblings on others. Their run times are a far better expectation than the declared one, and as their error is not that of the estimate, each such run is a sample of its own.

--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -138,6 +138,8 @@
 	// completed tasks and longestRun the longest of them. They are logged when the job ends.
 	lastServer          string
 	runTime, longestRun time.Duration
+	// taskRuns has the run times of its first completed tasks.
+	taskRuns []taskRun
 	// tasks holds the tasks of each step.
 	tasks [][]*task
 	// remaining is the number of tasks of each step that are not done.
--- a/internal/worker/pool_runs.go
+++ b/internal/worker/pool_runs.go
@@ -40,7 +40,7 @@
 		took := now.Sub(r.sent)
 		j.runTime += took
 		j.longestRun = max(j.longestRun, took)
-		p.learnRunTime(&j.Job, t.step, s, took)
+		p.learnRunTime(j, t.step, s, took)
 		t.done = true
 		p.taskDone(now, j, t.step)
 	case RunFailed:
--- a/internal/worker/speed.go
+++ b/internal/worker/speed.go
@@ -8,7 +8,8 @@
 //     estimator expects at the reference speed. Only runs that completed their task are
 //     samples, since a run that fails may fail early. The tasks of a job share the error of
 //     its declared run time: in the average of a kind they count as one sample together, in
-//     that of a server the first one counts.
+//     that of a server the first one counts. Once tasks of the job have ended on other
+//     servers, their run times are expected, and each further one is a sample of its own.
 //  2. Samples are averaged for each kind of server and for each server. A kind counts as
 //     different from the average server, and a server as different from its kind, only if
 //     the averages differ by more than maxChanceDeviation standard errors. Where all
@@ -150,15 +151,25 @@
 	}
 }
 
-// record adds a run that completed a task of a job on a server (rules 1 to 3). tasks is the
-// number of tasks of the job, expected the run time at the reference speed.
-func (m *speedModel) record(job string, tasks int, kind string, s *serverSpeed, took, expected time.Duration) {
-	if took <= 0 || expected <= 0 {
+// speedSample is a run that completed a task of a job.
+type speedSample struct {
+	job string
+	// tasks is the number of tasks of the job.
+	tasks int
+	// took is the run time, expected that at the reference speed.
+	took, expected time.Duration
+	// siblings reports whether expected comes from other tasks of the job.
+	siblings bool
+}
+
+// record adds a run on a server of a kind (rules 1 to 3).
+func (m *speedModel) record(kind string, s *serverSpeed, r speedSample) {
+	if r.took <= 0 || r.expected <= 0 {
 		return
 	}
-	x := math.Max(-maxSpeedSample, math.Min(maxSpeedSample, math.Log(took.Seconds()/expected.Seconds())))
-	if s.lastJob != job {
-		s.lastJob = job
+	x := math.Max(-maxSpeedSample, math.Min(maxSpeedSample, math.Log(r.took.Seconds()/r.expected.Seconds())))
+	if r.siblings || s.lastJob != r.job {
+		s.lastJob = r.job
 		s.add(x)
 	}
 	k := m.kind(kind)
@@ -166,7 +177,7 @@
 		// A server that differs must not stand for its kind.
 		x = math.Max(k.all.mean-math.Log(speedChangeRatio), math.Min(k.all.mean+math.Log(speedChangeRatio), x))
 	}
-	k.all.add(x, 1/float64(max(tasks, 1)), maxKindSamples)
+	k.all.add(x, 1/float64(max(r.tasks, 1)), maxKindSamples)
 	m.updateReference()
 }
 
--- a/internal/worker/speed_choice.go
+++ b/internal/worker/speed_choice.go
@@ -113,10 +113,18 @@
 }
 
 // learnRunTime records the run time of a task of the step that a server has completed.
-func (p *Pool) learnRunTime(j *Job, step int, s *server, took time.Duration) {
-	p.speeds.record(j.ID, j.Steps[step].Count, s.speedKind, &s.speed, took, p.runTimeEstimator.runTime(j, step))
+func (p *Pool) learnRunTime(j *job, step int, s *server, took time.Duration) {
+	r := speedSample{job: j.ID, tasks: j.Steps[step].Count, took: took}
+	if r.expected, r.siblings = j.siblingRunTime(step, s); !r.siblings {
+		r.expected = p.runTimeEstimator.runTime(&j.Job, step)
+	}
+	p.speeds.record(s.speedKind, &s.speed, r)
 	factor := p.speeds.factor(s.speedKind, &s.speed)
-	p.runTimeEstimator.done(j, step, time.Duration(float64(took)/factor))
+	atReference := time.Duration(float64(took) / factor)
+	if len(j.taskRuns) < maxTaskRuns {
+		j.taskRuns = append(j.taskRuns, taskRun{step, s, atReference})
+	}
+	p.runTimeEstimator.done(&j.Job, step, atReference)
 	class := speedClass(factor)
 	if class == s.speedClass {
 		return
@@ -126,6 +134,29 @@
 	s.speedClass = class
 }
 
+// taskRun is the run time of a completed task at the reference speed.
+type taskRun struct {
+	step    int
+	server  *server
+	runTime time.Duration
+}
+
+// maxTaskRuns bounds the runs that a job remembers; a mean over as many is exact enough.
+const maxTaskRuns = 16
+
+// siblingRunTime returns the mean run time at the reference speed of the tasks of a step that
+// have ended on other servers. ok is false if there is none.
+func (j *job) siblingRunTime(step int, s *server) (mean time.Duration, ok bool) {
+	n := 0
+	for _, r := range j.taskRuns {
+		if r.step == step && r.server != s {
+			mean += r.runTime
+			n++
+		}
+	}
+	return mean / time.Duration(max(n, 1)), n > 0
+}
+
 // chooseServerBySpeed returns the server to start a task of the step on where servers differ
 // in speed, or nil if there is none or the task is to wait. rooms has the classes of speed.
 func (p *Pool) chooseServerBySpeed(now time.Time, j *job, step int, rooms []speedClassRoom) *server {
--- a/internal/worker/speed_test.go
+++ b/internal/worker/speed_test.go
@@ -61,7 +61,9 @@
 						declared = time.Duration(off * float64(200*time.Millisecond))
 					}
 					left--
-					m.record(strconv.Itoa(jobs), max(l.tasks, 1), kind, s, time.Duration(f*float64(200*time.Millisecond)), declared)
+					m.record(kind, s, speedSample{
+						job: strconv.Itoa(jobs), tasks: max(l.tasks, 1), took: time.Duration(f * float64(200*time.Millisecond)), expected: declared,
+					})
 				}
 				if l.recorded != nil {
 					l.recorded(m, kind, s)
@@ -144,7 +146,7 @@
 func TestOneLongRunDoesNotMakeAServerSlow(t *testing.T) {
 	m, servers := speedLoad{factors: map[string]float64{"a": 1, "b": 1}, servers: 20, samples: 40}.play(3)
 	s := servers["a"][0]
-	m.record("long", 1, "a", s, 3*time.Second, 200*time.Millisecond)
+	m.record("a", s, speedSample{job: "long", tasks: 1, took: 3 * time.Second, expected: 200 * time.Millisecond})
 	if c := speedClass(m.factor("a", s)); c != 0 {
 		t.Errorf("after one long run the server is of class %d", c)
 	}
@@ -154,7 +156,7 @@
 	m, servers := speedLoad{factors: map[string]float64{"a": 1, "b": 1}, slow: 5, servers: 20, samples: 20}.play(4)
 	s := servers["a"][0]
 	for n := range 8 {
-		m.record(fmt.Sprint("again", n), 1, "a", s, 200*time.Millisecond, 200*time.Millisecond)
+		m.record("a", s, speedSample{job: fmt.Sprint("again", n), tasks: 1, took: 200 * time.Millisecond, expected: 200 * time.Millisecond})
 	}
 	if c := speedClass(m.factor("a", s)); c != 0 {
 		t.Errorf("the server is of class %d, factor %.2f", c, m.factor("a", s))
