worker: offer a job first to owners that can start it at once

Cause: an entry host leaves its domain only if the other's queue is 15 ms shorter, by loads of waiting work alone. A domain whose servers are all busy, with nothing waiting yet, looks as good as an idle one.

Change: owners tell with heartbeats how many tasks of the usual size could start now. If another domain is believed to have room, a job is offered there, and at home, to be started at once or to be returned (reason Busy, no task started), before it may wait at home as before.

--- a/internal/explain/way.go
+++ b/internal/explain/way.go
@@ -10,6 +10,7 @@
 var decisions = map[string]string{
 	"JobReceived":        "received from a caller and routed by the configuration",
 	"JobRefused":         "refused by the owner on arrival",
+	"JobReturned":        "returned by the owner, which could not start all of its tasks at once",
 	"JobEnded":           "ended at the owner",
 	"JobAnswered":        "answered to the caller, after the last of its offers, made by an owner's load LoadAgeMs old",
 	"CallerDisconnected": "cancelled, as every caller has closed its connection",
--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -81,6 +81,12 @@
 			return refuse("FitsNowhere", maxRetryAfter)
 		}
 	}
+	p.usualNeed.add(j)
+	if j.StartOrReturn && !p.startsAtOnce(now, j) {
+		p.cfg.Log.Info().Str("Job", j.ID).Str("Queue", j.Queue).Str("Reason", reasonBusy).Int("Tasks", j.size()).
+			Int64("AgeMs", now.Sub(j.arrived).Milliseconds()).Msg("JobReturned")
+		return Result{Outcome: Returned, Reason: reasonBusy}, false
+	}
 	if p.updateShares(now); j.share.crashClosed {
 		return refuse("QueueCrashesServers", jittered(p.crashedServersBack(now), j.ID))
 	}
--- a/internal/worker/contention_test.go
+++ b/internal/worker/contention_test.go
@@ -60,6 +60,9 @@
 	// firstHostShare is the share of the jobs that callers of one entry host submit; 0 gives
 	// each host an equal share.
 	firstHostShare float64
+	// firstDomainShare is the share of the jobs that callers of the first domain submit beyond
+	// its part of the rest.
+	firstDomainShare float64
 	// bounded says that the stated target holds for this load.
 	bounded bool
 }
@@ -112,6 +115,9 @@
 				if r.Float64() < c.firstHostShare {
 					j.host = 0
 				}
+				if c.firstDomainShare > 0 && r.Float64() < c.firstDomainShare {
+					j.host = r.IntN(contentionHosts)
+				}
 				for range width {
 					run := time.Duration(float64(kind.runTime) * (1 + contentionRunError*(2*r.Float64()-1)))
 					j.runs = append(j.runs, run)
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -21,7 +21,9 @@
 //     also waits for hosts with clearly more processor time that the platform lists
 //     and that it doesn't know as members yet: after a restart of all hosts the
 //     small ones may find each other first.
-//  3. A job goes to the owner of the host's own domain unless the queue of
+//  3. A job that another owner than that of the host's own domain could start now is first
+//     offered to those that could (start_offer.go). Otherwise, and if none of them does,
+//     it goes to the owner of the host's own domain unless the queue of
 //     another owner is shorter by spillOverMargin. A refused job, of which no
 //     task has started, is offered to the other owners before the caller is
 //     told. While no owner is known, a job waits for up to maxOwnerWait. So
@@ -140,8 +142,10 @@
 	lastContact  time.Time
 	heartbeat    heartbeat
 	path         sessionPath
-	// closed has the queues that the last heartbeat named.
-	closed []closedQueue
+	// closed has the queues that the last heartbeat named, startable is the number of tasks
+	// that it said could start, sent the number of tasks that this host has sent since.
+	closed          []closedQueue
+	startable, sent int
 }
 
 // usable reports whether new jobs may be sent to the owner.
@@ -156,6 +160,8 @@
 	waiters     []WaiterID
 	tried       []string
 	submittedAt time.Time
+	// triedToStart lists the owners that were to start it at once or to return it.
+	triedToStart []string
 	// waitUntil is the time up to which the job waits if no owner can take it.
 	waitUntil time.Time
 	// returned is set once a leaving owner has returned the job.
@@ -224,8 +230,10 @@
 	localLoad     Load
 	localClosed   []closedQueue
 	localLoadAt   time.Time
-	usual         usualDemand
-	actions       []EntryAction
+	// localStartable and localSent are as in ownerView, for this host's own pool.
+	localStartable, localSent int
+	usual                     usualDemand
+	actions                   []EntryAction
 }
 
 // NewEntry returns an Entry that knows no other host.
@@ -269,9 +277,11 @@
 // SetListedHosts replaces the platform's list of the hosts of this host's domain.
 func (e *Entry) SetListedHosts(list []Candidate) { e.listedHosts = list }
 
-// SetLoad records the load of this host's own pool and the queues that it refuses.
-func (e *Entry) SetLoad(now time.Time, l Load, closed []closedQueue) {
+// SetLoad records the load of this host's own pool, the queues that it refuses and the number
+// of tasks that it could start.
+func (e *Entry) SetLoad(now time.Time, l Load, closed []closedQueue, startable int) {
 	e.localLoad, e.localClosed, e.localLoadAt = l, closed, now
+	e.localStartable, e.localSent = startable, 0
 }
 
 // Leave ends this host's candidacy, and its ownership if it is the owner (rule 5).
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -137,7 +137,7 @@
 func (h *Host) Tick(now time.Time) {
 	h.entry.Tick(now)
 	h.pool.Tick(now)
-	h.entry.SetLoad(now, h.pool.Load(), h.pool.shares.Closed(now))
+	h.entry.SetLoad(now, h.pool.Load(), h.pool.shares.Closed(now), h.pool.startableTasks(now))
 }
 
 // Status returns the current state of the host.
@@ -199,7 +199,7 @@
 	if len(due) == 0 {
 		return
 	}
-	load, closed := h.pool.Load(), h.pool.shares.Closed(now)
+	load, closed, startable := h.pool.Load(), h.pool.shares.Closed(now), h.pool.startableTasks(now)
 	ids := make([]SessionID, 0, len(due))
 	for id := range due {
 		ids = append(ids, id)
@@ -211,7 +211,7 @@
 			hb.RetainedServers = h.pool.RetainedServers()
 		}
 		m := h.sessions.heartbeatMessage(id, &hb)
-		m.Message.Closed = closed
+		m.Message.Closed, m.Message.Startable = closed, startable
 		m.Message.Crashes = h.sessions.newCrashes(id, h.crashes)
 		h.actions = append(h.actions, HostAction{Reply: m})
 	}
@@ -289,6 +289,7 @@
 	case m.Heartbeat != nil:
 		h.crashes.merge(now, m.Crashes)
 		h.entry.handleClosedQueues(owner, m.Closed)
+		h.entry.handleStartable(owner, m.Startable)
 		h.entry.handleSessionHeartbeat(now, owner, m)
 	case m.Result != nil:
 		h.entry.HandleResult(now, owner, *m.Result)
@@ -315,7 +316,7 @@
 	case m.Submit != nil:
 		h.crashes.merge(now, m.Crashes)
 		h.sessions.forgetResult(id, m.Submit.ID)
-		h.pool.Submit(now, id, *m.Submit)
+		h.pool.Submit(now, id, m.job())
 	case m.Cancel != "":
 		h.pool.Cancel(now, id, m.Cancel)
 	}
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -22,6 +22,10 @@
 	// Crashes accompanies a Heartbeat, with new records, and a Submit, with those of the job
 	// (crashlog.go).
 	Crashes []crashRecord `cbor:"12,keyasint,omitempty"`
+	// StartOrReturn accompanies a Submit, Startable a Heartbeat (start_offer.go). Hosts of
+	// earlier versions ignore both.
+	StartOrReturn bool `cbor:"13,keyasint,omitempty"`
+	Startable     int  `cbor:"14,keyasint,omitempty"`
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
@@ -40,3 +44,10 @@
 	RetainedServers []string `cbor:"Keeping"`
 	Load            Load
 }
+
+// job returns the submitted job with what accompanies it.
+func (m *message) job() Job {
+	j := *m.Submit
+	j.StartOrReturn = m.StartOrReturn
+	return j
+}
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -47,6 +47,12 @@
 func (e *Entry) offerJob(now time.Time, j *entryJob, otherwise Result) {
 	best, last := e.bestOwner(now, j)
 	j.usableOwners = last.owners
+	if owner := e.startOwner(j); owner != "" {
+		j.owner, j.lastOffer = owner, last
+		j.triedToStart = append(j.triedToStart, owner)
+		e.submitTo(now, owner, j, true)
+		return
+	}
 	if best == "" {
 		if now.Before(j.waitUntil) && !e.allEvacuated() {
 			j.owner = "" // The next tick offers the job again.
@@ -60,9 +66,15 @@
 	if !j.returned {
 		j.waitUntil = time.Time{}
 	}
+	e.submitTo(now, best, j, false)
+}
+
+// submitTo sends a job to an owner.
+func (e *Entry) submitTo(now time.Time, owner string, j *entryJob, startOrReturn bool) {
 	job := j.job
-	job.Age = now.Sub(j.submittedAt)
-	e.send(best, message{Submit: &job, Crashes: e.cfg.Crashes.ofJob(job.ID)})
+	job.Age, job.StartOrReturn = now.Sub(j.submittedAt), startOrReturn
+	e.countSent(owner, &job)
+	e.send(owner, message{Submit: &job, StartOrReturn: startOrReturn, Crashes: e.cfg.Crashes.ofJob(job.ID)})
 }
 
 // bestOwner returns the owner with the shortest wait among those that the job was not
@@ -158,7 +170,7 @@
 		return
 	}
 	if r.Outcome == Refused || r.Outcome == Returned {
-		if r.Outcome == Returned {
+		if r.Outcome == Returned && r.Reason != reasonBusy {
 			j.returned, j.waitUntil = true, now.Add(maxOwnerWait)
 		}
 		otherwise := r
@@ -175,7 +187,7 @@
 func (e *Entry) answer(now time.Time, j *entryJob, r Result) {
 	delete(e.jobs, j.job.ID)
 	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Str("Owner", j.owner).Stringer("Outcome", r.Outcome).
-		Str("Reason", r.Reason).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Int("Offers", len(j.tried)).
+		Str("Reason", r.Reason).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Int("Offers", len(j.tried)+len(j.triedToStart)).
 		Int64("OfferMs", j.offerMs()).Int64("LoadWaitMs", j.lastOffer.loadWaitMs).Int64("LoadAgeMs", j.lastOffer.loadAge.Milliseconds()).
 		Int("Owners", j.usableOwners).Msg("JobAnswered")
 	for _, id := range j.waiters {
@@ -187,7 +199,7 @@
 // offerMs returns the time from the submission to the last offer in milliseconds, or
 // -1 if the job was offered to no owner.
 func (j *entryJob) offerMs() int64 {
-	if len(j.tried) == 0 {
+	if len(j.tried)+len(j.triedToStart) == 0 {
 		return -1
 	}
 	return j.lastOffer.at.Sub(j.submittedAt).Milliseconds()
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -211,6 +211,8 @@
 	crashes        crashes
 	// usualFrom has the sessions that told this owner the usual demand.
 	usualFrom map[SessionID]bool
+	// usualNeed is the usual size of tasks (start_offer.go).
+	usualNeed usualNeed
 	actions   []Action
 }
 
@@ -231,7 +233,7 @@
 	return &Pool{
 		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), fleet: newFleet(), trackedRuns: map[string]int{},
 		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, speeds: newSpeedModel(), failureMedian: map[string]failureMedian{},
-		shares: NewShares(), crashes: newCrashes(c.Crashes), usualFrom: map[SessionID]bool{},
+		shares: NewShares(), crashes: newCrashes(c.Crashes), usualFrom: map[SessionID]bool{}, usualNeed: usualNeed{},
 	}
 }
 
--- a/internal/worker/service_streams.go
+++ b/internal/worker/service_streams.go
@@ -135,7 +135,7 @@
 			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 			r.Outcome, r.Reason = Refused, "Malformed"
 		} else if id != 0 {
-			r, ok = s.offer(Submission{Session: id, Job: *m.Submit, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, id, j, m.Crashes) }})
+			r, ok = s.offer(Submission{Session: id, Job: m.job(), Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, id, j, m.Crashes) }})
 		}
 		if !ok {
 			s.sendMessage(st, message{Result: &r})
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -79,6 +79,9 @@
 	// Age is the time from the caller's submission until the entry host sends the
 	// job to an owner.
 	Age time.Duration
+	// StartOrReturn reports whether the owner is to return the job unless all ready tasks can
+	// start at once (start_offer.go). It accompanies the job in a message.
+	StartOrReturn bool `cbor:"-"`
 }
 
 // Outcome is how a job ended, as its caller sees it.
