worker: a sample that no wrong declaration explains shows a change of speed

Cause: a slow server gets hardly any jobs but late ones, and needed three of them to show that it was fast again. The tasks of one job were told apart so that the error of its declared run time doesn't count several times. A run 3.5 deviations away is not explained by that error, so each such run counts again.

--- a/internal/worker/speed.go
+++ b/internal/worker/speed.go
@@ -9,7 +9,9 @@
 //     samples, since a run that fails may fail early. The tasks of a job share the error of
 //     its declared run time: in the average of a kind they count as one sample together, in
 //     that of a server the first one counts. Once tasks of the job have ended on other
-//     servers, their run times are expected, and each further one is a sample of its own.
+//     servers, their run times are expected, and each further one is a sample of its own. So
+//     is one that no wrong declaration explains: a server that has turned slow gets few jobs
+//     that could show that it is fast again.
 //  2. Samples are averaged for each kind of server and for each server. A kind counts as
 //     different from the average server, and a server as different from its kind, only if
 //     the averages differ by more than maxChanceDeviation standard errors. Where all
@@ -44,6 +46,9 @@
 	speedChangeStreak     = 3
 	speedChangeRatio      = 1.8
 	speedChangeDeviations = 2
+	// certainDeviations is the deviation from the average, in standard deviations, that no
+	// declared run time is expected to be off by: 1 in 2,000 is.
+	certainDeviations = 3.5
 	// maxSpeedSample bounds a sample, so that one straggler doesn't distort an average.
 	maxSpeedSample = 2.3 // about ln 10
 	// minSampleDeviation is the least standard deviation assumed of samples. Declared
@@ -168,7 +173,7 @@
 		return
 	}
 	x := math.Max(-maxSpeedSample, math.Min(maxSpeedSample, math.Log(r.took.Seconds()/r.expected.Seconds())))
-	if r.siblings || s.lastJob != r.job {
+	if r.siblings || s.lastJob != r.job || s.isCertain(x) {
 		s.lastJob = r.job
 		s.add(x)
 	}
@@ -181,6 +186,12 @@
 	m.updateReference()
 }
 
+// isCertain reports whether a sample is so far from the average that the error of a declared
+// run time doesn't explain it.
+func (s *serverSpeed) isCertain(x float64) bool {
+	return s.own.known() && math.Abs(x-s.own.mean) > certainDeviations*s.own.deviation()
+}
+
 // add adds a sample (rule 3).
 func (s *serverSpeed) add(x float64) {
 	far := s.own.known() && math.Abs(x-s.own.mean) > math.Max(math.Log(speedChangeRatio), speedChangeDeviations*s.own.deviation())
