--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -126,7 +126,7 @@
 		found time.Duration
 		want  Outcome
 	}{
-		"Found":    {maxOwnerWait / 2, Completed},
+		"Found":    {electionDelayAfterPeer / 2, Completed},
 		"NotFound": {2 * maxOwnerWait, Refused},
 	}
 	for name, c := range tests {
