worker: a job's time before it reached its owner counts while demand exceeds the room

Cause: while the recent demand exceeds the room, a job is accepted if its wait is within its slack or within 0.8 of its whole slack, whichever is more; the second was meant for objectives that are shorter than the run, and also let jobs in that had waited half a second for an owner. They can't be on time, and what comes after them isn't either.

The time since its submission now counts against both. A job that can start at once is accepted as before, and so is a late one while demand fits.

TestBacklogOfRestart failed before (late job accepted).

--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -15,10 +15,12 @@
 //     Retrying after Retry-After would delay the job more than waiting does, and a
 //     job that is late is placed behind the others (place.go, rule 1). Once the recent
 //     demand is clearly above the room, the burst isn't short: a job is accepted only
-//     if it can be on time.
+//     if it can be on time. What it has waited before, for an owner after a restart of all
+//     hosts, say, counts: that backlog would make all that comes after it late.
 //  4. A job none of whose tasks has started is refused as soon as it is expected
 //     to end too late under rule 2 or 3: after maxQueuedObjectives while the queue
-//     is saturated, after maxLateObjectives otherwise.
+//     is saturated or the recent demand clearly above the room, after maxLateObjectives
+//     otherwise.
 //  5. Retry-After follows from the rate at which the share of the job's queue drains
 //     (shares.go, rule 7). A caller that returns is as old as at its first refusal.
 
@@ -138,7 +140,7 @@
 		}
 	case p.shares.exceeded:
 		d.own = 0
-		d.limit = min(d.limit, max(slack, j.maxAdmissionWait(true)))
+		d.limit = min(d.limit, max(slack, j.maxAdmissionWait(true)-now.Sub(j.arrived)))
 	}
 	d.accepted = d.wait+d.own <= d.limit
 	return d
