--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -278,7 +278,7 @@
 
 // refuseTooLate refuses the jobs that can no longer be answered in time (rule 4).
 func (p *Pool) refuseTooLate(now time.Time) {
-	for n, j := range p.queue.tooLateBy(now, p.queueSaturated()) {
+	for n, j := range p.queue.tooLateBy(now, p.shares.exceeded) {
 		if n >= maxRefusalsPerTick {
 			return
 		}
--- a/internal/worker/backlog_test.go
+++ b/internal/worker/backlog_test.go
@@ -34,3 +34,31 @@
 		})
 	}
 }
+
+// TestAcceptedJobsAreRefusedOnceTooLate guards against late jobs that keep their place in the
+// queue while demand exceeds the room, until their answer is worth nothing.
+func TestAcceptedJobsAreRefusedOnceTooLate(t *testing.T) {
+	tests := map[string]struct {
+		exceeded bool
+		waited   time.Duration
+		want     int
+	}{
+		"still of use":                  {true, 50 * time.Millisecond, 1},
+		"too late in an overload":       {true, 150 * time.Millisecond, 0},
+		"late in a short burst":         {false, 150 * time.Millisecond, 1},
+		"worthless in a short burst":    {false, 450 * time.Millisecond, 0},
+		"worthless also in an overload": {true, 450 * time.Millisecond, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCapacityTester(t)
+			c.pool.Submit(c.now, 1, wideJob("running", 4))
+			c.pool.Submit(c.now, 1, wideJob("waiting", 1))
+			c.pool.shares.exceeded = tt.exceeded
+			c.pool.refuseTooLate(c.now.Add(tt.waited))
+			if got := c.pool.Jobs() - 1; got != tt.want {
+				t.Errorf("%d jobs wait, want %d", got, tt.want)
+			}
+		})
+	}
+}
