--- a/internal/reference/load.go
+++ b/internal/reference/load.go
@@ -118,7 +118,8 @@
 // Problem is what was wrong with a line of input, which was left out.
 type Problem struct {
 	Source string
-	// Line is the number of the first such line, Count how many there are.
+	// Line is the number of the first such line, 0 if it is not a matter of one line; Count
+	// is how many there are.
 	Line, Count int
 	Text        string
 }
@@ -127,7 +128,10 @@
 func (p Problem) String() string {
 	more := ""
 	if p.Count > 1 {
-		more = fmt.Sprintf(" (and %d more lines)", p.Count-1)
+		more = fmt.Sprintf(" (and %d more)", p.Count-1)
+	}
+	if p.Line == 0 {
+		return fmt.Sprintf("%s: %s%s", p.Source, p.Text, more)
 	}
 	return fmt.Sprintf("%s:%d: %s%s", p.Source, p.Line, p.Text, more)
 }
--- a/internal/reference/main.go
+++ b/internal/reference/main.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -28,6 +27,7 @@
 		"or load files, from the files or from the standard input if there is none or for -; plays the load in virtual time through reference policies, " +
 		"all-knowing ones and one that knows what an owner may know; and prints, by queue, width, failure domain and second, the share of jobs on time under each beside " +
 		"what callers got, and what was lost to faults of servers, to running each job in one failure domain, to not knowing, and to the dispatcher with its hosts and the network. " +
+		"Logs of versions whose JobEnded has no RunMs count all tasks of a job as long as its longest, so the shares of their policies are too low. " +
 		"Lines that can't be read are left out and named; -write keeps the load of a log as a load file, in JSON Lines. " +
 		"Takes about 1 kB of memory for each job of a log."
 	Example = "guavayoke-load reference -seeds 5 -html reference.html edge-1.log edge-2.log"
@@ -166,77 +166,6 @@
 	return err
 }
 
-// Read reads logs of daemons and load files, and the standard input if there is none or for
-// -. It returns what was left out beside the load.
-func Read(files []string) (*Load, []Problem, error) {
-	if len(files) == 0 {
-		files = []string{"-"}
-	}
-	var p problems
-	l := &Load{}
-	logs := newLogReader(&p)
-	sawLog := false
-	for _, name := range files {
-		isLog, err := readFile(name, l, logs, &p)
-		if err != nil {
-			return nil, p.list, err
-		}
-		sawLog = sawLog || isLog
-	}
-	if sawLog && len(l.Servers) > 0 {
-		return nil, p.list, fmt.Errorf("logs and load files can't be read together")
-	}
-	if sawLog {
-		l = logs.load()
-	}
-	slices.SortStableFunc(l.Jobs, func(a, b Job) int { return compareFloat(a.AtMs, b.AtMs) })
-	slices.SortStableFunc(l.Changes, func(a, b Change) int { return compareFloat(a.AtMs, b.AtMs) })
-	return l, p.list, nil
-}
-
-func compareFloat(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
-// readFile reads a file and reports whether it is a log.
-func readFile(name string, l *Load, logs *logReader, p *problems) (isLog bool, err error) {
-	in, source := os.Stdin, "stdin"
-	if name != "-" {
-		f, err := os.Open(name)
-		if err != nil {
-			return false, fmt.Errorf("read: %w", err)
-		}
-		defer func() { _ = f.Close() }()
-		in, source = f, strings.TrimSuffix(filepath.Base(name), ".log")
-	}
-	var file *fileReader
-	lines := 0
-	err = eachLine(in, func(number int, line []byte) {
-		lines++
-		if number == 1 && isLoadFile(line) {
-			file = newFileReader(source, l, p)
-		}
-		if file != nil {
-			file.add(number, line)
-			return
-		}
-		logs.add(source, number, line)
-	})
-	if err != nil {
-		return false, fmt.Errorf("read %s: %w", name, err)
-	}
-	if lines == 0 {
-		p.add(source, 1, "the file is empty")
-	}
-	return file == nil, nil
-}
-
 // Print writes the result as text.
 func (res *Result) Print(out io.Writer) error {
 	fmt.Fprintf(out, "%d jobs, %d servers, %d changes of servers; run times of %.1f %% of the jobs drawn, %d seeds\n",
