--- a/internal/reference/page.go
+++ b/internal/reference/page.go
@@ -15,10 +15,11 @@
 	"guavayoke/internal/htmlplot"
 )
 
-// The size of the charts.
+// The size of the charts and the width of their lines.
 const (
 	chartWidth  = 24 * vg.Centimeter
 	chartHeight = 10 * vg.Centimeter
+	lineWidth   = vg.Length(1.4)
 )
 
 var pageTemplate = template.Must(template.New("reference").Funcs(template.FuncMap{
@@ -109,11 +110,11 @@
 		if err != nil {
 			return "", fmt.Errorf("plot: %w", err)
 		}
-		line.Color, line.Width = plotutil.Color(i), vg.Points(1.2)
+		line.Color, line.Dashes, line.Width = plotutil.Color(i), plotutil.Dashes(i), lineWidth
 		p.Add(line)
 		p.Legend.Add(name, line)
 	}
-	p.Legend.YOffs = vg.Centimeter
+	p.Legend.Left, p.Legend.YOffs = true, vg.Centimeter
 	return htmlplot.SVG(p, chartWidth, chartHeight)
 }
 
@@ -134,10 +135,10 @@
 		if err != nil {
 			return "", fmt.Errorf("plot: %w", err)
 		}
-		line.Color, line.Width = plotutil.Color(i), vg.Points(1.2)
+		line.Color, line.Dashes, line.Width = plotutil.Color(i), plotutil.Dashes(i), lineWidth
 		p.Add(line)
 		p.Legend.Add("lost to "+l.name, line)
 	}
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left, p.Legend.XOffs = true, true, vg.Centimeter
 	return htmlplot.SVG(p, chartWidth, chartHeight)
 }
--- a/scripts/ablation.sh
+++ b/scripts/ablation.sh
@@ -8,7 +8,8 @@
 # names, all are. Reports and the copies' journals are kept below the folder OUT. Prints for
 # each mechanism and site the mean worth, its standard deviation over days and seeds, and
 # the mean difference to the code as it is over the same days and seeds, with its standard
-# error, and how many days broke a rule. JOBS days are played at a time (3).
+# error, and how many days broke a rule. JOBS days are played at a time (3). Days whose report
+# is in OUT already are not played again.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 out=$(realpath -m "$1") sites=$2 days=$3 seeds=$4
@@ -22,7 +23,7 @@
 
 # play NAME: plays all days in a copy with the mechanism switched off.
 play() {
-	local copy=$out/copies/$1
+	local copy=$out/copies/$1-$$
 	rm -rf "$copy"
 	git clone -q . "$copy"
 	[ "$1" = none ] || git -C "$copy" apply "$patches/$1.patch"
@@ -32,7 +33,7 @@
 		done
 	done | (cd "$copy" && xargs -P "${JOBS:-3}" -L1 bash -c '
 		report='"$out/$1"'-$(basename "$0" .toml)-$1-$2.json
-		"$BENCH" run "$0" "$1" --seed "$2" --jobs 1 --report "$report" --why "trial: ablation, without '"$1"'" >"${report%.json}.txt" 2>&1 || echo "failed: $report" >&2')
+		[ -s "$report" ] || "$BENCH" run "$0" "$1" --seed "$2" --jobs 1 --report "$report" --why "trial: ablation, without '"$1"'" >"${report%.json}.txt" 2>&1 || echo "failed: $report" >&2')
 }
 
 # summary NAME SITE: prints a line of the table.
