--- a/internal/reference/main.go
+++ b/internal/reference/main.go
@@ -1,6 +1,7 @@
 package reference
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -131,7 +132,7 @@
 			return err
 		}
 	}
-	res, err := Compare(l, o.seed, o.seeds)
+	res, err := Compare(context.Background(), l, o.seed, o.seeds)
 	if err != nil {
 		return err
 	}
--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"math"
 	"os"
@@ -101,7 +102,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			res, err := Compare(&tt.load, 1, 1)
+			res, err := Compare(t.Context(), &tt.load, 1, 1)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -137,7 +138,7 @@
 				}
 			}
 		}
-		res, err := Compare(l, 1, 1)
+		res, err := Compare(context.Background(), l, 1, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/reference/report.go
+++ b/internal/reference/report.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
+	"maps"
 	"math"
 	"math/bits"
+	"runtime"
 	"slices"
 	"strconv"
-	"time"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -87,38 +89,58 @@
 }
 
 // Compare plays a load through all policies, with run times drawn from seed on for the given
-// number of seeds.
-func Compare(l *Load, seed uint64, seeds int) (*Result, error) {
+// number of seeds. Of the orders of a policy, the first seed shows the best. It plays as many
+// simulations at a time as there are processors, and ends early when ctx does.
+func Compare(ctx context.Context, l *Load, seed uint64, seeds int) (*Result, error) {
 	if len(l.Jobs) == 0 || len(l.Servers) == 0 {
 		return nil, fmt.Errorf("the load has %d jobs and %d servers; both are needed", len(l.Jobs), len(l.Servers))
 	}
 	res := &Result{Jobs: len(l.Jobs), Servers: len(l.Servers), Changes: len(l.Changes), Seeds: seeds, Observed: l.Observed}
+	var first []simulationKey
+	for p := range Policies {
+		for o := range Policies[p].Orders {
+			first = append(first, simulationKey{p, o, seed})
+		}
+	}
+	outcomes, err := playAll(ctx, l, first)
+	if err != nil {
+		return nil, err
+	}
+	best := make([]simulationKey, len(Policies))
+	for _, k := range first {
+		if k.order == 0 || outcomes[k].earned > outcomes[best[k.policy]].earned {
+			best[k.policy] = k
+		}
+	}
+	var further []simulationKey
+	for n := 1; n < seeds; n++ {
+		for _, k := range best {
+			further = append(further, simulationKey{k.policy, k.order, seed + uint64(n)})
+		}
+	}
+	more, err := playAll(ctx, l, further)
+	if err != nil {
+		return nil, err
+	}
+	maps.Copy(outcomes, more)
 	onTime := make([][]float64, len(Policies))
-	var shares [][]float64
-	for n := range seeds {
-		runs := runTimes(l, seed+uint64(n))
-		for p := range Policies {
-			best, order := playBest(l, &Policies[p], runs)
-			if n == 0 {
-				onTime[p] = make([]float64, len(l.Jobs))
-				shares = append(shares, nil)
-				res.Policies, res.Orders = append(res.Policies, Policies[p].Name), append(res.Orders, order)
-			}
-			sum := 0.0
-			for i, j := range best {
-				if j.onTime() {
+	for p, k := range best {
+		onTime[p] = make([]float64, len(l.Jobs))
+		shares := make([]float64, seeds)
+		for n := range seeds {
+			k.seed = seed + uint64(n)
+			for i, ok := range outcomes[k].onTime {
+				if ok {
 					onTime[p][i] += 1 / float64(seeds)
-					sum++
+					shares[n] += 1 / float64(len(l.Jobs))
 				}
 			}
-			shares[p] = append(shares[p], sum/float64(len(l.Jobs)))
 		}
-	}
-	for p := range Policies {
 		d := 0.0
 		if seeds > 1 {
-			d = stat.StdDev(shares[p], nil)
+			d = stat.StdDev(shares, nil)
 		}
+		res.Policies, res.Orders = append(res.Policies, Policies[p].Name), append(res.Orders, Policies[p].Orders[k.order].Name)
 		res.Deviations = append(res.Deviations, d)
 	}
 	for i := range l.Jobs {
@@ -130,22 +152,78 @@
 	return res, nil
 }
 
-// playBest plays a load in each order of the policy and returns the jobs of the best one.
-func playBest(l *Load, p *Policy, runs [][]time.Duration) (best []*jobState, order string) {
-	most := -1.0
-	for _, o := range p.Orders {
-		jobs := play(l, p, o, runs)
-		earned := 0.0
-		for _, j := range jobs {
-			if j.onTime() {
-				earned += j.credit
+// simulationKey names a simulation: the positions of the policy and of its order, and the seed
+// of the run times that are not known.
+type simulationKey struct {
+	policy, order int
+	seed          uint64
+}
+
+// simulationOutcome is which jobs were on time, and what they earned together.
+type simulationOutcome struct {
+	key    simulationKey
+	onTime []bool
+	earned float64
+}
+
+// playAll plays simulations side by side and returns their outcomes.
+func playAll(ctx context.Context, l *Load, keys []simulationKey) (map[simulationKey]simulationOutcome, error) {
+	next, done := make(chan simulationKey), make(chan simulationOutcome)
+	workers := min(runtime.GOMAXPROCS(0), max(len(keys), 1))
+	ended := make(chan error, workers)
+	for range workers {
+		go func(ctx context.Context) {
+			for k := range next {
+				o := playOne(l, k)
+				select {
+				case done <- o:
+				case <-ctx.Done():
+					ended <- ctx.Err()
+					return
+				}
 			}
+			ended <- nil
+		}(ctx)
+	}
+	outcomes := map[simulationKey]simulationOutcome{}
+	for sent := 0; len(outcomes) < len(keys) && ctx.Err() == nil; {
+		var to chan simulationKey
+		var k simulationKey
+		if sent < len(keys) {
+			to, k = next, keys[sent]
+		}
+		select {
+		case to <- k:
+			sent++
+		case o := <-done:
+			outcomes[o.key] = o
+		case <-ctx.Done():
 		}
-		if earned > most {
-			best, order, most = jobs, o.Name, earned
+	}
+	close(next)
+	var err error
+	for range workers {
+		err = cmp.Or(err, <-ended)
+	}
+	if err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("simulations: %w", err)
+	}
+	return outcomes, nil
+}
+
+func playOne(l *Load, k simulationKey) simulationOutcome {
+	p := &Policies[k.policy]
+	o := simulationOutcome{key: k, onTime: make([]bool, len(l.Jobs))}
+	for i, j := range play(l, p, p.Orders[k.order], runTimes(l, k.seed)) {
+		if j.onTime() {
+			o.onTime[i] = true
+			o.earned += j.credit
 		}
 	}
-	return best, order
+	return o
 }
 
 func (res *Result) tally(l *Load, onTime [][]float64) {
