worker: the election is short only once all listed hosts of the domain are known

Cause: 'a shorter election after a restart of all hosts' waits 200 ms after the first member is known.

The wait is 400 ms again, and 200 ms once a host knows all hosts of its domain that the platform lists as members: nobody is left who might come before it.

--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -52,9 +52,11 @@
 	// appear before it may assume ownership.
 	electionDelay = 1500 * time.Millisecond
 	// electionDelayAfterPeer is how long a host waits after it first knew another
-	// member. The wait ends with whichever of the two delays ends first. Members that know
-	// each other take two round trips and a read of the platform's list to know all others.
-	electionDelayAfterPeer = 200 * time.Millisecond
+	// member. The wait ends with whichever of the two delays ends first.
+	electionDelayAfterPeer = 400 * time.Millisecond
+	// electionDelayAllKnown takes the place of electionDelayAfterPeer once a host knows all hosts
+	// of its domain that the platform lists: nobody is left who might come before it.
+	electionDelayAllKnown = 200 * time.Millisecond
 	// openTimeout bounds the time to open a session.
 	openTimeout = 500 * time.Millisecond
 	// spillOverMargin is how much shorter another domain's queue must be, because
--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -126,7 +126,7 @@
 		found time.Duration
 		want  Outcome
 	}{
-		"Found":    {electionDelayAfterPeer / 2, Completed},
+		"Found":    {maxOwnerWait / 2, Completed},
 		"NotFound": {2 * maxOwnerWait, Refused},
 	}
 	for name, c := range tests {
@@ -323,6 +323,9 @@
 		want            time.Duration
 	}{
 		"NothingListed":  {nil, nil, electionDelayAfterPeer},
+		"OnlyItself":     {[]Candidate{{Address: "a", CPUMilli: small}}, nil, electionDelayAfterPeer},
+		"AllKnown":       {[]Candidate{{Address: "a", CPUMilli: small}, {Address: "b", CPUMilli: small}}, nil, electionDelayAllKnown},
+		"OneUnknown":     {[]Candidate{{Address: "b", CPUMilli: small}, {Address: "z", CPUMilli: small}}, nil, electionDelayAfterPeer},
 		"LargerListed":   {[]Candidate{{Address: "z", CPUMilli: large}}, nil, electionDelay},
 		"SameClass":      {[]Candidate{{Address: "z", CPUMilli: small + 5}}, nil, electionDelayAfterPeer},
 		"UnknownClass":   {[]Candidate{{Address: "z"}}, nil, electionDelayAfterPeer},
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -170,7 +170,27 @@
 	if now.Sub(e.cfg.Now) >= electionDelay {
 		return true
 	}
-	return !e.firstPeerAt.IsZero() && now.Sub(e.firstPeerAt) >= electionDelayAfterPeer && !e.awaitsLargerHost()
+	delay := electionDelayAfterPeer
+	if e.knowsListedHosts() {
+		delay = electionDelayAllKnown
+	}
+	return !e.firstPeerAt.IsZero() && now.Sub(e.firstPeerAt) >= delay && !e.awaitsLargerHost()
+}
+
+// knowsListedHosts reports whether the platform lists other hosts of the domain, all of which
+// are members.
+func (e *Entry) knowsListedHosts() bool {
+	others := 0
+	for _, h := range e.listedHosts {
+		if h.Address == e.cfg.Self.Address {
+			continue
+		}
+		others++
+		if !slices.ContainsFunc(e.candidates, func(c Candidate) bool { return c.Address == h.Address }) {
+			return false
+		}
+	}
+	return others > 0
 }
 
 // awaitsLargerHost reports whether the platform lists a host of the domain with clearly
