worker: a result counts only for the submission that it answers

What callers could see: one job run by two owners at the same time (TWICE), or refused as not run while it runs. Cause: a result named its job only. When the path of a session is replaced, the owner says which jobs it never accepted, and the entry host sends them again, to the same owner. An answer to the first submission that is still on its way, such as a refusal by the mailbox on the former path, was then taken for the answer to the second, which the owner had accepted: the job went to another owner. A start offer that is returned has the same gap. Not shown to be the users' case. Submissions are numbered, the owner returns the number with the result, also when it sends a result again, and the entry host ignores a result of another number. Hosts of earlier versions send none, and are believed as before.

--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -158,8 +158,10 @@
 // of the owner that has the job, empty if none has; tried lists the owners that
 // were offered it.
 type entryJob struct {
-	job         Job
-	owner       string
+	job   Job
+	owner string
+	// submission is the number of the latest submission to an owner.
+	submission  uint64
 	waiters     []WaiterID
 	tried       []string
 	submittedAt time.Time
@@ -221,6 +223,8 @@
 	jobs       map[string]*entryJob
 	waiters    map[WaiterID]string
 	lastWaiter WaiterID
+	// lastSubmission is the number of the last submission to an owner.
+	lastSubmission uint64
 	// lastAttach is the number of the last attach.
 	lastAttach uint64
 	// firstPeerAt is the time at which the host first knew another member.
--- a/internal/worker/entry_test.go
+++ b/internal/worker/entry_test.go
@@ -145,7 +145,7 @@
 						e.HandleSessionClosed(now, "a", "Unreachable")
 						delete(e.backoffUntil, "a")
 					case a.Send != nil && a.Send.Message.Submit != nil:
-						e.HandleResult(now, "a", Result{ID: "1", Outcome: Completed})
+						e.HandleResult(now, "a", 0, Result{ID: "1", Outcome: Completed})
 					case a.Answer != nil:
 						got = a.Answer.Result.Outcome
 						if waited := now.Sub(testStart); waited > maxOwnerWait+2*tickInterval {
@@ -171,7 +171,7 @@
 	e.Submit(testStart, Job{ID: "1", Budget: time.Second, Target: 60 * time.Millisecond})
 	e.TakeActions()
 	later := testStart.Add(400 * time.Millisecond)
-	e.HandleResult(later, "b", Result{ID: "1", Outcome: Refused})
+	e.HandleResult(later, "b", 0, Result{ID: "1", Outcome: Refused})
 	actions := e.TakeActions()
 	if len(actions) != 1 || actions[0].Send == nil || actions[0].Send.Message.Submit == nil {
 		t.Fatalf("actions are %+v, want the job to be offered to a", actions)
@@ -235,7 +235,7 @@
 				t.Fatalf("actions are %+v, want the job to be offered to a", actions)
 			}
 			e.HandleHeartbeat(testStart, "a", heartbeat{Number: 2, IsOwner: true, Leaving: true, Load: Load{Servers: 1}})
-			e.HandleResult(testStart, "a", Result{ID: "1", Outcome: c.outcome, Reason: "OwnerLeaving"})
+			e.HandleResult(testStart, "a", 0, Result{ID: "1", Outcome: c.outcome, Reason: "OwnerLeaving"})
 			got, at := Lost, testStart
 			for now := testStart; now.Before(testStart.Add(2 * maxOwnerWait)); now = now.Add(tickInterval) {
 				e.HandleHeartbeat(now, "b", heartbeat{Number: 2, IsOwner: now.Sub(testStart) >= c.after, Load: Load{Servers: 1}})
@@ -245,7 +245,7 @@
 					case a.Open != nil:
 						e.HandleSessionOpened(now, a.Open.Incarnation)
 					case a.Send != nil && a.Send.Message.Submit != nil:
-						e.HandleResult(now, a.Send.To, Result{ID: "1", Outcome: Completed})
+						e.HandleResult(now, a.Send.To, 0, Result{ID: "1", Outcome: Completed})
 					case a.Answer != nil:
 						got, at = a.Answer.Result.Outcome, now
 					}
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -168,15 +168,15 @@
 }
 
 // SubmitQueued submits a job that has waited in the mailbox and that came on a path, which
-// may carry no session any more. crashes has the records of the job that came with it.
-func (h *Host) SubmitQueued(now time.Time, path SessionID, j Job, crashes []crashRecord) {
+// may carry no session any more. submission and crashes came with it.
+func (h *Host) SubmitQueued(now time.Time, path SessionID, j Job, submission uint64, crashes []crashRecord) {
 	h.crashes.merge(now, crashes)
 	if path == localSession {
 		h.pool.Submit(now, localSession, j)
 		return
 	}
 	if id, ok := h.sessions.idOf(path); ok {
-		h.sessions.forgetResult(id, j.ID)
+		h.sessions.noteSubmission(id, j.ID, submission)
 		h.pool.Submit(now, id, j)
 	}
 }
@@ -275,9 +275,10 @@
 	case a.Poll != nil:
 		h.actions = append(h.actions, HostAction{Poll: a.Poll})
 	case a.Answer != nil && a.Answer.Session == localSession:
-		h.entry.HandleResult(now, h.cfg.Self.Incarnation, a.Answer.Result)
+		h.entry.HandleResult(now, h.cfg.Self.Incarnation, 0, a.Answer.Result)
 	case a.Answer != nil:
-		h.replyResult(a.Answer.Session, a.Answer.Result)
+		id := a.Answer.Session
+		h.replyResult(id, h.sessions.takeSubmission(id, a.Answer.Result.ID), a.Answer.Result)
 	case a.Fenced:
 		h.entry.Fenced(now)
 	}
@@ -292,7 +293,7 @@
 		h.entry.handleStartable(owner, m.Startable)
 		h.entry.handleSessionHeartbeat(now, owner, m)
 	case m.Result != nil:
-		h.entry.HandleResult(now, owner, *m.Result)
+		h.entry.HandleResult(now, owner, m.Submission, *m.Result)
 	case m.Attached != nil:
 		h.entry.handleAttached(now, owner, *m.Attached)
 	}
@@ -315,9 +316,10 @@
 		}
 	case m.Submit != nil:
 		h.crashes.merge(now, m.Crashes)
-		h.sessions.forgetResult(id, m.Submit.ID)
+		h.sessions.noteSubmission(id, m.Submit.ID, m.Submission)
 		h.pool.Submit(now, id, m.job())
 	case m.Cancel != "":
+		h.sessions.takeSubmission(id, m.Cancel)
 		h.pool.Cancel(now, id, m.Cancel)
 	}
 }
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -1,7 +1,7 @@
 package worker
 
 // message is one message on a session between an entry host and an owner. Exactly
-// one field is set, besides Session and Acked: the owner sends Heartbeat, Result and
+// one field is set, besides those that accompany others: the owner sends Heartbeat, Result and
 // Attached, the entry host the others. A host ignores fields that it doesn't know.
 type message struct {
 	Heartbeat *heartbeat `cbor:"1,keyasint,omitempty"`
@@ -26,6 +26,9 @@
 	// earlier versions ignore both.
 	StartOrReturn bool `cbor:"13,keyasint,omitempty"`
 	Startable     int  `cbor:"14,keyasint,omitempty"`
+	// Submission accompanies a Submit and the Result that answers it: the number of the
+	// submission, 0 from hosts of earlier versions.
+	Submission uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -74,7 +74,11 @@
 	job := j.job
 	job.Age, job.StartOrReturn = now.Sub(j.submittedAt), startOrReturn
 	e.countSent(owner, &job)
-	e.send(owner, message{Submit: &job, StartOrReturn: startOrReturn, Crashes: e.cfg.Crashes.ofJob(job.ID)})
+	e.lastSubmission++
+	j.submission = e.lastSubmission
+	e.send(owner, message{
+		Submit: &job, StartOrReturn: startOrReturn, Crashes: e.cfg.Crashes.ofJob(job.ID), Submission: j.submission,
+	})
 }
 
 // bestOwner returns the owner with the shortest wait among those that the job was not
@@ -163,12 +167,19 @@
 }
 
 // HandleResult handles the result of a job from an owner, which may be this host. A
-// refused or returned job is offered to another owner (rule 3).
-func (e *Entry) HandleResult(now time.Time, owner string, r Result) {
+// refused or returned job is offered to another owner (rule 3). submission is the number of
+// the submission that the result answers, 0 if the owner doesn't say it. A result of an
+// earlier submission is ignored: the owner may have accepted the job since.
+func (e *Entry) HandleResult(now time.Time, owner string, submission uint64, r Result) {
 	j := e.jobs[r.ID]
 	if j == nil || j.owner != owner {
 		return
 	}
+	if submission != 0 && submission != j.submission {
+		e.cfg.Log.Warn().Str("Job", r.ID).Str("Owner", owner).Uint64("Submission", submission).Uint64("Latest", j.submission).
+			Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).Msg("ResultOutdated")
+		return
+	}
 	if r.Outcome == Refused || r.Outcome == Returned {
 		if r.Outcome == Returned && r.Reason != reasonBusy {
 			j.returned, j.waitUntil = true, now.Add(maxOwnerWait)
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -258,9 +258,9 @@
 			f(a.Answer.Result)
 		}
 	case a.Enqueue != nil:
-		sub := Submission{Session: localSession, Job: *a.Enqueue, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, localSession, j, nil) }}
+		sub := Submission{Session: localSession, Job: *a.Enqueue, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, localSession, j, 0, nil) }}
 		if r, ok := s.offer(sub); !ok {
-			s.followUp(now, func(h *Host, now time.Time) { h.entry.HandleResult(now, s.cfg.Self.Incarnation, r) })
+			s.followUp(now, func(h *Host, now time.Time) { h.entry.HandleResult(now, s.cfg.Self.Incarnation, 0, r) })
 		}
 	case a.Withdraw != "":
 		s.queuesMu.Lock()
--- a/internal/worker/service_streams.go
+++ b/internal/worker/service_streams.go
@@ -135,10 +135,10 @@
 			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 			r.Outcome, r.Reason = Refused, "Malformed"
 		} else if id != 0 {
-			r, ok = s.offer(Submission{Session: id, Job: m.job(), Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, id, j, m.Crashes) }})
+			r, ok = s.offer(Submission{Session: id, Job: m.job(), Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, id, j, m.Submission, m.Crashes) }})
 		}
 		if !ok {
-			s.sendMessage(st, message{Result: &r})
+			s.sendMessage(st, message{Result: &r, Submission: m.Submission})
 		}
 	case m.Cancel != "" && id != 0:
 		s.withdraw(id, 0, m.Cancel, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -23,9 +23,10 @@
 )
 
 // sentResult is a result that may not have arrived. afterHeartbeat is the number of the
-// last heartbeat before it.
+// last heartbeat before it, submission that of the submission that it answers.
 type sentResult struct {
 	result         Result
+	submission     uint64
 	afterHeartbeat uint64
 }
 
@@ -40,6 +41,8 @@
 	number uint64
 	acked  uint64
 	kept   []sentResult
+	// submissions has the number of the latest submission of each job that has no result yet.
+	submissions map[string]uint64
 	// crashesSent is the number of the last change of the crash log that was sent on the path.
 	crashesSent uint64
 }
@@ -94,17 +97,36 @@
 }
 
 // keepResult keeps a result that is sent now (rule 3).
-func (s *Sessions) keepResult(id SessionID, r Result) {
+func (s *Sessions) keepResult(id SessionID, submission uint64, r Result) {
 	if o, _ := s.find(id); o != nil {
-		o.kept = append(o.kept, sentResult{r, o.number})
+		o.kept = append(o.kept, sentResult{r, submission, o.number})
 	}
 }
 
-// forgetResult drops the kept result of a job that is submitted again.
-func (s *Sessions) forgetResult(id SessionID, job string) {
-	if o, _ := s.find(id); o != nil && len(o.kept) > 0 {
-		o.kept = slices.DeleteFunc(o.kept, func(r sentResult) bool { return r.result.ID == job })
+// noteSubmission notes the number of a submission and drops the kept results of earlier
+// submissions of the job.
+func (s *Sessions) noteSubmission(id SessionID, job string, submission uint64) {
+	o, _ := s.find(id)
+	if o == nil {
+		return
+	}
+	o.kept = slices.DeleteFunc(o.kept, func(r sentResult) bool { return r.result.ID == job })
+	if o.submissions == nil {
+		o.submissions = map[string]uint64{}
+	}
+	o.submissions[job] = submission
+}
+
+// takeSubmission removes and returns the number of the latest submission of a job, 0 if it is
+// not known.
+func (s *Sessions) takeSubmission(id SessionID, job string) uint64 {
+	o, _ := s.find(id)
+	if o == nil {
+		return 0
 	}
+	n := o.submissions[job]
+	delete(o.submissions, job)
+	return n
 }
 
 // Attach makes a path carry the session that the attach names. It returns nil if that is
@@ -143,11 +165,11 @@
 }
 
 // takeKept removes the kept results of a session and returns those of the given jobs.
-func (o *session) takeKept(jobs []string) []Result {
-	var list []Result
+func (o *session) takeKept(jobs []string) []sentResult {
+	var list []sentResult
 	for _, r := range o.kept {
 		if slices.Contains(jobs, r.result.ID) {
-			list = append(list, r.result)
+			list = append(list, r)
 		}
 	}
 	o.kept = nil
@@ -169,7 +191,7 @@
 	answered := o.takeKept(a.Jobs)
 	reply := attached{Number: a.Number}
 	for _, id := range a.Jobs {
-		if !slices.Contains(accepted, id) && !slices.ContainsFunc(answered, func(r Result) bool { return r.ID == id }) {
+		if !slices.Contains(accepted, id) && !slices.ContainsFunc(answered, func(r sentResult) bool { return r.result.ID == id }) {
 			reply.Missing = append(reply.Missing, id)
 		}
 	}
@@ -177,7 +199,7 @@
 		Int("Missing", len(reply.Missing)).Int("Resent", len(answered)).Msg("PathReplaced")
 	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{path, message{Attached: &reply}}})
 	for _, r := range answered {
-		h.replyResult(o.id, r)
+		h.replyResult(o.id, r.submission, r.result)
 	}
 	for _, id := range accepted {
 		if !slices.Contains(a.Jobs, id) {
@@ -189,9 +211,9 @@
 }
 
 // replyResult sends a result on a session and keeps it until its arrival is known.
-func (h *Host) replyResult(id SessionID, r Result) {
-	h.sessions.keepResult(id, r)
-	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{h.sessions.pathOf(id), message{Result: &r}}})
+func (h *Host) replyResult(id SessionID, submission uint64, r Result) {
+	h.sessions.keepResult(id, submission, r)
+	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{h.sessions.pathOf(id), message{Result: &r, Submission: submission}}})
 }
 
 // sessionJobs returns the IDs of the jobs that a session waits for, in order of arrival.
--- a/internal/worker/session_attach_test.go
+++ b/internal/worker/session_attach_test.go
@@ -65,7 +65,7 @@
 	var s Sessions
 	id := s.Open(testStart, "entry")
 	s.Tick(testStart)
-	s.keepResult(id, Result{ID: "job"})
+	s.keepResult(id, 0, Result{ID: "job"})
 	s.Ack(id, 1)
 	o, _ := s.find(id)
 	if len(o.kept) != 1 {
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -150,7 +150,7 @@
 			st.disconnect()
 		}
 	case a.Enqueue != nil:
-		h.do(gen, func(x *worker.Host, now time.Time) { x.SubmitQueued(now, 0, *a.Enqueue, nil) })
+		h.do(gen, func(x *worker.Host, now time.Time) { x.SubmitQueued(now, 0, *a.Enqueue, 0, nil) })
 	case a.Answer != nil:
 		if at := h.waiting[a.Answer.Waiter]; at != nil {
 			delete(h.waiting, a.Answer.Waiter)
--- a/internal/worker/start_offer_test.go
+++ b/internal/worker/start_offer_test.go
@@ -64,7 +64,7 @@
 				if got != want {
 					t.Fatalf("offer %d goes to %q, want %q", i, got, want)
 				}
-				e.HandleResult(testStart, owner, Result{ID: "1", Outcome: Returned, Reason: reasonBusy})
+				e.HandleResult(testStart, owner, 0, Result{ID: "1", Outcome: Returned, Reason: reasonBusy})
 			}
 		})
 	}
