worker: the stop of a lost job's runs counts from the end of its session's lease

What callers could see: a task of a job that they submit again after 1,300 ms runs twice at the same time (TWICE). Cause: rule 5 stops renewing a lease 200 ms after a stop was requested, and the stop was requested when the owner noticed that the session had expired. An owner that is slow or stands still for some tenths of a second notices it late; if its stop commands get lost as well, the chain of docs/decisions/0006 lasts longer by that time: 350 + late + 200 + 612 ms exceed 1,300 ms from 138 ms on. The test fails before: 929 ms and 1,021 ms after the end of the session, want 832 ms. The time now counts from the end of the session's lease, so that the chain doesn't depend on when the owner notices. SessionExpired logs how late it was.

--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -189,9 +189,9 @@
 // whose lease has expired.
 func (h *Host) tickSessions(now time.Time) {
 	due, ended := h.sessions.Tick(now)
-	for _, id := range ended {
-		h.cfg.Log.Warn().Uint64("Session", uint64(id)).Msg("SessionExpired")
-		h.pool.DropSession(now, id, "EntryHostSilent")
+	for _, o := range ended {
+		h.cfg.Log.Warn().Uint64("Session", uint64(o.id)).Int64("SinceExpiryMs", now.Sub(o.at).Milliseconds()).Msg("SessionExpired")
+		h.pool.DropSession(now, o.id, o.at, "EntryHostSilent")
 	}
 	for _, path := range h.sessions.takeUnusedPaths() {
 		h.actions = append(h.actions, HostAction{CloseSession: path})
@@ -328,7 +328,6 @@
 // session ends with it unless another path carries it.
 func (h *Host) handleIncomingSessionClosed(now time.Time, path SessionID) {
 	if id, ok := h.sessions.idOf(path); ok {
-		h.sessions.Close(id)
-		h.pool.DropSession(now, id, "EntryHostGone")
+		h.pool.DropSession(now, id, h.sessions.Close(id), "EntryHostGone")
 	}
 }
--- a/internal/worker/lease_test.go
+++ b/internal/worker/lease_test.go
@@ -100,3 +100,33 @@
 		t.Error("a late ack of an old heartbeat kept the session alive")
 	}
 }
+
+// TestLateOwnerExtendsNoLostRun guards against a run that outlives the chain of TestLeaseChain
+// because its owner noticed the end of a session late, and its stop commands get lost.
+func TestLateOwnerExtendsNoLostRun(t *testing.T) {
+	tests := map[string]time.Duration{"InTime": 0, "Late": 150 * time.Millisecond, "LaterThanStop": 300 * time.Millisecond}
+	for name, late := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPoolTester(t)
+			p.pool.AssumeOwnership(p.now, nil)
+			p.pool.SetServers(p.now, []Server{testServer("a", false)})
+			p.advance(time.Millisecond, "a")
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advanceFor(time.Second, "a")
+			if len(p.starts) != 1 {
+				t.Fatalf("%d starts, want one", len(p.starts))
+			}
+			s := p.pool.orderedServers[0]
+			leaseEnd := p.now
+			p.now = p.now.Add(late)
+			p.pool.DropSession(p.now, 1, leaseEnd, "EntryHostSilent")
+			for range time.Second / tickInterval {
+				p.advance(tickInterval)
+			}
+			lease := leaseDuration * 100 / (100 - maxClockDriftPercent)
+			if after, most := s.leaseUntil.Sub(leaseEnd), stopAckTimeout+lease+tickInterval; after > most {
+				t.Errorf("the lease may last until %v after the end of the session, want at most %v", after, most)
+			}
+		})
+	}
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -130,6 +130,9 @@
 	returned bool
 	// started reports whether a start command was sent for any task (rule 3).
 	started bool
+	// unwantedSince is since when nobody waits for the job, if this host noticed it late; else
+	// zero.
+	unwantedSince time.Time
 	// firstStart and lastStart are the times of the first and the latest start
 	// command, and starts is their number. They are logged when the job ends.
 	firstStart, lastStart time.Time
@@ -335,11 +338,14 @@
 	}
 }
 
-// DropSession abandons all jobs that only this session waits for (rule 4).
-func (p *Pool) DropSession(now time.Time, session SessionID, reason string) {
+// DropSession abandons all jobs that only this session waits for (rule 4). leaseEnd is when
+// the lease of the session expires. If this host was late to notice it, the runs have been
+// due to stop since then: the callers' time to submit the jobs again has begun.
+func (p *Pool) DropSession(now time.Time, session SessionID, leaseEnd time.Time, reason string) {
 	for _, j := range p.queue.ofSession(session) {
 		p.removeWaiter(j, session)
 		if len(j.waiters) == 0 {
+			j.unwantedSince = leaseEnd
 			p.abandon(now, j, reason)
 		}
 	}
@@ -375,6 +381,9 @@
 			}
 			t.currentRun.task = nil // No job needs the run any more.
 			p.requestStop(now, t.assignedServer, t.currentRun)
+			if !j.unwantedSince.IsZero() && j.unwantedSince.Before(t.currentRun.stopRequestedAt) {
+				t.currentRun.stopRequestedAt = j.unwantedSince
+			}
 			t.assignedServer, t.currentRun = nil, nil
 		}
 	}
--- a/internal/worker/pool_reference_test.go
+++ b/internal/worker/pool_reference_test.go
@@ -409,7 +409,7 @@
 	},
 	"DropSession": func(r *randomPool) {
 		if r.number("rarely", 0, 4) == 0 {
-			r.p.DropSession(r.now, SessionID(r.number("session", 1, 3)), "EntryHostSilent")
+			r.p.DropSession(r.now, SessionID(r.number("session", 1, 3)), r.now, "EntryHostSilent")
 		}
 	},
 	"PollReply": func(r *randomPool) {
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -141,8 +141,8 @@
 	// extension of the lease.
 	deadline  time.Duration
 	extension uint64
-	// stopRequestedAt is when the owner decided to stop the run, stopSentAt when it
-	// last sent a stop command, and stopAckedAt when the server last acknowledged
+	// stopRequestedAt is since when the run has been due to stop (rule 5), stopSentAt when
+	// the owner last sent a stop command, and stopAckedAt when the server last acknowledged
 	// one. They are zero if that has not happened.
 	stopRequestedAt, stopSentAt, stopAckedAt time.Time
 	// listRequestedAt is when the server was polled because the start command had
--- a/internal/worker/session.go
+++ b/internal/worker/session.go
@@ -75,12 +75,16 @@
 	return s.last
 }
 
-// Close removes a session.
-func (s *Sessions) Close(id SessionID) {
-	if o, n := s.find(id); o != nil {
-		s.list = slices.Delete(s.list, n, n+1)
-		s.removePaths(o)
+// Close removes a session and returns the time at which its lease expires, the zero time if
+// there is no such session.
+func (s *Sessions) Close(id SessionID) time.Time {
+	o, n := s.find(id)
+	if o == nil {
+		return time.Time{}
 	}
+	s.list = slices.Delete(s.list, n, n+1)
+	s.removePaths(o)
+	return o.leaseEnd()
 }
 
 // Ack handles the acknowledgment of a heartbeat (rule 2).
@@ -95,19 +99,28 @@
 	s.noteAck(o, number)
 }
 
+// expiredSession is a session whose lease expired at a time. The host may notice it later.
+type expiredSession struct {
+	id SessionID
+	at time.Time
+}
+
+// leaseEnd returns the time at which the lease of a session expires (rule 2).
+func (o *session) leaseEnd() time.Time { return o.confirmedAt.Add(sessionLease) }
+
 // Tick returns the sessions on which a heartbeat is due, with the number of the
 // heartbeat, and the sessions whose lease has expired, which it closes (rule 3). It is
 // called before each event of the host, so it looks at the sessions only when one of
 // them can be due.
-func (s *Sessions) Tick(now time.Time) (due map[SessionID]uint64, ended []SessionID) {
+func (s *Sessions) Tick(now time.Time) (due map[SessionID]uint64, ended []expiredSession) {
 	if len(s.list) == 0 || now.Before(s.nextTickAt) {
 		return nil, nil
 	}
 	due = map[SessionID]uint64{}
 	s.nextTickAt = now.Add(heartbeatInterval)
 	for _, o := range slices.Clone(s.list) {
-		if now.Sub(o.confirmedAt) > sessionLease {
-			ended = append(ended, o.id)
+		if now.After(o.leaseEnd()) {
+			ended = append(ended, expiredSession{o.id, o.leaseEnd()})
 			s.Close(o.id)
 			continue
 		}
@@ -117,7 +130,7 @@
 			o.sent[o.number%maxUnackedHeartbeats] = now
 			due[o.id] = o.number
 		}
-		for _, at := range []time.Time{o.nextHeartbeatAt, o.confirmedAt.Add(sessionLease)} {
+		for _, at := range []time.Time{o.nextHeartbeatAt, o.leaseEnd()} {
 			if at.Before(s.nextTickAt) {
 				s.nextTickAt = at
 			}
