worker: log on what grounds a run counts as ended that no server has listed

A second run of a task follows from such a decision, and the logs didn't tell which: of the refusals only StartRefused, of expired leases only the tasks, and nothing of runs that a list lacked. RunResolved has the task, the run, the incarnation of the server, the token and the deadline of the start, and the reason; one line for each such run, none for a run whose end is listed. The test names the fields; it fails before, as there is no such line.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -61,7 +61,7 @@
 			Int64("UnresponsiveMs", now.Sub(s.unresponsiveSince).Milliseconds()).Msg("LeaseExpired")
 		s.keepExpired(now)
 		p.noteServerLost(now, s, false)
-		p.expireRuns(now, s)
+		p.expireRuns(now, s, "LeaseExpired")
 	}
 	for _, r := range s.sortedRuns() {
 		if r.state == runStarting && r.listRequestedAt.IsZero() && now.Sub(r.sent) >= startPollDelay {
@@ -81,16 +81,6 @@
 	}
 }
 
-// expireRuns records all runs of a server as stopped, for a server on which none
-// can run any more.
-func (p *Pool) expireRuns(now time.Time, s *server) {
-	for _, r := range s.sortedRuns() {
-		if s.runs[r.RunKey] == r {
-			p.runEnded(now, s, r, RunStopped)
-		}
-	}
-}
-
 // keepExpired notes the runs that the expiry of the lease is about to resolve, since
 // the server may list their ends later (rule 8).
 func (s *server) keepExpired(now time.Time) {
@@ -202,7 +192,7 @@
 	case ConnectionRefused:
 		s.notDelivered(now, r.extension)
 		s.setRefused(now)
-		p.runEnded(now, s, r, RunStopped)
+		p.resolveRun(now, s, r, "ConnectionRefused")
 	case RefusedToken:
 		p.handleFenced(now, s)
 	case RefusedOldRun:
@@ -211,14 +201,14 @@
 		if r.task != nil {
 			r.task.lastRun = r.task.lastRun*2 + 1
 		}
-		p.runEnded(now, s, r, RunStopped)
+		p.resolveRun(now, s, r, "OldRun")
 	case RefusedDeadline, RefusedCapacity, RefusedOther, WrongIncarnation:
 		p.cfg.Log.Warn().Str("Task", key.Task).Int("Run", key.Run).Str("Server", id).Stringer("Verdict", reply.Verdict).
 			Int64("DeadlineMs", r.deadline.Milliseconds()).Int64("ClockMs", reply.Clock.Milliseconds()).Msg("StartRefused")
 		if reply.Verdict != RefusedDeadline {
 			s.health.refused(now)
 		}
-		p.runEnded(now, s, r, RunStopped)
+		p.resolveRun(now, s, r, "StartRefused")
 	}
 	p.place(now)
 }
@@ -378,8 +368,13 @@
 			p.requestStop(now, s, r)
 		}
 		// A run that neither list contains may be among the ends that were left out.
-		if s.runs[r.RunKey] == r && !running[r.RunKey] && !reply.EndedRunsTruncated && (r.token < s.token || r.isGone(sent, reply.Clock)) {
-			p.runEnded(now, s, r, RunStopped)
+		if s.runs[r.RunKey] != r || running[r.RunKey] || reply.EndedRunsTruncated {
+			continue
+		}
+		if r.token < s.token {
+			p.resolveRun(now, s, r, "ServerReacquired")
+		} else if r.isGone(sent, reply.Clock) {
+			p.resolveRun(now, s, r, "NotListed")
 		}
 	}
 	if s.state == stateAcquiring {
@@ -449,7 +444,7 @@
 			p.abandon(now, r.task.job, "ServerTaken")
 		}
 	}
-	p.expireRuns(now, s)
+	p.expireRuns(now, s, "ServerTaken")
 	p.reset(s)
 	s.nextPollAt = now.Add(maxPollRetryDelay)
 	p.actions = append(p.actions, Action{Fenced: true})
--- a/internal/worker/lease_refused_test.go
+++ b/internal/worker/lease_refused_test.go
@@ -1,8 +1,12 @@
 package worker
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
+
+	"guavayoke/internal/event"
 )
 
 // newTwoServerTester returns a tester whose pool owns the servers a and b.
@@ -76,3 +80,37 @@
 		t.Errorf("the task was started again %v after the last command that may have extended its lease", since)
 	}
 }
+
+// TestResolvedRunsAreLogged guards against second runs whose grounds the logs don't tell.
+func TestResolvedRunsAreLogged(t *testing.T) {
+	tests := map[string]struct {
+		act  func(p *poolTester)
+		want string
+	}{
+		"Refused":  {func(p *poolTester) { p.refusing = map[string]bool{"a": true} }, "ConnectionRefused"},
+		"Silent":   {func(p *poolTester) { p.advanceFor(100*time.Millisecond, "a", "b") }, "LeaseExpired"},
+		"StepDown": {func(p *poolTester) { p.advance(time.Millisecond, "a", "b"); p.pool.StepDown(p.now, "Deposed") }, "Deposed"},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			var out bytes.Buffer
+			p.pool.cfg.Log = event.New(&out, "info")
+			p.pool.Submit(p.now, 1, testJob("1"))
+			c.act(p)
+			p.advanceFor(3 * time.Second)
+			line := ""
+			for l := range strings.Lines(out.String()) {
+				if strings.Contains(l, "RunResolved") {
+					line = l
+					break
+				}
+			}
+			for _, want := range []string{"Task=1.0.0.0", "Run=1", "Server=", "StartedAtMs=", "FencingToken=", "DeadlineMs=", "Reason=" + c.want} {
+				if !strings.Contains(line, want) {
+					t.Errorf("the line %q does not contain %s", line, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -101,7 +101,7 @@
 		return
 	}
 	p.noteServerLost(now, s, false)
-	p.expireRuns(now, s)
+	p.expireRuns(now, s, "ServerGone")
 	p.cfg.Log.Info().Str("Server", s.ID).Msg("ServerGone")
 	if p.servers[s.ID] == s {
 		delete(p.servers, s.ID)
@@ -135,7 +135,7 @@
 		p.abandon(now, j, reason)
 	}
 	for _, s := range p.orderedServers {
-		p.expireRuns(now, s)
+		p.expireRuns(now, s, reason)
 		p.reset(s)
 	}
 }
--- a/internal/worker/pool_runs.go
+++ b/internal/worker/pool_runs.go
@@ -53,6 +53,27 @@
 	}
 }
 
+// expireRuns records all runs of a server as stopped, for a server on which none
+// can run any more. reason says why.
+func (p *Pool) expireRuns(now time.Time, s *server, reason string) {
+	for _, r := range s.sortedRuns() {
+		if s.runs[r.RunKey] == r {
+			p.resolveRun(now, s, r, reason)
+		}
+	}
+}
+
+// resolveRun records a run whose end the server has not listed as stopped. The log line tells
+// on what grounds another run of the task may follow: which command started the run, on which
+// incarnation of the server, and until when that could be executed. The server's clock as known
+// when the command was sent was leaseDuration before the deadline.
+func (p *Pool) resolveRun(now time.Time, s *server, r *run, reason string) {
+	p.cfg.Log.Info().Str("Task", r.Task).Int("Run", r.Run).Str("Server", s.ID).Int64("StartedAtMs", s.startedAtMs).
+		Uint64("FencingToken", r.token).Int64("DeadlineMs", r.deadline.Milliseconds()).Int64("SentMs", now.Sub(r.sent).Milliseconds()).
+		Bool("Confirmed", r.state == runRunning).Bool("Needed", r.task != nil).Str("Reason", reason).Msg("RunResolved")
+	p.runEnded(now, s, r, RunStopped)
+}
+
 // countFailure counts a failed run for its task and for the server.
 func (p *Pool) countFailure(now time.Time, s *server, r *run) {
 	t := r.task
