worker: a lease lasts no longer from its sending, however old the clock reading

What callers could see: two runs of a task, if the first owner's last command gave a server a longer lease than its successor knows of. After an owner stood still for 4 s it is 80 ms. The deadline now counts the time since the reading as slow as the clock may be. Then each lease is over 612 ms after its command was sent, and that of a predecessor, whose last command was executed before the server was acquired, is over before the successor's first. TestLeaseExpiresByLeaseUntil checks it; it fails before.

--- a/internal/worker/lease_refused_test.go
+++ b/internal/worker/lease_refused_test.go
@@ -40,7 +40,7 @@
 	}
 	// The last command that the server has received granted leaseDuration, by a clock that
 	// may be slow by maxClockDriftPercent.
-	longest := leaseDuration*100/(100-maxClockDriftPercent) + 2*tickInterval
+	longest := maxLease + 2*tickInterval
 	if took := p.now.Sub(crashedAt); len(p.starts) != 2 || took > longest {
 		t.Errorf("the task was started again %v after the crash (%d starts), want at most %v", took, len(p.starts), longest)
 	}
--- a/internal/worker/lease_test.go
+++ b/internal/worker/lease_test.go
@@ -22,8 +22,7 @@
 // clock. Each step is noticed up to one tick late, the first one stallGracePeriod later if
 // the owner stood still.
 func TestLeaseChain(t *testing.T) {
-	lease := leaseDuration * 100 / (100 - maxClockDriftPercent)
-	if chain := sessionLease + stopAckTimeout + lease + 3*tickInterval + stallGracePeriod; chain >= callerResubmitDelay {
+	if chain := sessionLease + stopAckTimeout + maxLease + 3*tickInterval + stallGracePeriod; chain >= callerResubmitDelay {
 		t.Errorf("runs may last for %v after the loss of their caller's host; the caller submits the job again after %v", chain, callerResubmitDelay)
 	}
 }
@@ -45,7 +44,11 @@
 			s.updateClock(now, clock(read))
 			now = now.Add(time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "later")))
 			deadline := s.deadline(now)
-			if at := startedAt.Add(time.Duration(float64(deadline) / (1 - drift))); at.After(expires) {
+			at := startedAt.Add(time.Duration(float64(deadline) / (1 - drift)))
+			if at.After(now.Add(maxLease + time.Microsecond)) {
+				t.Fatalf("the lease of a command lasts %v from its sending, want at most %v", at.Sub(now), maxLease)
+			}
+			if at.After(expires) {
 				expires = at
 			}
 			// The floating-point computations of the test may be off by a microsecond.
@@ -123,8 +126,7 @@
 			for range time.Second / tickInterval {
 				p.advance(tickInterval)
 			}
-			lease := leaseDuration * 100 / (100 - maxClockDriftPercent)
-			if after, most := s.leaseUntil.Sub(leaseEnd), stopAckTimeout+lease+tickInterval; after > most {
+			if after, most := s.leaseUntil.Sub(leaseEnd), stopAckTimeout+maxLease+tickInterval; after > most {
 				t.Errorf("the lease may last until %v after the end of the session, want at most %v", after, most)
 			}
 		})
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -26,7 +26,8 @@
 //  6. Every command that extends the lease raises leaseUntil. This is the time, by
 //     this host's clock, at which the lease has certainly expired unless another
 //     command extends it. The server's clock may run slow by
-//     maxClockDriftPercent. A command whose connection was refused has extended
+//     maxClockDriftPercent. What an earlier owner extended is over by then, too: its last
+//     command was executed before this owner acquired the server. A command whose connection was refused has extended
 //     nothing, and a run whose start it was doesn't exist.
 //  7. A reply comes from another incarnation of the server if its start time
 //     differs, or if its clock is behind the known one by more than a late reply
@@ -85,6 +86,9 @@
 	// maxClockDriftPercent is by how many percent a server's clock may run slow, as
 	// stated by the platform.
 	maxClockDriftPercent = 2
+	// maxLease is the time from the sending of a command after which the lease that it
+	// grants is over, also on a server with a slow clock.
+	maxLease = leaseDuration * 100 / (100 - maxClockDriftPercent)
 )
 
 // serverState is the relation of a backend server to this host.
@@ -271,10 +275,11 @@
 
 // deadline returns the lease deadline for a command sent now, by the server's
 // clock, and raises leaseUntil accordingly (rule 6). lastExtension is then the ID of the
-// extension.
+// extension. The server's clock counts as slow as it may be since it was read, so that the
+// lease is over maxLease from now at the latest, however long ago that was.
 func (s *server) deadline(now time.Time) time.Duration {
-	since := now.Sub(s.clockReadAt)
-	until := s.clockReadAt.Add((since + leaseDuration) * 100 / (100 - maxClockDriftPercent))
+	clock := s.clock + now.Sub(s.clockReadAt)*(100-maxClockDriftPercent)/100
+	until := now.Add(maxLease)
 	s.extensions = slices.DeleteFunc(s.extensions, func(e leaseExtension) bool { return now.After(e.until) })
 	s.lastExtension++
 	s.extensions = append(s.extensions, leaseExtension{s.lastExtension, until})
@@ -282,7 +287,7 @@
 		s.leaseUntil = until
 	}
 	s.extendedAt = now
-	return s.clock + since + leaseDuration
+	return clock + leaseDuration
 }
 
 // notDelivered takes back an extension of the lease, 0 for none, because the server has not
