worker: a caller that leaves withdraws no other caller's submission

What callers saw: nothing, until they gave up. A caller submits a job, leaves, and submits it again at the same host; while the second submission waits in the mailbox, the host cancels the job at itself and withdrew all its own submissions of that ID, also those of callers, without an answer. Withdraw now takes exactly the submissions with the given caller number, 0 for what the host itself has enqueued; an operator's cancellation takes all (WithdrawAll). TestLeavingCallerWithdrawsNoOther fails before.

--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -36,7 +36,7 @@
 	// Answer delivers a result to a caller.
 	Answer *CallerAnswer
 	// Enqueue offers a job to this host's own mailbox, as a submission of localSession;
-	// Withdraw removes the submission of that job.
+	// Withdraw removes the submission of that job that this host itself has enqueued.
 	Enqueue  *Job
 	Withdraw string
 }
--- a/internal/worker/lanes_test.go
+++ b/internal/worker/lanes_test.go
@@ -330,3 +330,21 @@
 		t.Errorf("answered %+v; the stream was closed: %v", got, closed)
 	}
 }
+
+// TestLeavingCallerWithdrawsNoOther guards against a caller that is never answered because an
+// earlier caller of the same job left while its submission waited.
+func TestLeavingCallerWithdrawsNoOther(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	now := testStart
+	s := newLanesService(ctx, &now)
+	left := s.Submit(lanesJob("1"), func(Result) {})
+	s.runUntilIdle()
+	answered := false
+	s.Submit(lanesJob("1"), func(Result) { answered = true })
+	left()
+	s.runUntilIdle()
+	if !answered && s.host.pool.jobs["1"] == nil {
+		t.Error("the second caller's submission was withdrawn without an answer")
+	}
+}
--- a/internal/worker/mailbox.go
+++ b/internal/worker/mailbox.go
@@ -161,12 +161,15 @@
 	}
 }
 
-// Withdraw removes the submissions of a job by a session and, unless caller is 0, only
-// that of the caller. It returns those that waited.
+// Withdraw removes the submissions of a job by a session with the given caller number. It
+// returns those that waited.
 func (m *Mailbox) Withdraw(session SessionID, caller uint64, job string) []Submission {
-	return m.remove(func(s *Submission) bool {
-		return s.Session == session && s.Job.ID == job && (caller == 0 || s.Caller == caller)
-	})
+	return m.remove(func(s *Submission) bool { return s.Session == session && s.Job.ID == job && s.Caller == caller })
+}
+
+// WithdrawAll removes the submissions of a job by a session and returns those that waited.
+func (m *Mailbox) WithdrawAll(session SessionID, job string) []Submission {
+	return m.remove(func(s *Submission) bool { return s.Session == session && s.Job.ID == job })
 }
 
 // DropSession removes the submissions of a session that has ended.
--- a/internal/worker/service_submit.go
+++ b/internal/worker/service_submit.go
@@ -49,7 +49,7 @@
 // it, and answers all of them.
 func (s *Service) CancelJob(id string) {
 	s.queuesMu.Lock()
-	withdrawn := s.mailbox.Withdraw(localSession, 0, id)
+	withdrawn := s.mailbox.WithdrawAll(localSession, id)
 	s.queuesMu.Unlock()
 	for _, sub := range withdrawn {
 		if sub.Cancelled != nil {
