worker: poll an unresponsive server at once instead of waiting for ends

Cause: a server that left one command unanswered is given nothing until it answers a poll; but the poll in flight could wait 1.5 s for an end, and so could each further one. The rest of the loss is the time until an unanswered start is resolved. While a server is unresponsive a poll doesn't wait, and one that was sent before is not waited for; the backoff between polls stays.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -76,6 +76,9 @@
 		}
 	}
 	p.sendPoll(now, s)
+	if s.awaitsOldPoll() && !now.Before(s.nextPollAt) {
+		p.sendImmediatePoll(now, s)
+	}
 	if s.state == stateReady && len(s.runs) > 0 && now.Sub(s.extendedAt) >= leaseRenewInterval && s.mayRenewLease(now) {
 		p.sendImmediatePoll(now, s)
 	}
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -340,6 +340,8 @@
 		if len(s.runs) == 0 {
 			c.Wait = 0
 		}
+	case s.unresponsive && len(s.runs) == 0:
+		// The reply shows that the server is usable again; it must not wait for an end.
 	case len(s.runs) == 0:
 		c.Wait = pollWaitIdle
 	default:
@@ -348,13 +350,19 @@
 			c.Deadline = s.deadline(now)
 			s.pollExtension = s.lastExtension
 		}
-		if s.resolvingRun() {
+		if s.resolvingRun() || s.unresponsive {
 			c.Wait = 0
 		}
 	}
 	return c
 }
 
+// awaitsOldPoll reports whether the server is unresponsive and a long poll in flight was sent
+// before that, so that its reply may come late.
+func (s *server) awaitsOldPoll() bool {
+	return s.unresponsive && s.polling && !s.immediatePolling && !s.pollSentAt.After(s.unresponsiveSince)
+}
+
 // resolvingRun reports whether a stop command was acknowledged after the last long
 // poll was sent, so that a poll without a wait can resolve the run (rule 4).
 func (s *server) resolvingRun() bool {
