worker: an attach ends no other session whose acknowledgment has arrived

What callers saw: 502 for jobs whose entry host was there all the time. Cause: an attach, which is handled among the liveness events, sent the first heartbeat on the new path by looking at all sessions, and so expired those whose acknowledgments stood behind it in the same batch; HandleEvents promises the other order. It takes a loop that wakes up late, as on slow hosts, and a replaced path. The look at all sessions that follows each batch sends that heartbeat as well. The test fails before.

--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -206,8 +206,6 @@
 			h.pool.Cancel(now, o.id, id)
 		}
 	}
-	// The lease counts from a heartbeat on the new path, so the first one is sent at once.
-	h.tickSessions(now)
 }
 
 // replyResult sends a result on a session and keeps it until its arrival is known.
--- a/internal/worker/session_attach_test.go
+++ b/internal/worker/session_attach_test.go
@@ -1,10 +1,13 @@
 package worker
 
 import (
+	"io"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"guavayoke/internal/event"
 )
 
 // Only the incarnation of the session may attach, within the lease, and each time with a
@@ -299,3 +302,31 @@
 		})
 	}
 }
+
+// newStubOwner returns a host that owns no server, so that it returns every job.
+func newStubOwner() *Host {
+	return NewHost(HostConfig{
+		Self: Candidate{"a", "a", "domain1", 0}, NextToken: func(_ time.Time, above uint64) uint64 { return above + 1 },
+		Log: event.New(io.Discard, "error"), Now: testStart,
+	})
+}
+
+// TestAttachEndsNoOtherSession guards against the jobs of a session that end although its
+// acknowledgment had arrived, because that of another one was handled first.
+func TestAttachEndsNoOtherSession(t *testing.T) {
+	h := newStubOwner()
+	one, two := h.sessions.Open(testStart, "c"), h.sessions.Open(testStart, "d")
+	for n := range 4 {
+		h.HandleEvent(testStart.Add(time.Duration(n)*heartbeatInterval), nil)
+	}
+	path := h.sessions.Open(testStart.Add(3*heartbeatInterval), "c")
+	receive := func(path SessionID, m message) func(*Host, time.Time) {
+		return func(h *Host, now time.Time) { h.handleEntryMessage(now, path, m) }
+	}
+	h.HandleEvents(testStart.Add(4*heartbeatInterval), []func(*Host, time.Time){
+		receive(one, message{Ack: 4}), receive(path, message{Attach: &attach{Session: one, Number: 1, Ack: 4}}), receive(two, message{Ack: 4}),
+	}, nil)
+	if !h.sessions.Has(two) {
+		t.Error("the other session has ended")
+	}
+}
