worker: test the stop of lost runs at the host, too

The pool's test passes a late end of the lease itself, so a host that passes the present time instead went unnoticed (a mutant of the reviewer's). TestStopCountsFromLeaseEnd goes through HandleEvent with a late time; with the mutant it fails.

--- a/internal/worker/lease_test.go
+++ b/internal/worker/lease_test.go
@@ -132,3 +132,28 @@
 		})
 	}
 }
+
+// TestStopCountsFromLeaseEnd guards against a stop that counts from when the host noticed that a
+// session had expired.
+func TestStopCountsFromLeaseEnd(t *testing.T) {
+	h := newStubOwner()
+	h.pool.AssumeOwnership(testStart, nil)
+	h.pool.SetServers(testStart, []Server{testServer("a", false)})
+	s := h.pool.orderedServers[0]
+	h.pool.HandlePollReply(testStart, s.ID, s.token, false, testStart, Reply{Verdict: Accepted, Clock: time.Second, StartedAtMs: 1})
+	id := h.sessions.Open(testStart, "entry")
+	h.HandleEvent(testStart, func(h *Host, now time.Time) {
+		h.handleEntryMessage(now, id, message{Submit: &Job{
+			ID: "1", Service: "booking", MaxFailures: 1, Target: time.Minute, Steps: testJob("1").Steps,
+		}})
+	})
+	if len(s.runs) != 1 {
+		t.Fatalf("%d runs, want one", len(s.runs))
+	}
+	h.HandleEvent(testStart.Add(2*sessionLease), nil)
+	for _, r := range s.runs {
+		if got := r.stopRequestedAt.Sub(testStart); got != sessionLease {
+			t.Errorf("the run is due to stop since %v after the last acknowledgment, want %v", got, sessionLease)
+		}
+	}
+}
