worker: an attach names the latest submissions of its jobs

What callers saw since: no answer, where a path was replaced while a job was offered to an owner for the second time. The owner kept its answer to the first submission, the second was lost with the path; the owner sent the kept answer again instead of saying that it lacks the job, and the entry host ignored it as outdated. Nobody had the job. The attach now tells the numbers of the latest submissions. A refusal kept for an earlier one is dropped, so that the job counts as never accepted and is offered again; a result that means that the job may have run, and a job that was accepted, answer the latest one. Owners of earlier versions ignore the numbers and send none. TestAttachNamesLatestSubmissions fails before. TestSubmissionNumberPassesTheMailbox covers the two places where submissions arrive, whose mutants went unnoticed; it fails with both.

--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -308,7 +308,7 @@
 	}
 	switch {
 	case m.Attach != nil:
-		h.handleAttach(now, path, *m.Attach)
+		h.handleAttach(now, path, *m.Attach, m.Submissions)
 	case m.Ack != 0:
 		h.sessions.Ack(id, m.Ack)
 		if len(m.Usual) > 0 {
--- a/internal/worker/lanes_test.go
+++ b/internal/worker/lanes_test.go
@@ -348,3 +348,44 @@
 		t.Error("the second caller's submission was withdrawn without an answer")
 	}
 }
+
+// TestSubmissionNumberPassesTheMailbox guards against results that don't say which submission
+// they answer, for submissions as they arrive on a stream.
+func TestSubmissionNumberPassesTheMailbox(t *testing.T) {
+	tests := map[string]struct {
+		full   bool
+		reason string
+	}{"Mailbox": {true, "HostBusy"}, "Pool": {false, "NoServer"}}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			now := testStart
+			s := newLanesService(ctx, &now)
+			var results []message
+			receive, _ := s.acceptSession(peer.NewStream("peer", func(b []byte) bool {
+				var m message
+				if err := cbor.Unmarshal(b, &m); err != nil {
+					t.Error(err)
+				}
+				if m.Result != nil {
+					results = append(results, m)
+				}
+				return true
+			}, func() {}))
+			s.runUntilIdle()
+			for n := 0; c.full && n < maxMailboxLen; n++ {
+				s.mailbox.waiting = append(s.mailbox.waiting, Submission{Job: Job{ID: fmt.Sprint("other", n)}})
+			}
+			j := lanesJob("1")
+			j.Service = "unknown"
+			receive(encode(t, message{Submit: &j, Submission: 7}))
+			if !c.full {
+				s.runUntilIdle()
+			}
+			if len(results) != 1 || results[0].Submission != 7 || results[0].Result.Reason != c.reason {
+				t.Errorf("the results are %+v, want one of submission 7 with the reason %s", results, c.reason)
+			}
+		})
+	}
+}
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -29,6 +29,8 @@
 	// Submission accompanies a Submit and the Result that answers it: the number of the
 	// submission, 0 from hosts of earlier versions.
 	Submission uint64 `cbor:"15,keyasint,omitempty"`
+	// Submissions accompanies an Attach: the number of the latest submission of each of its Jobs.
+	Submissions []uint64 `cbor:"16,keyasint,omitempty"`
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
--- a/internal/worker/outdated_result_test.go
+++ b/internal/worker/outdated_result_test.go
@@ -1,11 +1,8 @@
 package worker
 
 import (
-	"io"
 	"testing"
 	"time"
-
-	"guavayoke/internal/event"
 )
 
 // submissionTo returns the submission that the actions send to an owner, nil if there is none.
@@ -76,25 +73,71 @@
 	}
 }
 
+// resultOf returns the number of the submission that the first result among the actions answers.
+func resultOf(actions []HostAction) (uint64, *Result) {
+	for _, a := range actions {
+		if a.Reply != nil && a.Reply.Message.Result != nil {
+			return a.Reply.Message.Submission, a.Reply.Message.Result
+		}
+	}
+	return 0, nil
+}
+
+// TestAttachNamesLatestSubmissions guards against a job that nobody has and nobody offers again:
+// its latest submission was lost with the path, and the owner keeps the answer to an earlier one.
+func TestAttachNamesLatestSubmissions(t *testing.T) {
+	tests := map[string]struct {
+		kept        Outcome
+		latest      uint64
+		wantMissing bool
+		wantNumber  uint64
+	}{
+		"Refused":     {Refused, 3, true, 0},
+		"Returned":    {Returned, 3, true, 0},
+		"MayHaveRun":  {Lost, 3, false, 3},
+		"Completed":   {Completed, 3, false, 3},
+		"NotOutdated": {Refused, 1, false, 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newStubOwner()
+			id := h.sessions.Open(testStart, "entry")
+			h.sessions.keepResult(id, 1, Result{ID: "1", Outcome: c.kept})
+			path := h.sessions.Open(testStart, "entry")
+			actions := h.HandleEvent(testStart, func(h *Host, now time.Time) {
+				h.handleEntryMessage(now, path, message{Attach: &attach{Session: id, Number: 1, Jobs: []string{"1"}}, Submissions: []uint64{c.latest}})
+			})
+			missing := false
+			for _, a := range actions {
+				missing = missing || a.Reply != nil && a.Reply.Message.Attached != nil && len(a.Reply.Message.Attached.Missing) > 0
+			}
+			if got, _ := resultOf(actions); got != c.wantNumber || missing != c.wantMissing {
+				t.Errorf("the result answers submission %d, missing %v; want %d, %v", got, missing, c.wantNumber, c.wantMissing)
+			}
+		})
+	}
+	e := newTestEntry("c", "a")
+	acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+	e.handleSessionHeartbeat(testStart, "a", message{Heartbeat: &heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}}, Session: 1})
+	e.Submit(testStart, Job{ID: "1", Steps: []Step{{Count: 1}}})
+	e.Tick(testStart.Add(pathSilence + time.Millisecond))
+	for _, a := range e.TakeActions() {
+		if a.Dial != nil {
+			if m := e.HandlePathOpened("a", a.Dial.Number); len(m.Submissions) != 1 || m.Submissions[0] != e.jobs["1"].submission {
+				t.Errorf("the attach names submissions %v, want %d", m.Submissions, e.jobs["1"].submission)
+			}
+		}
+	}
+}
+
 // TestResultNamesItsSubmission guards against results that can't be told from those of an
 // earlier submission of the job.
 func TestResultNamesItsSubmission(t *testing.T) {
-	h := NewHost(HostConfig{
-		Self: Candidate{"a", "a", "domain1", 0}, NextToken: func(_ time.Time, above uint64) uint64 { return above + 1 },
-		Log: event.New(io.Discard, "error"), Now: testStart,
-	})
+	h := newStubOwner()
 	id := h.sessions.Open(testStart, "entry")
-	submissionOf := func(actions []HostAction) uint64 {
-		for _, a := range actions {
-			if a.Reply != nil && a.Reply.Message.Result != nil {
-				return a.Reply.Message.Submission
-			}
-		}
-		return 0
-	}
 	job := Job{ID: "1", Steps: []Step{{Count: 1}}}
 	for _, n := range []uint64{7, 8} {
-		got := submissionOf(h.HandleEvent(testStart, func(h *Host, now time.Time) {
+		got, _ := resultOf(h.HandleEvent(testStart, func(h *Host, now time.Time) {
 			h.handleEntryMessage(now, id, message{Submit: &job, Submission: n})
 		}))
 		if got != n {
@@ -102,7 +145,7 @@
 		}
 	}
 	path := h.sessions.Open(testStart, "entry")
-	got := submissionOf(h.HandleEvent(testStart, func(h *Host, now time.Time) {
+	got, _ := resultOf(h.HandleEvent(testStart, func(h *Host, now time.Time) {
 		h.handleEntryMessage(now, path, message{Attach: &attach{Session: id, Number: 1, Jobs: []string{"1"}}})
 	}))
 	if got != 8 {
--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -176,8 +176,22 @@
 	return list
 }
 
-// handleAttach handles an attach that arrived on a path.
-func (h *Host) handleAttach(now time.Time, path SessionID, a attach) {
+// renumber makes the kept result of a job answer a later submission, which may not have
+// arrived. A job that was not accepted by the earlier one is to be submitted again.
+func (o *session) renumber(job string, submission uint64) {
+	o.kept = slices.DeleteFunc(o.kept, func(r sentResult) bool {
+		return r.result.ID == job && r.submission != submission && (r.result.Outcome == Refused || r.result.Outcome == Returned)
+	})
+	for i := range o.kept {
+		if r := &o.kept[i]; r.result.ID == job {
+			r.submission = submission
+		}
+	}
+}
+
+// handleAttach handles an attach that arrived on a path. submissions has the numbers of the
+// latest submissions of its jobs; hosts of earlier versions send none.
+func (h *Host) handleAttach(now time.Time, path SessionID, a attach, submissions []uint64) {
 	var o *session
 	if id, ok := h.sessions.idOf(path); ok && len(h.pool.sessionJobs(id)) == 0 {
 		o = h.sessions.Attach(now, path, a)
@@ -188,6 +202,14 @@
 		return
 	}
 	accepted := h.pool.sessionJobs(o.id)
+	if len(submissions) == len(a.Jobs) {
+		for i, id := range a.Jobs {
+			o.renumber(id, submissions[i])
+			if slices.Contains(accepted, id) {
+				h.sessions.noteSubmission(o.id, id, submissions[i])
+			}
+		}
+	}
 	answered := o.takeKept(a.Jobs)
 	reply := attached{Number: a.Number}
 	for _, id := range a.Jobs {
--- a/internal/worker/session_path.go
+++ b/internal/worker/session_path.go
@@ -163,12 +163,13 @@
 	}
 	v.path.sent = number
 	a := &attach{Session: v.path.session, Number: number, Ack: v.heartbeat.Number}
+	m := &message{Attach: a}
 	for _, j := range e.sortedJobs() {
 		if j.owner == owner {
-			a.Jobs = append(a.Jobs, j.job.ID)
+			a.Jobs, m.Submissions = append(a.Jobs, j.job.ID), append(m.Submissions, j.submission)
 		}
 	}
-	return &message{Attach: a}
+	return m
 }
 
 // HandlePathClosed handles the end of the path of the session with an owner. The session
