worker: RunResolved and OrphanedRunFound name the incarnation of the run

RunResolved logged the incarnation that the server has when the run is resolved: after a restart the next one, and none while the server is acquired, so the line could not tell an order that reached a successor. The run now keeps the incarnation that its start was meant for; OrphanedRunFound tells incarnation and token as well. The test fails before.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -143,7 +143,8 @@
 func (p *Pool) start(now time.Time, s *server, t *task) {
 	t.lastRun++
 	r := &run{
-		RunKey: RunKey{t.name, t.lastRun}, need: t.job.Steps[t.step].Need, task: t, sent: now, token: s.token, deadline: s.deadline(now),
+		RunKey: RunKey{t.name, t.lastRun}, need: t.job.Steps[t.step].Need, task: t, sent: now, token: s.token, startedAtMs: s.startedAtMs,
+		deadline: s.deadline(now),
 	}
 	r.extension, r.dangerous = s.lastExtension, p.crashes.rates.dangerous(t.job.share)
 	t.assignedServer, t.currentRun = s, r
@@ -399,11 +400,12 @@
 	case r == nil && (s.state == stateAcquiring || sent.After(s.lastRunEndedAt)):
 		// If the poll was sent before the last run ended, the list may be older
 		// than that end, and an unknown run is no orphan.
-		r = &run{RunKey: k, state: runRunning, sent: sent, token: s.token}
+		r = &run{RunKey: k, state: runRunning, sent: sent, token: s.token, startedAtMs: s.startedAtMs}
 		s.addRun(r)
 		p.fleet.serverChanged(s)
 		p.trackedRuns[k.Task]++
-		p.cfg.Log.Warn().Str("Server", s.ID).Str("Task", k.Task).Int("Run", k.Run).Msg("OrphanedRunFound")
+		p.cfg.Log.Warn().Str("Server", s.ID).Int64("StartedAtMs", s.startedAtMs).Uint64("FencingToken", s.token).
+			Str("Task", k.Task).Int("Run", k.Run).Msg("OrphanedRunFound")
 		p.requestStop(now, s, r)
 	case r != nil && r.state != runRunning:
 		// The run counts as running from now, not from when this poll was sent:
--- a/internal/worker/lease_refused_test.go
+++ b/internal/worker/lease_refused_test.go
@@ -114,3 +114,23 @@
 		})
 	}
 }
+
+// TestResolvedRunNamesItsIncarnation guards against a run that the log ascribes to the server's
+// next incarnation, after which it was resolved.
+func TestResolvedRunNamesItsIncarnation(t *testing.T) {
+	p := newTwoServerTester(t)
+	var out bytes.Buffer
+	p.pool.cfg.Log = event.New(&out, "info")
+	p.pool.Submit(p.now, 1, testJob("1"))
+	p.advance(time.Millisecond, "a", "b")
+	s := p.pool.servers[p.starts[0].Server.ID]
+	sent := p.now
+	for range 2 {
+		p.now = p.now.Add(time.Millisecond)
+		p.pool.HandlePollReply(p.now, s.ID, s.token, false, sent, Reply{Verdict: Accepted, Clock: p.now.Sub(testStart) + time.Second, StartedAtMs: 2})
+		sent = p.now
+	}
+	if got := out.String(); !strings.Contains(got, "StartedAtMs=1 ") || !strings.Contains(got, "Reason=ServerReacquired") {
+		t.Errorf("the log is %q, want the run of incarnation 1 resolved as ServerReacquired", got)
+	}
+}
--- a/internal/worker/pool_runs.go
+++ b/internal/worker/pool_runs.go
@@ -68,7 +68,7 @@
 // incarnation of the server, and until when that could be executed. The server's clock as known
 // when the command was sent was leaseDuration before the deadline.
 func (p *Pool) resolveRun(now time.Time, s *server, r *run, reason string) {
-	p.cfg.Log.Info().Str("Task", r.Task).Int("Run", r.Run).Str("Server", s.ID).Int64("StartedAtMs", s.startedAtMs).
+	p.cfg.Log.Info().Str("Task", r.Task).Int("Run", r.Run).Str("Server", s.ID).Int64("StartedAtMs", r.startedAtMs).
 		Uint64("FencingToken", r.token).Int64("DeadlineMs", r.deadline.Milliseconds()).Int64("SentMs", now.Sub(r.sent).Milliseconds()).
 		Bool("Confirmed", r.state == runRunning).Bool("Needed", r.task != nil).Str("Reason", reason).Msg("RunResolved")
 	p.runEnded(now, s, r, RunStopped)
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -139,8 +139,10 @@
 	// sent is when the start command was sent. Once the state is runRunning, it is
 	// when this host learned that the run exists.
 	sent time.Time
-	// token is the fencing token of the start command.
-	token uint64
+	// token is the fencing token of the start command, startedAtMs the incarnation of the
+	// server that it was meant for.
+	token       uint64
+	startedAtMs int64
 	// deadline is the deadline of the start command, by the server's clock, extension its
 	// extension of the lease.
 	deadline  time.Duration
