worker: a server that is acquired again has no clock until it answers

acquire kept the reading of the former incarnation's clock. A first reply whose clock reads exactly 0 counts as one without a clock, and would have made the server ready with deadlines far ahead on its new clock. Found by the reviewer; no test of its own, as no reply of the simulation has that reading.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -33,7 +33,7 @@
 	p.fleet.serverChanged(s)
 	s.state = stateAcquiring
 	s.token = p.cfg.NextToken(now, refused)
-	s.lastSeen, s.startedAtMs, s.clockReadAt = 0, 0, time.Time{}
+	s.lastSeen, s.startedAtMs, s.clock, s.clockReadAt = 0, 0, 0, time.Time{}
 	s.polling, s.immediatePolling = false, false
 	p.sendPoll(now, s)
 }
