--- a/cmd/guavayoke-load/main.go
+++ b/cmd/guavayoke-load/main.go
@@ -7,6 +7,7 @@
 
 	"guavayoke/internal/load"
 	"guavayoke/internal/reference"
+	"guavayoke/platform/pairs"
 	"guavayoke/platform/regression"
 	"guavayoke/platform/soak"
 )
@@ -18,6 +19,7 @@
 	scores := load.Command{
 		Name: "regression", Summary: "scores of the users' deployments on their bench, beside the last committed ones", Main: regression.Main,
 	}
+	days := load.Command{Name: pairs.Name, Summary: pairs.Summary, Main: pairs.Main}
 	policies := load.Command{Name: reference.Name, Summary: reference.Summary, Main: reference.Main}
-	os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr, jobs, scores, policies))
+	os.Exit(load.Main(os.Args[1:], os.Stdout, os.Stderr, jobs, scores, policies, days))
 }
--- a/internal/cli/reference/main.go
+++ b/internal/cli/reference/main.go
@@ -11,6 +11,7 @@
 
 	"guavayoke/internal/cli"
 	"guavayoke/internal/reference"
+	"guavayoke/platform/pairs"
 )
 
 func main() {
@@ -21,6 +22,7 @@
 	write(*commands, func(w io.Writer) {
 		cli.WriteCommands(w)
 		reference.WriteReference(w)
+		pairs.WriteReference(w)
 	})
 }
 
