--- a/internal/worker/simulation_late_runs_test.go
+++ b/internal/worker/simulation_late_runs_test.go
@@ -16,7 +16,7 @@
 }
 
 var lateCases = map[string]lateCase{
-	"Crashes":     {simCase{faults: simFaults{IDAlone: true, Late: 0.1, Crashes: 0.6}, rate: 18, settle: 20 * time.Second}, []uint64{0, 1, 40, 54, 103, 262}},
+	"Crashes":     {simCase{faults: simFaults{IDAlone: true, Late: 0.1, Crashes: 0.6}, rate: 18, settle: 20 * time.Second}, []uint64{0, 1, 40, 54, 103, 262, 1044, 1055}},
 	"LongCrashes": {simCase{faults: simFaults{IDAlone: true, Late: 0.1, Crashes: 0.6}, rate: 4, meanRunTime: 2 * time.Second, settle: 40 * time.Second}, []uint64{0, 1, 83, 132, 235, 256, 282, 394}},
 	"Resets": {simCase{faults: simFaults{
 		IDAlone: true, Lost: 0.02, Late: 0.03, LatePolls: 0.03, Stalls: 0.003, Resets: 1,
