worker: a task is held only while its crashes may still be decided

Cause: a task that was alone under one of two crashes was held until it was proved guilty or cleared. If both are confirmed and one doesn't count, since the run may have lapsed before it, nothing more becomes known; the task doesn't run, so that nothing clears it either.

Fix: it is held while one of two crashes may still be decided. After that it starts alone once more, which decides: it ends by itself, or it is under a third crash. The platform's limit, a third start after three crashes, stays two starts away. After three that don't suffice it is held as before.

Evidence: TestTaskIsHeldOnlyWhileCrashesAreUndecided failed before for OneLapsed and BothLapsed.

--- a/internal/worker/crash.go
+++ b/internal/worker/crash.go
@@ -19,7 +19,8 @@
 //     them are no cause. The number of servers away and of tasks that run alone is bounded.
 //  4. A task under which two servers have crashed, one of them without another possible
 //     cause, is given up, and its job fails. Only crashes that are evident and confirmed count
-//     for that. While others would be needed, the task is not started.
+//     for that. While one of two may still be decided, and after three that don't suffice, the
+//     task is not started.
 //  5. If a task is not expected to start in the time that the caller waits, its job ends as
 //     lost at once.
 //  6. A queue pays for the servers that its tasks have crashed, from its share of the room
--- a/internal/worker/crash_test.go
+++ b/internal/worker/crash_test.go
@@ -319,6 +319,35 @@
 	}
 }
 
+// TestTaskIsHeldOnlyWhileCrashesAreUndecided guards against a job that is lost again and again
+// since nothing more becomes known of two crashes, one of which counts for little.
+func TestTaskIsHeldOnlyWhileCrashesAreUndecided(t *testing.T) {
+	tests := map[string]struct {
+		crashes   []taskCrash
+		wantStart bool
+	}{
+		"OneUndecided": {[]taskCrash{{State: crashConfirmed, Evident: true, Alone: true}, {State: crashSuspected}}, false},
+		"OneLapsed":    {[]taskCrash{{State: crashConfirmed, Evident: true, Alone: true}, {State: crashConfirmed}}, true},
+		"BothLapsed":   {[]taskCrash{{State: crashConfirmed, Alone: true}, {State: crashConfirmed}}, true},
+		"ThreeLapsed":  {[]taskCrash{{State: crashConfirmed, Alone: true}, {State: crashConfirmed}, {State: crashConfirmed}}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCrashTester(t, 8)
+			for n, crash := range tc.crashes {
+				crash.Server, crash.StartedAtMs = fmt.Sprint("gone", n), 1
+				crash.Address = crash.Server
+				c.pool.crashes.log.add(c.now, "job.0.0.0", crash)
+			}
+			c.submit("job", "queue", 1)
+			c.run(time.Second)
+			if started := c.startsOf("job.0.0.0") > 0; started != tc.wantStart {
+				t.Errorf("the task was started: %v, want %v", started, tc.wantStart)
+			}
+		})
+	}
+}
+
 // TestMalformedCrashRecordsAreIgnored guards against a message of another host that changes
 // what a host believes, or ends its process.
 func TestMalformedCrashRecordsAreIgnored(t *testing.T) {
--- a/internal/worker/crashlog.go
+++ b/internal/worker/crashlog.go
@@ -327,7 +327,8 @@
 // count returns the number of crashes that were not dismissed.
 func (v crashVerdict) count() int { return v.suspected + v.lapsed + v.known }
 
-// held reports whether the task is not started, although it is not guilty.
+// held reports whether the task is not started, although it is not guilty: while a crash may
+// still be decided, and after more crashes than prove its guilt.
 func (v crashVerdict) held() bool {
-	return !v.guilty() && v.count() >= minCrashes && v.alone
+	return !v.guilty() && v.alone && (v.count() > minCrashes || v.count() == minCrashes && v.suspected > 0)
 }
