worker: a start without a reply ties its task to that command

Cause: the proofs that a run is gone (a stop that was acknowledged and a list without it, the end of the lease, a list under a new token) hold for the incarnation that gave them. A command without a reply may be executed seconds later by the next one, which knows neither token nor runs. The owner went by these proofs and started the task elsewhere; the next owner and the owner to which a caller returned knew of nothing.

Fix, by design instead of by a shorter window (server.go, rule 9): - The owner repeats the same command to the same server, which starts a run at most once. Until all copies are answered or 13.3 s have passed, no other command starts the task; if its run ends, the job is lost. - Such jobs are in a log that hosts exchange with heartbeats and acks. Each host answers the job as lost at once, or hands it to the owner in the server's domain, which sends the same command again if the server has started anew. Where servers were seen to keep their IDs, an entry host adds the jobs that it loses with an owner. - There, too, unsettled starts take up their room: a next life may execute all of them before it is acquired. RunResolved says how many copies are outstanding and how long ago a stop was acknowledged; StartUnsettled, StartResumed and JobLost are new.

The model holds with TIED, and is refuted with UNTOLD and UNRESERVED. On six of the eight cases of TestUnansweredStartKeepsTaskFromRunningTwice fail: in SameAnswers and NextAnswers the task starts elsewhere, in four the job waits instead of being lost at once. TestUnsettledStartsTakeUpRoom fails without the reservation, TestJobWithLateStartIsOfferedToItsOwnerOnly without the entry host's look at the log. TestUnansweredStartIsRetried now wants the same run on the same server.

Tests that changed: scenarios run 14.3 s longer, the time for which a job may be lost by this rule; in return the new invariant Unresolved fails a job that is lost for longer.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -60,14 +60,11 @@
 		p.expireLease(now, s)
 	}
 	for _, r := range s.sortedRuns() {
-		if r.state == runStarting && r.listRequestedAt.IsZero() && now.Sub(r.sent) >= startPollDelay {
+		if !r.confirmed && !s.unresponsive && !now.Before(r.listDueAt()) {
 			r.listRequestedAt = now
 			p.sendImmediatePoll(now, s)
 		}
-		if r.state == runUnconfirmed && r.stopRequestedAt.IsZero() && now.Sub(r.sent) > unconfirmedStartTimeout {
-			p.requestStop(now, s, r)
-		}
-		if !r.stopRequestedAt.IsZero() && (!r.late || !s.unresponsive) {
+		if !r.stopRequestedAt.IsZero() {
 			p.requestStop(now, s, r)
 		}
 	}
@@ -157,15 +154,13 @@
 	t.job.lastStart = now
 	t.job.starts++
 	p.queue.addReady(t.job, t.step, -1)
-	p.actions = append(p.actions, Action{Start: &ServerStart{
-		s.Server,
-		StartCommand{RunKey: r.RunKey, Spec: t.job.Spec, Deadline: r.deadline, Token: s.token},
-	}})
+	p.sendStart(now, s, r)
 }
 
-// HandleStartReply applies the reply to a start command. id and token identify the
+// HandleStartReply applies the reply to a copy of a start command. id and token identify the
 // server and the ownership under which the command was sent.
 func (p *Pool) HandleStartReply(now time.Time, id string, token uint64, key RunKey, reply Reply) {
+	outstanding := p.noteStartReply(now, id, key, reply.Verdict)
 	s := p.servers[id]
 	if s == nil || s.token != token {
 		return
@@ -173,36 +168,38 @@
 	p.fleet.serverChanged(s)
 	same := p.observeReply(now, s, reply)
 	r := s.runs[key]
-	if (reply.Verdict == Unanswered || reply.Verdict == ConnectionClosed) && (r == nil || r.state != runRunning) {
+	if outstanding && (reply.Verdict == Unanswered || reply.Verdict == ConnectionClosed) {
 		s.lateStartUntil = now.Add(maxCommandDelay)
 	}
-	if r == nil || r.state != runStarting {
-		return
-	}
-	if !same {
-		r.state = runUnconfirmed
+	if r == nil || r.confirmed || !same {
 		return
 	}
 	switch reply.Verdict {
 	case Accepted:
-		r.state, r.sent = runRunning, now
+		r.confirmed, r.sent = true, now
 	case Unanswered:
-		r.state = runUnconfirmed
 		s.setSilent(now)
 	case ConnectionClosed:
-		r.state = runUnconfirmed
 		s.setUnresponsive(now)
 	case ConnectionRefused:
-		s.notDelivered(now, r.extension)
 		s.setRefused(now)
+		if r.copies.sent == 1 {
+			s.notDelivered(now, r.extension)
+		}
+		if outstanding {
+			return
+		}
 		p.resolveRun(now, s, r, "ConnectionRefused")
 	case RefusedToken:
 		p.handleFenced(now, s)
 	case RefusedOldRun:
 		// The job was submitted before, and its runs had higher numbers than this
-		// owner knows.
-		if r.task != nil {
-			r.task.lastRun = r.task.lastRun*2 + 1
+		// owner knows, or an earlier copy was executed and its run has ended.
+		if r.task != nil && r.task.lastRun == r.Run {
+			r.task.lastRun = r.Run*2 + 1
+		}
+		if outstanding || r.copies.listed {
+			return
 		}
 		p.resolveRun(now, s, r, "OldRun")
 	case RefusedDeadline, RefusedCapacity, RefusedOther, WrongIncarnation:
@@ -211,6 +208,9 @@
 		if reply.Verdict != RefusedDeadline {
 			s.health.refused(now)
 		}
+		if outstanding {
+			return
+		}
 		p.resolveRun(now, s, r, "StartRefused")
 	}
 	p.place(now)
@@ -225,6 +225,7 @@
 	if s.state != stateNotOwned && !s.clockReadAt.IsZero() && reply.Clock < s.clock-maxReplyDelay {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("ClockMs", reply.Clock.Milliseconds()).
 			Int64("KnownClockMs", s.clock.Milliseconds()).Msg("ServerRestarted")
+		p.idKept()
 		p.acquire(now, s, 0)
 		return false
 	}
@@ -311,6 +312,7 @@
 		case WrongIncarnation:
 			s.setUnresponsive(now)
 			s.replaced = true
+			p.settleReplaced(now, s)
 			p.anotherIncarnationSeen(now, s)
 		}
 		// The first failed poll is repeated immediately, the next ones with a backoff.
--- a/internal/worker/crash_caution.go
+++ b/internal/worker/crash_caution.go
@@ -100,6 +100,9 @@
 		return
 	}
 	for _, t := range j.tasks[step] {
+		if t.assignedServer != nil {
+			continue // resume has started it.
+		}
 		if t.caution = p.cautionOf(t.name); t.caution == cautionNone {
 			continue
 		}
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -171,6 +171,8 @@
 	waitUntil time.Time
 	// returned is set once a leaving owner has returned the job.
 	returned bool
+	// resumes is set if the job has an unsettled start, so that no other owner may start it.
+	resumes bool
 	// lastOffer is the latest offer; usableOwners is the number of owners that were
 	// known when an owner was last looked for. They are logged with the answer.
 	lastOffer    offer
@@ -194,8 +196,9 @@
 	Log  *log.Logger
 	// Now is the time at which the host started.
 	Now time.Time
-	// Crashes is the crash log of the host; nil means one of its own.
-	Crashes *CrashLog
+	// Crashes and LateStarts are the logs of the host; nil means ones of its own.
+	Crashes    *CrashLog
+	LateStarts *LateStartLog
 }
 
 // Entry is the state machine that sends the jobs of this host's callers to owners
@@ -248,6 +251,9 @@
 	if c.Crashes == nil {
 		c.Crashes = NewCrashLog()
 	}
+	if c.LateStarts == nil {
+		c.LateStarts = NewLateStartLog()
+	}
 	return &Entry{
 		cfg: c, views: map[string]*ownerView{}, draining: map[string]*ownerView{}, backoffUntil: map[string]time.Time{},
 		leavingHosts: map[string]bool{}, usual: usualDemand{}, jobs: map[string]*entryJob{},
--- a/internal/worker/fleet_due.go
+++ b/internal/worker/fleet_due.go
@@ -91,10 +91,8 @@
 		switch {
 		case !r.stopRequestedAt.IsZero():
 			at(now)
-		case r.state == runStarting && r.listRequestedAt.IsZero():
-			at(r.sent.Add(startPollDelay))
-		case r.state == runUnconfirmed:
-			at(r.sent.Add(unconfirmedStartTimeout))
+		case !r.confirmed && !s.unresponsive:
+			at(r.listDueAt())
 		}
 	}
 	return due
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -89,6 +89,7 @@
 	entry        *Entry
 	sessions     Sessions
 	crashes      *CrashLog
+	lateStarts   *LateStartLog
 	leaving      bool
 	leavingSince time.Time
 	actions      []HostAction
@@ -98,12 +99,12 @@
 
 // NewHost returns a Host that knows no other host.
 func NewHost(c HostConfig) *Host {
-	crashes := NewCrashLog()
+	crashes, lateStarts := NewCrashLog(), NewLateStartLog()
 	return &Host{
 		cfg:     c,
-		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, Crashes: crashes}),
-		entry:   NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now, Crashes: crashes}),
-		crashes: crashes,
+		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, Crashes: crashes, LateStarts: lateStarts}),
+		entry:   NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now, Crashes: crashes, LateStarts: lateStarts}),
+		crashes: crashes, lateStarts: lateStarts,
 	}
 }
 
@@ -213,6 +214,7 @@
 		m := h.sessions.heartbeatMessage(id, &hb)
 		m.Message.Closed, m.Message.Startable = closed, startable
 		m.Message.Crashes = h.sessions.newCrashes(id, h.crashes)
+		m.Message.LateStarts, m.Message.ServerIDsKept = h.sessions.newLateStarts(now, id, h.lateStarts), h.lateStarts.idsKept
 		h.actions = append(h.actions, HostAction{Reply: m})
 	}
 }
@@ -289,6 +291,7 @@
 	switch {
 	case m.Heartbeat != nil:
 		h.crashes.merge(now, m.Crashes)
+		h.mergeLateStarts(now, m)
 		h.entry.handleClosedQueues(owner, m.Closed)
 		h.entry.handleStartable(owner, m.Startable)
 		h.entry.handleSessionHeartbeat(now, owner, m)
@@ -299,6 +302,14 @@
 	}
 }
 
+// mergeLateStarts adds the records of a message to the late-start log.
+func (h *Host) mergeLateStarts(now time.Time, m message) {
+	if m.ServerIDsKept {
+		h.pool.idKept()
+	}
+	h.lateStarts.merge(now, m.LateStarts)
+}
+
 // handleEntryMessage handles a message from an entry host on a path that the entry
 // host opened.
 func (h *Host) handleEntryMessage(now time.Time, path SessionID, m message) {
@@ -311,6 +322,7 @@
 		h.handleAttach(now, path, *m.Attach, m.Submissions)
 	case m.Ack != 0:
 		h.sessions.Ack(id, m.Ack)
+		h.mergeLateStarts(now, m)
 		if len(m.Usual) > 0 {
 			h.pool.LearnUsual(now, id, m.Usual)
 		}
--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -1,8 +1,13 @@
 package worker
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
-// Start commands that a later incarnation of their server may execute (server.go, rule 9).
+// Start commands that got no reply, and that a later incarnation of their server may execute
+// (server.go, rule 9).
 
 const (
 	// maxCommandDelay is how long after it was sent a command that got no reply may still
@@ -11,65 +16,237 @@
 	// maxLateLease is the longest lease that a server grants. The deadline of a command for
 	// its predecessor may lie far ahead on its clock.
 	maxLateLease = time.Second
-	// lateStartTimeout is how long after its start command a run that was neither accepted
-	// nor listed may be running.
+	// lateStartTimeout is how long after a copy of its start command was sent a run may be in
+	// progress that was neither accepted nor listed.
 	lateStartTimeout = (maxCommandDelay + maxLateLease) * 100 / (100 - maxClockDriftPercent)
 	// lateStartPollInterval is the longest wait of a poll, and the longest delay after a
 	// failed one, for a server whose next incarnation may execute a late start command.
 	lateStartPollInterval = 100 * time.Millisecond
+	// maxStartCopies is the number of copies of a start command that are sent, startPollDelay
+	// apart, to a server that answers polls. A job waits no longer for them than for a lease.
+	maxStartCopies = 6
+	// reasonStartUnresolved is why a job with an unsettled start is lost.
+	reasonStartUnresolved = "StartUnresolved"
 )
 
-// mayStartLate reports whether the start command of a run may still be executed by another
-// incarnation of the server although the lease has expired. A leaving owner doesn't wait for
-// that: its successor acquires the server.
-func (p *Pool) mayStartLate(now time.Time, s *server, r *run) bool {
-	return r.state != runRunning && !s.replaced && !p.draining && now.Sub(r.sent) < lateStartTimeout
+// startCopies counts the copies of one start command.
+type startCopies struct {
+	sent int
+	// answered is the number of copies whose reply shows that they can't be executed any
+	// more, unanswered that of those that got no reply in time.
+	answered, unanswered int
+	// accepted is set once a reply has confirmed the run, listed once the server has listed
+	// it or its end.
+	accepted, listed bool
+}
+
+// outstanding returns the number of copies that may still be executed. If the server lists the
+// run although no reply has confirmed it, one of them has been executed.
+func (c startCopies) outstanding() int {
+	n := c.sent - c.answered
+	if c.listed && !c.accepted {
+		n--
+	}
+	return max(n, 0)
+}
+
+// note counts the reply to a copy.
+func (c *startCopies) note(v Verdict) {
+	switch v {
+	case Unanswered, ConnectionClosed:
+		c.unanswered++
+	default:
+		c.answered++
+		c.accepted = c.accepted || v == Accepted
+	}
+}
+
+// unsettledStart is a start command with outstanding copies whose run is not tracked any more.
+type unsettledStart struct {
+	key    RunKey
+	server string
+	// startedAtMs is the incarnation of the server that the command was sent to.
+	startedAtMs int64
+	need        Resources
+	copies      startCopies
+	// until is when the last copy can't be executed any more.
+	until time.Time
+}
+
+// repeatStart repeats the start command of a run that the server doesn't list, or ends its job
+// if the server has left too many copies unanswered.
+func (p *Pool) repeatStart(now time.Time, s *server, r *run) {
+	switch {
+	case r.task == nil:
+		p.requestStop(now, s, r)
+	case s.Leaving || r.sends >= maxStartCopies:
+		p.abandon(now, r.task.job, reasonStartUnresolved)
+	case s.state == stateReady && r.token == s.token && s.mayRenewLease(now):
+		r.deadline = s.deadline(now)
+		r.extension = s.lastExtension
+		p.sendStart(now, s, r)
+	}
+}
+
+// sendStart sends a copy of the start command of a run.
+func (p *Pool) sendStart(now time.Time, s *server, r *run) {
+	r.copies.sent++
+	r.sends++
+	r.copiedAt = now
+	p.fleet.serverChanged(s)
+	p.actions = append(p.actions, Action{Start: &ServerStart{
+		s.Server,
+		StartCommand{RunKey: r.RunKey, Spec: r.task.job.Spec, Deadline: r.deadline, Token: r.token},
+	}})
+}
+
+// noteStartReply counts the reply to a copy of a start command and reports whether copies of it
+// are outstanding.
+func (p *Pool) noteStartReply(now time.Time, id string, key RunKey, v Verdict) bool {
+	if s := p.servers[id]; s != nil && s.runs[key] != nil {
+		r := s.runs[key]
+		r.copies.note(v)
+		return r.copies.outstanding() > 0
+	}
+	u := p.unsettled[key.Task]
+	if u == nil || u.key != key {
+		return false
+	}
+	u.copies.note(v)
+	if v == Unanswered || v == ConnectionClosed {
+		u.until = now.Add(lateStartTimeout)
+	}
+	return p.reviewUnsettled(now, u)
+}
+
+// noteStartListed notes that a server lists a run, or its end, that is not tracked any more.
+func (p *Pool) noteStartListed(now time.Time, key RunKey) {
+	if u := p.unsettled[key.Task]; u != nil && u.key == key {
+		u.copies.listed = true
+		p.reviewUnsettled(now, u)
+	}
+}
+
+// keepUnsettled keeps the start command of a run that is tracked no longer, if copies of it are
+// outstanding.
+func (p *Pool) keepUnsettled(now time.Time, s *server, r *run) {
+	if r.copies.outstanding() == 0 || s.replaced {
+		return
+	}
+	u := &unsettledStart{r.RunKey, s.ID, r.startedAtMs, r.need, r.copies, r.copiedAt.Add(lateStartTimeout)}
+	p.unsettled[r.Task] = u
+	p.cfg.Log.Info().Str("Task", r.Task).Int("Run", r.Run).Str("Server", s.ID).Int64("StartedAtMs", r.startedAtMs).
+		Int("Copies", r.copies.sent).Int("Outstanding", r.copies.outstanding()).Msg("StartUnsettled")
+	p.reviewUnsettled(now, u)
+}
+
+// reviewUnsettled forgets an unsettled start without outstanding copies. It tells other hosts
+// of one that was left unanswered, and reports whether copies are outstanding.
+func (p *Pool) reviewUnsettled(now time.Time, u *unsettledStart) bool {
+	outstanding := u.copies.outstanding() > 0 && now.Before(u.until)
+	if !outstanding {
+		delete(p.unsettled, u.key.Task)
+		p.cfg.LateStarts.remove(jobOfTask(u.key.Task))
+	} else if u.copies.unanswered > 0 {
+		p.cfg.LateStarts.add(now, jobOfTask(u.key.Task), p.domainOf(u.server), u.until)
+	}
+	p.reserveUnsettled(u.server)
+	return outstanding
+}
+
+// domainOf returns the failure domain of a server, empty if it isn't known any more.
+func (p *Pool) domainOf(id string) string {
+	if s := p.servers[id]; s != nil {
+		return s.FailureDomain
+	}
+	return ""
+}
+
+// isUnsettled reports whether a start command for the task may still be executed.
+func (p *Pool) isUnsettled(now time.Time, task string) bool {
+	u := p.unsettled[task]
+	return u != nil && p.reviewUnsettled(now, u)
 }
 
-// mayStartAnyLate reports whether mayStartLate holds for any run of the server.
-func (p *Pool) mayStartAnyLate(now time.Time, s *server) bool {
-	for _, r := range s.runs {
-		if p.mayStartLate(now, s, r) {
-			return true
+// hasUnsettled reports whether a start command for a task of the job, by this owner or another
+// one, may still be executed.
+func (p *Pool) hasUnsettled(now time.Time, j *job) bool {
+	if p.cfg.LateStarts.contains(now, j.ID) {
+		return true
+	}
+	if len(p.unsettled) == 0 {
+		return false
+	}
+	for _, tasks := range j.tasks {
+		for _, t := range tasks {
+			if p.isUnsettled(now, t.name) {
+				return true
+			}
 		}
 	}
 	return false
 }
 
-// awaitsLateStart reports whether the server doesn't answer and may have been replaced by an
-// incarnation that executes a late start command until it is acquired.
-func (s *server) awaitsLateStart(now time.Time) bool {
-	return s.unresponsive && !s.replaced && now.Before(s.lateStartUntil)
+// forgetUnsettled forgets the unsettled starts that can't be executed any more.
+func (p *Pool) forgetUnsettled(now time.Time) {
+	for _, task := range slices.Sorted(maps.Keys(p.unsettled)) {
+		if u := p.unsettled[task]; !now.Before(u.until) {
+			p.reviewUnsettled(now, u)
+		}
+	}
+	p.cfg.LateStarts.forget(now)
 }
 
-// expireLease resolves the runs of a server whose lease has expired (rule 6), except for
-// those that may start late, whose jobs it ends (rule 9).
-func (p *Pool) expireLease(now time.Time, s *server) {
-	var ended, late []*run
-	for _, r := range s.sortedRuns() {
-		switch {
-		case !p.mayStartLate(now, s, r):
-			ended = append(ended, r)
-		case !r.late:
-			late = append(late, r)
+// reserveUnsettled takes up the resources of the unsettled starts on a server, all of which its
+// next incarnation may execute before it is acquired. It does so only where servers were seen
+// to start again under their IDs: elsewhere a late command is refused, and a few of them would
+// take a server out of use for lateStartTimeout.
+func (p *Pool) reserveUnsettled(id string) {
+	s := p.servers[id]
+	if s == nil || !p.cfg.LateStarts.idsKept {
+		return
+	}
+	var sum Resources
+	for _, u := range p.unsettled {
+		if u.server == id {
+			sum = sum.Add(u.need)
 		}
 	}
-	if len(ended)+len(late) == 0 {
+	if s.unsettled != sum {
+		s.unsettled = sum
+		p.fleet.serverChanged(s)
+	}
+}
+
+// idKept notes that a server has started again under its ID.
+func (p *Pool) idKept() {
+	if p.cfg.LateStarts.idsKept {
 		return
 	}
-	p.cfg.Log.Warn().Str("Server", s.ID).Int("Runs", len(s.runs)).Int("MayStartLate", len(late)).Strs("Tasks", s.runningTasks()).
-		Int64("UnresponsiveMs", now.Sub(s.unresponsiveSince).Milliseconds()).Msg("LeaseExpired")
-	s.keepExpired(now)
-	p.noteServerLost(now, s, false)
-	for _, r := range late {
-		r.late = true
-		if r.task != nil {
-			p.abandon(now, r.task.job, "StartUnresolved")
-		}
+	p.cfg.LateStarts.idsKept = true
+	p.reserveAllUnsettled()
+}
+
+// reserveAllUnsettled applies reserveUnsettled to all servers.
+func (p *Pool) reserveAllUnsettled() {
+	for _, s := range p.orderedServers {
+		p.reserveUnsettled(s.ID)
 	}
-	for _, r := range ended {
-		if s.runs[r.RunKey] == r {
-			p.resolveRun(now, s, r, "LeaseExpired")
+}
+
+// settleReplaced forgets the unsettled starts on a server once another ID has taken its address,
+// where late commands for this one are refused.
+func (p *Pool) settleReplaced(now time.Time, s *server) {
+	for _, task := range slices.Sorted(maps.Keys(p.unsettled)) {
+		if u := p.unsettled[task]; u.server == s.ID {
+			u.copies.answered = u.copies.sent
+			p.reviewUnsettled(now, u)
 		}
 	}
 }
+
+// awaitsLateStart reports whether the server doesn't answer and may have been replaced by an
+// incarnation that executes a late start command until it is acquired.
+func (s *server) awaitsLateStart(now time.Time) bool {
+	return s.unresponsive && !s.replaced && now.Before(s.lateStartUntil)
+}
--- a/internal/worker/lease.go
+++ b/internal/worker/lease.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// expireLease resolves the runs of a server whose lease has expired (rule 6).
+func (p *Pool) expireLease(now time.Time, s *server) {
+	outstanding := 0
+	for _, r := range s.runs {
+		outstanding += min(r.copies.outstanding(), 1)
+	}
+	p.cfg.Log.Warn().Str("Server", s.ID).Int("Runs", len(s.runs)).Int("MayStartLate", outstanding).Strs("Tasks", s.runningTasks()).
+		Int64("UnresponsiveMs", now.Sub(s.unresponsiveSince).Milliseconds()).Msg("LeaseExpired")
+	s.keepExpired(now)
+	p.noteServerLost(now, s, false)
+	p.expireRuns(now, s, "LeaseExpired")
+}
+
 // mayRenewLease reports whether rule 5 permits renewing the lease.
 func (s *server) mayRenewLease(now time.Time) bool {
 	if s.unresponsive && now.Sub(s.unresponsiveSince) > unresponsiveRenewLimit {
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -31,6 +31,10 @@
 	Submission uint64 `cbor:"15,keyasint,omitempty"`
 	// Submissions accompanies an Attach: the number of the latest submission of each of its Jobs.
 	Submissions []uint64 `cbor:"16,keyasint,omitempty"`
+	// LateStarts and ServerIDsKept accompany a Heartbeat or an Ack: new records of the
+	// late-start log, and whether a server was seen to start again under its ID.
+	LateStarts    []lateStart `cbor:"17,keyasint,omitempty"`
+	ServerIDsKept bool        `cbor:"18,keyasint,omitempty"`
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -23,10 +23,31 @@
 	e.usual.add(now, &job)
 	j := &entryJob{job: job, waiters: []WaiterID{id}, submittedAt: now.Add(-job.Age), waitUntil: now.Add(maxOwnerWait)}
 	e.jobs[job.ID] = j
+	if e.cfg.LateStarts.contains(now, job.ID) {
+		e.offerToResume(now, j)
+		return id
+	}
 	e.offerJob(now, j, noOwnerResult(j))
 	return id
 }
 
+// offerToResume sends a job with an unsettled start to the owner that may resume it
+// (server.go, rule 9), or answers it as lost.
+func (e *Entry) offerToResume(now time.Time, j *entryJob) {
+	domain, owner := e.cfg.LateStarts.jobs[j.job.ID].domain, ""
+	if v := e.views[domain]; e.isOwner && domain == e.cfg.Self.FailureDomain {
+		owner = e.cfg.Self.Incarnation
+	} else if v != nil && v.usable() && !v.path.suspect() {
+		owner = v.candidate.Incarnation
+	}
+	if owner == "" {
+		e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reasonStartUnresolved})
+		return
+	}
+	j.resumes, j.owner, j.lastOffer, j.tried = true, owner, offer{at: now}, []string{owner}
+	e.submitTo(now, owner, j, false)
+}
+
 // noOwnerResult returns the result of a job for which no owner was found.
 func noOwnerResult(j *entryJob) Result {
 	return Result{ID: j.job.ID, Outcome: Refused, Reason: "NoOwner", RetryAfter: noOwnerRetry}
@@ -180,6 +201,11 @@
 			Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).Msg("ResultOutdated")
 		return
 	}
+	if j.resumes && r.Outcome != Completed && r.Outcome != Failed {
+		// An earlier submission may have run.
+		e.answer(now, j, Result{ID: r.ID, Outcome: Lost, Reason: r.Reason})
+		return
+	}
 	if r.Outcome == Refused || r.Outcome == Returned {
 		if r.Outcome == Returned && r.Reason != reasonBusy {
 			j.returned, j.waitUntil = true, now.Add(maxOwnerWait)
@@ -220,6 +246,9 @@
 func (e *Entry) loseJobs(now time.Time, owner, reason string) {
 	for _, j := range e.sortedJobs() {
 		if j.owner == owner {
+			if e.cfg.LateStarts.idsKept {
+				e.cfg.LateStarts.add(now, j.job.ID, "", now.Add(lateStartTimeout))
+			}
 			e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reason})
 		}
 	}
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -276,6 +276,14 @@
 	e.loseJobs(now, lost, reason)
 }
 
+// newAck returns the acknowledgment of a heartbeat, with the new records of the late-start log.
+func (e *Entry) newAck(now time.Time, v *ownerView, number uint64) message {
+	l := e.cfg.LateStarts
+	m := message{Ack: number, ServerIDsKept: l.idsKept}
+	m.LateStarts, v.path.lateStartsSent = l.since(now, v.path.lateStartsSent)
+	return m
+}
+
 // HandleHeartbeat acknowledges a session heartbeat and records its content. It
 // ignores one from a host that has no open session here.
 func (e *Entry) HandleHeartbeat(now time.Time, from string, hb heartbeat) {
@@ -287,7 +295,7 @@
 		if v == nil || v.candidate.Incarnation != from || !v.open {
 			continue
 		}
-		ack := message{Ack: hb.Number}
+		ack := e.newAck(now, v, hb.Number)
 		if hb.IsOwner && !v.heartbeat.IsOwner {
 			ack.Usual = e.usual.list(now)
 		}
@@ -302,7 +310,7 @@
 	}
 	changed := len(v.heartbeat.RetainedServers) != len(hb.RetainedServers)
 	v.lastContact, v.heartbeat = now, hb
-	e.actions = append(e.actions, EntryAction{Send: &OwnerMessage{from, message{Ack: hb.Number}}})
+	e.actions = append(e.actions, EntryAction{Send: &OwnerMessage{from, e.newAck(now, v, hb.Number)}})
 	if changed && e.isOwner && v.domain == e.cfg.Self.FailureDomain {
 		e.assumeOwnership()
 	}
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -34,6 +34,7 @@
 			p.incarnationSeen(now, info.ID, info.Address, 0)
 			s = &server{Server: info, runs: map[RunKey]*run{}}
 			p.servers[info.ID] = s
+			p.reserveUnsettled(info.ID)
 			p.orderedServers = append(p.orderedServers, s)
 			p.fleet.add(s)
 			p.cfg.Log.Info().Str("Server", info.ID).Str("Address", info.Address).Int("CPUMilli", info.Capacity.CPUMilli).Msg("ServerListed")
@@ -94,11 +95,11 @@
 }
 
 // removeIfGone removes a server that the platform no longer lists, unless this
-// owner still uses it: it must be unresponsive, its lease must have expired, and no run
-// may start late (server.go, rule 9).
+// owner still uses it: it must be unresponsive, its lease must have expired, and none of its
+// runs may start late (server.go, rule 9).
 // SetServers then takes it out of orderedServers.
 func (p *Pool) removeIfGone(now time.Time, s *server) {
-	if s.listed || s.state != stateNotOwned && (!s.unresponsive || !now.After(s.leaseUntil) || p.mayStartAnyLate(now, s)) {
+	if s.listed || s.state != stateNotOwned && (!s.unresponsive || !now.After(s.leaseUntil) || !p.draining && s.awaitsLateStart(now)) {
 		return
 	}
 	p.noteServerLost(now, s, false)
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -42,8 +42,9 @@
 // server refuses a run if a run of the task with the same or a higher number has
 // ended there. Lower numbers cost refused start commands (HandleStartReply). The
 // retention exceeds maxRetryAfter, so that the numbers are still known if a refused
-// job is submitted again after the longest Retry-After of the pool.
-const runNumberRetention = 10 * time.Second
+// job is submitted again after the longest Retry-After of the pool, and after the time for
+// which an unsettled start makes it lost (server.go, rule 9).
+const runNumberRetention = 10*time.Second + lateStartTimeout
 
 // SessionID identifies a session of an entry host, which is a host that callers are
 // connected to. The ID is localSession if that is this host itself.
@@ -98,8 +99,9 @@
 	// be started any more in an evacuated failure domain; 0 means that there are no
 	// evacuations (evacuation.go).
 	EvacuationApplyTime time.Duration
-	// Crashes is the crash log of the host; nil means one of its own.
-	Crashes *CrashLog
+	// Crashes and LateStarts are the logs of the host; nil means ones of its own.
+	Crashes    *CrashLog
+	LateStarts *LateStartLog
 }
 
 // task is one task of a job.
@@ -216,6 +218,8 @@
 	usualFrom map[SessionID]bool
 	// usualNeed is the usual size of tasks (start_offer.go).
 	usualNeed usualNeed
+	// unsettled has the unsettled starts by task (server.go, rule 9).
+	unsettled map[string]*unsettledStart
 	actions   []Action
 }
 
@@ -233,10 +237,14 @@
 
 // NewPool returns a pool that owns no server.
 func NewPool(c PoolConfig) *Pool {
+	if c.LateStarts == nil {
+		c.LateStarts = NewLateStartLog()
+	}
 	return &Pool{
 		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), fleet: newFleet(), trackedRuns: map[string]int{},
 		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, speeds: newSpeedModel(), failureMedian: map[string]failureMedian{},
 		shares: NewShares(), crashes: newCrashes(c.Crashes), usualFrom: map[SessionID]bool{}, usualNeed: usualNeed{},
+		unsettled: map[string]*unsettledStart{},
 	}
 }
 
@@ -270,6 +278,12 @@
 		return
 	}
 	j := p.newJob(now, session, in)
+	resumable, resumes := p.resumables(now, j)
+	if p.hasUnsettled(now, j) && !resumes {
+		p.cfg.Log.Info().Str("Job", in.ID).Str("Queue", in.Queue).Str("Reason", reasonStartUnresolved).Msg("JobLost")
+		p.answer(j, Result{ID: in.ID, Outcome: Lost, Reason: reasonStartUnresolved})
+		return
+	}
 	if r, ok := p.admit(now, session, j); !ok {
 		r.ID = in.ID
 		p.answer(j, r)
@@ -279,6 +293,10 @@
 	p.queue.add(now, j)
 	p.shares.Admitted(now, j.share, session, j.work)
 	p.addWaiting(j, j.work)
+	p.resume(now, j, resumable)
+	if p.jobs[in.ID] != j {
+		return
+	}
 	p.holdBackCautious(now, j)
 	p.place(now)
 }
@@ -452,6 +470,7 @@
 		p.fleet.ticked(now, s)
 	}
 	p.forgetRunNumbers(now)
+	p.forgetUnsettled(now)
 	p.forgetCrashes(now)
 	p.reviewCautious(now)
 	p.updateShares(now)
--- a/internal/worker/pool_runs.go
+++ b/internal/worker/pool_runs.go
@@ -13,6 +13,7 @@
 // server's share of failed runs (health.go, rule 3).
 func (p *Pool) runEnded(now time.Time, s *server, r *run, outcome RunOutcome) {
 	s.removeRun(r)
+	p.keepUnsettled(now, s, r)
 	p.endAlone(s, r)
 	p.fleet.serverChanged(s)
 	s.lastRunEndedAt = now
@@ -66,11 +67,18 @@
 // resolveRun records a run whose end the server has not listed as stopped. The log line tells
 // on what grounds another run of the task may follow: which command started the run, on which
 // incarnation of the server, and until when that could be executed. The server's clock as known
-// when the command was sent was leaseDuration before the deadline.
+// when the command was sent was leaseDuration before the deadline. SinceStopMs is the time since
+// the server acknowledged a stop, -1 if it did not: for the reason NotListed, the reply to a
+// poll sent since then proves the end of a run that was not confirmed.
 func (p *Pool) resolveRun(now time.Time, s *server, r *run, reason string) {
+	sinceStop := int64(-1)
+	if !r.stopAckedAt.IsZero() {
+		sinceStop = now.Sub(r.stopAckedAt).Milliseconds()
+	}
 	p.cfg.Log.Info().Str("Task", r.Task).Int("Run", r.Run).Str("Server", s.ID).Int64("StartedAtMs", r.startedAtMs).
+		Int("Copies", r.copies.sent).Int("Outstanding", r.copies.outstanding()).Int64("SinceStopMs", sinceStop).
 		Uint64("FencingToken", r.token).Int64("DeadlineMs", r.deadline.Milliseconds()).Int64("SentMs", now.Sub(r.sent).Milliseconds()).
-		Bool("Confirmed", r.state == runRunning).Bool("Needed", r.task != nil).Str("Reason", reason).Msg("RunResolved")
+		Bool("Confirmed", r.confirmed).Bool("Needed", r.task != nil).Str("Reason", reason).Msg("RunResolved")
 	p.runEnded(now, s, r, RunStopped)
 }
 
@@ -91,7 +99,8 @@
 }
 
 // retryOrFail makes a task whose run has ended wait for its next run, or fails the job if
-// the task has failed or crashed its servers too often.
+// the task has failed or crashed its servers too often. The job is lost if a start command for
+// the task may still be executed (server.go, rule 9).
 func (p *Pool) retryOrFail(now time.Time, t *task) {
 	if t.outOfAttempts() {
 		p.endJob(now, t.job, Result{Outcome: Failed, Reason: "TaskFailed"})
@@ -101,6 +110,10 @@
 		p.failGuilty(now, t.job)
 		return
 	}
+	if p.isUnsettled(now, t.name) {
+		p.abandon(now, t.job, reasonStartUnresolved)
+		return
+	}
 	p.makeReady(now, t)
 }
 
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -17,6 +17,7 @@
 	}
 	if s.startedAtMs != 0 && reply.StartedAtMs != 0 && reply.StartedAtMs != s.startedAtMs {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("StartedAtMs", reply.StartedAtMs).Msg("ServerRestarted")
+		p.idKept()
 		p.acquire(now, s, 0)
 		return
 	}
@@ -35,7 +36,9 @@
 			continue
 		}
 		s.lastSeen = e.Number
+		p.noteStartListed(now, e.RunKey)
 		if r := s.runs[e.RunKey]; r != nil {
+			r.copies.listed = true
 			p.runEnded(now, s, r, e.Outcome)
 		} else if r := s.expired[e.RunKey]; r != nil && e.Outcome == RunFailed {
 			p.expiredRunFailed(now, s, r)
@@ -51,17 +54,17 @@
 		p.handleListedRun(now, s, k, sent)
 	}
 	for _, r := range s.sortedRuns() {
-		if r.state == runStarting && !running[r.RunKey] && !r.listRequestedAt.IsZero() && !sent.Before(r.listRequestedAt) {
-			p.requestStop(now, s, r)
-		}
 		// A run that neither list contains may be among the ends that were left out.
 		if s.runs[r.RunKey] != r || running[r.RunKey] || reply.EndedRunsTruncated {
 			continue
 		}
-		if r.token < s.token {
+		switch {
+		case r.token < s.token:
 			p.resolveRun(now, s, r, "ServerReacquired")
-		} else if r.isGone(sent, reply.Clock) {
+		case r.isGone(sent):
 			p.resolveRun(now, s, r, "NotListed")
+		case !r.confirmed && sent.Sub(r.copiedAt) >= startPollDelay:
+			p.repeatStart(now, s, r)
 		}
 	}
 	if s.state == stateAcquiring {
@@ -79,22 +82,27 @@
 // that this owner doesn't know is an orphan, which is stopped.
 func (p *Pool) handleListedRun(now time.Time, s *server, k RunKey, sent time.Time) {
 	r := s.runs[k]
+	if r != nil {
+		r.copies.listed = true
+	} else {
+		p.noteStartListed(now, k)
+	}
 	switch {
 	case r == nil && (s.state == stateAcquiring || sent.After(s.lastRunEndedAt)):
 		// If the poll was sent before the last run ended, the list may be older
 		// than that end, and an unknown run is no orphan.
-		r = &run{RunKey: k, state: runRunning, sent: sent, token: s.token, startedAtMs: s.startedAtMs}
+		r = &run{RunKey: k, confirmed: true, sent: sent, token: s.token, startedAtMs: s.startedAtMs}
 		s.addRun(r)
 		p.fleet.serverChanged(s)
 		p.trackedRuns[k.Task]++
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("StartedAtMs", s.startedAtMs).Uint64("FencingToken", s.token).
 			Str("Task", k.Task).Int("Run", k.Run).Msg("OrphanedRunFound")
 		p.requestStop(now, s, r)
-	case r != nil && r.state != runRunning:
+	case r != nil && !r.confirmed:
 		// The run counts as running from now, not from when this poll was sent:
 		// another poll that was sent after this one, but executed before it, may
 		// not list the run yet.
-		r.state, r.sent = runRunning, now
+		r.confirmed, r.sent = true, now
 		if r.stopRequestedAt.IsZero() || r.task == nil {
 			return
 		}
@@ -106,13 +114,21 @@
 	}
 }
 
-// isGone reports whether a run is gone, given that the reply to a poll does not
-// list it. sent is when the poll was sent, clock the server's clock in the reply.
+// isGone reports whether a run is gone, given that the reply to a poll that was sent at sent
+// does not list it.
 // A running run is gone if the poll was sent after this host learned that the run
 // exists; rule 4 applies to the other ones.
-func (r *run) isGone(sent time.Time, clock time.Duration) bool {
-	if r.state == runRunning {
+func (r *run) isGone(sent time.Time) bool {
+	if r.confirmed {
 		return !sent.Before(r.sent)
 	}
-	return !r.stopAckedAt.IsZero() && !sent.Before(r.stopAckedAt) || clock > r.deadline
+	return !r.stopAckedAt.IsZero() && !sent.Before(r.stopAckedAt)
+}
+
+// listDueAt returns when the server is polled since a start command was not answered.
+func (r *run) listDueAt() time.Time {
+	if r.listRequestedAt.After(r.copiedAt) {
+		return r.listRequestedAt.Add(startPollDelay)
+	}
+	return r.copiedAt.Add(startPollDelay)
 }
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -15,10 +15,9 @@
 //     command is sent until the server lists its end, or until rule 4 resolves
 //     that it is not running and never will be.
 //  4. A run whose start command was not answered is running if the server lists
-//     it. It is gone if the reply to a poll does not list it and either the poll
-//     was sent after a stop command for the run had been acknowledged, or the
-//     server's clock in the reply is past the deadline of the start command. A
-//     reply that doesn't list all ended runs resolves none by their absence.
+//     it. It is gone if the reply to a poll does not list it and the poll was sent
+//     after a stop command for the run had been acknowledged. A reply that doesn't
+//     list all ended runs resolves none by their absence.
 //  5. The lease covers all runs of the server. It is therefore not renewed while
 //     any run there has been due to stop for longer than stopAckTimeout, or while
 //     the server has been unresponsive for longer than unresponsiveRenewLimit: each
@@ -38,14 +37,14 @@
 //  8. A run that is resolved because the lease has expired may have ended before
 //     that, while the server's replies got lost. If the server lists later that the
 //     run failed, the failure counts for its task as any other.
-//  9. The expiry of the lease proves the end of runs that the server has accepted or
-//     listed. A start command that got no reply may be executed seconds later by
-//     another incarnation under the same ID. Such a run stays tracked until rule 4
-//     or 7 resolves it, another server has taken the address, or lateStartTimeout
-//     has passed. Its job is lost when the lease expires, since a caller must not
-//     wait for a server that may never return. Up to maxCommandDelay the server is
-//     polled at lateStartPollInterval, so that its next incarnation is soon
-//     acquired: a command that rule 4 has resolved may be executed there too.
+//  9. Rules 4, 6 and 7 prove that a run is gone for the present incarnation only. A
+//     start command that got no reply may be executed seconds later by the next one
+//     under the same ID, which knows neither the fencing token nor the runs before. The
+//     owner therefore repeats the same command to the same server, which starts a run
+//     at most once. Whatever becomes of that run, its task is started by no other
+//     command until all of them have been answered or lateStartTimeout has passed: its
+//     job is lost instead, here and at each owner that its callers turn to, unless the
+//     same command can be repeated (late_start.go, late_start_resume.go).
 
 import "time"
 
@@ -68,12 +67,9 @@
 	// stopRetryInterval is the interval between stop commands for the same run.
 	stopRetryInterval = 80 * time.Millisecond
 	// startPollDelay is how long a start command may stay unanswered before the
-	// owner polls the server. A run that the server does not list then is stopped,
-	// and its task is started again. The delay is many times a round trip.
+	// owner polls the server. If that does not list the run, the command is repeated.
+	// The delay is many times a round trip.
 	startPollDelay = 70 * time.Millisecond
-	// unconfirmedStartTimeout is how long after its start command a run may stay
-	// unconfirmed, that is neither answered nor listed, before it is stopped.
-	unconfirmedStartTimeout = 150 * time.Millisecond
 	// maxReplyDelay is how far the clock of a reply may be behind the newest known
 	// one without being taken for a restart (rule 7). The adapter waits at most
 	// 250 ms for a reply.
@@ -110,24 +106,12 @@
 	stateReady
 )
 
-// runState is the state of a tracked run.
-type runState uint8
-
-const (
-	// runStarting means that the start command has not been answered yet.
-	runStarting runState = iota
-	// runUnconfirmed means that the start command got no answer, or one from another
-	// incarnation of the server, so that the run may or may not exist.
-	runUnconfirmed
-	// runRunning means that the server accepted the start command or listed the run.
-	runRunning
-)
-
 // run is one start of a task on a server.
 type run struct {
 	RunKey
-	need  Resources
-	state runState
+	need Resources
+	// confirmed is set once the server has accepted the start command or listed the run.
+	confirmed bool
 	// share is the share of the queue whose job started the run, nil if this owner did not
 	// start it; runTime is the expected run time in seconds.
 	share   *queueShare
@@ -141,17 +125,21 @@
 	lost bool
 	// alone is set if the run has the server for itself.
 	alone bool
-	// late is set once the lease has expired although the run may still start (rule 9).
-	late bool
-	// sent is when the start command was sent. Once the state is runRunning, it is
+	// copies says what became of the start command, which may have been sent several times
+	// (rule 9), copiedAt when it was last sent.
+	copies   startCopies
+	copiedAt time.Time
+	// sends is the number of copies that were sent for the present submission of the job.
+	sends int
+	// sent is when the start command was sent. Once the run is confirmed, it is
 	// when this host learned that the run exists.
 	sent time.Time
 	// token is the fencing token of the start command, startedAtMs the incarnation of the
 	// server that it was meant for.
 	token       uint64
 	startedAtMs int64
-	// deadline is the deadline of the start command, by the server's clock, extension its
-	// extension of the lease.
+	// deadline is the deadline of the newest copy of the start command, by the server's clock,
+	// extension its extension of the lease.
 	deadline  time.Duration
 	extension uint64
 	// stopRequestedAt is since when the run has been due to stop (rule 5), stopSentAt when
@@ -186,6 +174,8 @@
 	extendedAt time.Time
 	runs       map[RunKey]*run
 	used       Resources
+	// unsettled is what the unsettled starts take up (rule 9).
+	unsettled Resources
 	// expired holds the runs of unfinished tasks that were resolved when the lease
 	// last expired, at expiredAt, and whose ends the server may still list (rule 8).
 	expired   map[RunKey]*run
@@ -240,8 +230,8 @@
 	indexedServer
 }
 
-// free returns the resources that no tracked run takes up.
-func (s *server) free() Resources { return s.Capacity.Sub(s.used) }
+// free returns the resources that neither tracked runs nor unsettled starts take up.
+func (s *server) free() Resources { return s.Capacity.Sub(s.used).Sub(s.unsettled) }
 
 // usable reports whether the server's state permits starting tasks, regardless of
 // its health and its free resources.
--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -45,6 +45,8 @@
 	submissions map[string]uint64
 	// crashesSent is the number of the last change of the crash log that was sent on the path.
 	crashesSent uint64
+	// lateStartsSent is the same for the late-start log.
+	lateStartsSent uint64
 }
 
 // setPath makes a stream carry a session.
@@ -144,7 +146,7 @@
 	delete(s.byPath, o.path)
 	o.formerPaths = append(o.formerPaths, o.path)
 	s.setPath(o, path)
-	o.attachState.number, o.attachedAt, o.crashesSent = a.Number, o.number, 0
+	o.attachState.number, o.attachedAt, o.crashesSent, o.lateStartsSent = a.Number, o.number, 0, 0
 	s.Ack(o.id, a.Ack)
 	o.nextHeartbeatAt, s.nextTickAt = now, now
 	return o
@@ -164,6 +166,14 @@
 	return list
 }
 
+// newLateStarts returns the records of the late-start log that were not sent on the session's path.
+func (s *Sessions) newLateStarts(now time.Time, id SessionID, l *LateStartLog) []lateStart {
+	o, _ := s.find(id)
+	var list []lateStart
+	list, o.lateStartsSent = l.since(now, o.lateStartsSent)
+	return list
+}
+
 // takeKept removes the kept results of a session and returns those of the given jobs.
 func (o *session) takeKept(jobs []string) []sentResult {
 	var list []sentResult
--- a/internal/worker/session_path.go
+++ b/internal/worker/session_path.go
@@ -84,6 +84,9 @@
 	sent uint64
 	// adopted is the number of the attach by which the present path carries the session.
 	adopted uint64
+	// lateStartsSent is the number of the last change of the late-start log that was sent on
+	// the path.
+	lateStartsSent uint64
 	// held are the messages to be sent when the attach has been answered (rule 3).
 	held []message
 }
@@ -212,7 +215,7 @@
 		e.loseJobs(now, owner, "SessionExpired")
 		return
 	}
-	v.lastContact, v.path.acked, v.path.acksTimely, v.path.adopted = now, v.heartbeat.Number, false, a.Number
+	v.lastContact, v.path.acked, v.path.acksTimely, v.path.adopted, v.path.lateStartsSent = now, v.heartbeat.Number, false, a.Number, 0
 	e.actions = append(e.actions, EntryAction{Adopt: &PathDial{v.candidate, a.Number}})
 	e.resumePath(v)
 	for _, id := range a.Missing {
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -104,6 +104,7 @@
 	switch {
 	case a.Start != nil:
 		cmd := a.Start
+		w.jobOf(cmd.Command.RunKey).unresolvedFrom = w.now
 		h.sendCommand(cmd.Server.ID, func(s *simServer) worker.Reply {
 			r := s.Start(w.now, cmd.Command)
 			if r.Verdict == worker.Accepted {
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -55,3 +55,8 @@
 verify 'owner EXPIRY_RESOLVES' owner.pml refuted '-E' -DSERVER_RESTART -DLATE_COMMANDS -DRETRY_AT_OWNER -DEXPIRY_RESOLVES
 verify 'owner STOP_RESOLVES' owner.pml refuted '-E' -DSERVER_RESTART -DLATE_COMMANDS -DRETRY_AT_OWNER -DSTOP_RESOLVES
 verify 'owner, late commands' owner.pml refuted '-E' -DSERVER_RESTART -DOWNER_NOTICES -DLATE_COMMANDS
+tied='-DSERVER_RESTART -DLATE_COMMANDS -DEXPIRY_RESOLVES -DSTOP_RESOLVES -DTIED'
+verify 'owner, starts tied' owner.pml holds '-E' $tied
+for v in UNTOLD UNRESERVED; do
+	verify "owner $v" owner.pml refuted '-E' $tied "-D$v"
+done
