worker: an entry host cancels a job when its callers' time limit is over

What callers could see: a job that they submit again after 1,300 ms, because they got no response in the time that X-Guavayoke-Request-Timeout-Ms states, runs twice at the same time (TWICE), on the servers of two owners. Cause: an entry host cancelled a job only when it saw the caller's connection close. If the path to the caller has gone silent, as in a cut, nothing shows that, and the first try's tasks ran on until the job ended by itself; the next try goes to another host, and often to another owner. A second caller with the same ID extends the limit; callers that state none are waited for as before.

--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -35,6 +35,9 @@
 //     retries (session.go).
 //  5. A leaving host is no candidate. Its successor acquires the servers that
 //     the leaving host no longer uses.
+//  6. A job is cancelled at its owner when the time is over for which its callers said that
+//     they wait. A connection that has gone silent doesn't show that its caller has left,
+//     and the caller may submit the job again at another host.
 
 import (
 	"cmp"
@@ -67,6 +70,8 @@
 	maxOwnerWait = 700 * time.Millisecond
 	// noOwnerRetry is the delay after which a caller may retry if no owner answers.
 	noOwnerRetry = time.Second
+	// reasonCallerTimedOut is the reason of results under rule 6.
+	reasonCallerTimedOut = "CallerTimedOut"
 )
 
 // Candidate is a host of the deployment, as a possible owner of its failure domain.
@@ -169,6 +174,8 @@
 	triedToStart []string
 	// waitUntil is the time up to which the job waits if no owner can take it.
 	waitUntil time.Time
+	// neededUntil is when the last caller stops waiting (rule 6), the zero time if unknown.
+	neededUntil time.Time
 	// returned is set once a leaving owner has returned the job.
 	returned bool
 	// lastOffer is the latest offer; usableOwners is the number of owners that were
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -18,10 +18,13 @@
 	e.waiters[id] = job.ID
 	if j := e.jobs[job.ID]; j != nil {
 		j.waiters = append(j.waiters, id)
+		j.neededUntil = laterLimit(j.neededUntil, job.callerLimit(now))
 		return id
 	}
 	e.usual.add(now, &job)
-	j := &entryJob{job: job, waiters: []WaiterID{id}, submittedAt: now.Add(-job.Age), waitUntil: now.Add(maxOwnerWait)}
+	j := &entryJob{
+		job: job, waiters: []WaiterID{id}, submittedAt: now.Add(-job.Age), waitUntil: now.Add(maxOwnerWait), neededUntil: job.callerLimit(now),
+	}
 	e.jobs[job.ID] = j
 	e.offerJob(now, j, noOwnerResult(j))
 	return id
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -25,6 +25,7 @@
 		e.tickOwnerView(now, v)
 	}
 	e.tickDraining(now)
+	e.endTimedOutJobs(now)
 	e.offerWaitingJobs(now)
 }
 
