worker: an owner ends jobs when their callers' time limit is over

Cause: the end at the limit rested on the entry host alone. If the path to the owner is silent as well, the session's lease comes on top. The owner knows the limit: Budget less Age comes with each submission. It now abandons the job itself, and its runs count as due to stop since the limit, so that it renews no lease from 200 ms after the limit on, whenever it notices. From the limit on, the runs last 200 + 612 ms and two ticks. A submission by another session extends the limit. Nothing walks the jobs: they stand in a set by time.

--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -24,6 +24,8 @@
 //     the owner, it waits for the read that this triggers, unless its list is
 //     recent, that read fails, or maxServerListWait has passed. An earlier read
 //     that failed doesn't count, since the store may be back.
+//  7. A job is abandoned when the time is over for which its callers said that they wait,
+//     since the entry host may be late to cancel it. Its runs are due to stop since then.
 //
 // A host leaves when it is about to shut down; its pool is draining from then on.
 // Admission and refusals are in admission.go, the choice of servers is in place.go,
@@ -133,6 +135,8 @@
 	// unwantedSince is since when nobody waits for the job, if this host noticed it late; else
 	// zero.
 	unwantedSince time.Time
+	// neededUntil is when the last caller stops waiting (rule 7), the zero time if unknown.
+	neededUntil time.Time
 	// firstStart and lastStart are the times of the first and the latest start
 	// command, and starts is their number. They are logged when the job ends.
 	firstStart, lastStart time.Time
@@ -261,6 +265,7 @@
 			j.waiters = append(j.waiters, session)
 			p.queue.addWaiter(j, session)
 		}
+		p.queue.setNeededUntil(j, laterLimit(j.neededUntil, in.callerLimit(now)))
 		return
 	}
 	if err := in.Validate(); err != nil {
@@ -284,7 +289,7 @@
 }
 
 func (p *Pool) newJob(now time.Time, session SessionID, in Job) *job {
-	j := &job{Job: in, waiters: []SessionID{session}, arrived: now.Add(-in.Age)}
+	j := &job{Job: in, waiters: []SessionID{session}, arrived: now.Add(-in.Age), neededUntil: in.callerLimit(now)}
 	if at, ok := p.refusedJobs.arrived(in.ID); ok && at.Before(j.arrived) {
 		j.arrived, j.returned = at, true
 	}
@@ -455,6 +460,7 @@
 	p.forgetCrashes(now)
 	p.reviewCautious(now)
 	p.updateShares(now)
+	p.endTimedOutJobs(now)
 	p.refuseTooLate(now)
 	p.tickEvacuation(now)
 	p.place(now)
--- a/internal/worker/queue.go
+++ b/internal/worker/queue.go
@@ -178,6 +178,8 @@
 	tooLate, tooLateSaturated *timedJobs
 	// starting has the jobs whose keys don't say yet that they have started (rule 4).
 	starting []*job
+	// neededUntil has the jobs whose callers stop waiting at a known time, by that time.
+	neededUntil *timedJobs
 	// bySession has the jobs that each session waits for.
 	bySession map[SessionID]map[*job]bool
 }
@@ -185,7 +187,8 @@
 func newJobQueue() *jobQueue {
 	return &jobQueue{
 		services: map[string]*serviceQueue{}, demands: map[demandKey]*demand{}, totalOf: map[readyTotalKey]*readyTotal{},
-		turnLate: newTimedJobs(), tooLate: newTimedJobs(), tooLateSaturated: newTimedJobs(), bySession: map[SessionID]map[*job]bool{},
+		turnLate: newTimedJobs(), tooLate: newTimedJobs(), tooLateSaturated: newTimedJobs(), neededUntil: newTimedJobs(),
+		bySession: map[SessionID]map[*job]bool{},
 	}
 }
 
@@ -220,6 +223,9 @@
 		q.tooLate.Insert(timedJob{j.tooLateAt(maxLateObjectives), j})
 		q.tooLateSaturated.Insert(timedJob{j.tooLateAt(maxQueuedObjectives), j})
 	}
+	if !j.neededUntil.IsZero() {
+		q.neededUntil.Insert(timedJob{j.neededUntil, j})
+	}
 	for _, w := range j.waiters {
 		q.addWaiter(j, w)
 	}
@@ -252,6 +258,9 @@
 	if !j.key.started {
 		q.deleteTooLate(j)
 	}
+	if !j.neededUntil.IsZero() {
+		q.neededUntil.Delete(timedJob{j.neededUntil, j})
+	}
 	for _, w := range j.waiters {
 		q.removeWaiter(j, w)
 	}
--- a/internal/worker/time_limit.go
+++ b/internal/worker/time_limit.go
@@ -37,3 +37,26 @@
 		e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reasonCallerTimedOut})
 	}
 }
+
+// setNeededUntil changes when the last caller of a job stops waiting.
+func (q *jobQueue) setNeededUntil(j *job, until time.Time) {
+	if !j.neededUntil.IsZero() {
+		q.neededUntil.Delete(timedJob{j.neededUntil, j})
+	}
+	j.neededUntil = until
+	if !until.IsZero() {
+		q.neededUntil.Insert(timedJob{until, j})
+	}
+}
+
+// endTimedOutJobs abandons the jobs whose callers have all stopped waiting (pool.go, rule 7).
+func (p *Pool) endTimedOutJobs(now time.Time) {
+	for {
+		first, ok := p.queue.neededUntil.Min()
+		if !ok || now.Before(first.at) {
+			return
+		}
+		first.job.unwantedSince = first.at
+		p.abandon(now, first.job, reasonCallerTimedOut)
+	}
+}
--- a/internal/worker/time_limit_test.go
+++ b/internal/worker/time_limit_test.go
@@ -66,3 +66,59 @@
 		})
 	}
 }
+
+// TestOwnerEndsTimedOutJobs guards against runs that outlive the chain of TestLeaseChain,
+// counted from the time at which their caller stops waiting, because the entry host or the
+// owner is late.
+func TestOwnerEndsTimedOutJobs(t *testing.T) {
+	const budget, late = time.Second, 150 * time.Millisecond
+	tests := map[string]struct {
+		budget, age time.Duration
+		// second is the budget of a submission by another session, negative for none.
+		second time.Duration
+		// want is when the runs are due to stop, 0 for never.
+		want time.Duration
+	}{
+		"InTime":        {budget, 0, -1, budget},
+		"Waited":        {budget, 200 * time.Millisecond, -1, budget - 200*time.Millisecond},
+		"SecondLonger":  {budget, 0, 2 * budget, 2 * budget},
+		"SecondShorter": {budget, 0, budget / 2, budget},
+		"SecondUnknown": {budget, 0, 0, 0},
+		"Unknown":       {0, 0, -1, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPoolTester(t)
+			p.pool.AssumeOwnership(p.now, nil)
+			p.pool.SetServers(p.now, []Server{testServer("a", false)})
+			p.advance(time.Millisecond, "a")
+			submitted := p.now
+			j := testJob("1")
+			j.Budget, j.Age = c.budget, c.age
+			p.pool.Submit(p.now, 1, j)
+			if c.second >= 0 {
+				j.Budget = c.second
+				p.pool.Submit(p.now, 2, j)
+			}
+			end := c.want
+			if end == 0 {
+				end = 3 * budget
+			}
+			p.advanceFor(end-2*tickInterval, "a")
+			s := p.pool.orderedServers[0]
+			if len(s.runs) != 1 || p.pool.Jobs() != 1 {
+				t.Fatalf("%d runs and %d jobs before the time limit, want one of each", len(s.runs), p.pool.Jobs())
+			}
+			p.now = submitted.Add(end + late)
+			p.pool.Tick(p.now)
+			if jobs := p.pool.Jobs(); (jobs == 0) != (c.want > 0) {
+				t.Errorf("%d jobs after %v", jobs, end+late)
+			}
+			for _, r := range s.runs {
+				if got := r.stopRequestedAt.Sub(submitted); c.want > 0 && got != c.want || c.want == 0 && !r.stopRequestedAt.IsZero() {
+					t.Errorf("the run is due to stop since %v after the submission, want %v", got, c.want)
+				}
+			}
+		})
+	}
+}
