worker: the stop of a cancelled job's runs counts from when the caller was seen to leave

What callers could see: a task of a job that they submit again, 1,300 ms after their connection broke, runs twice at the same time (TWICE). A caller that leaves is seen within 50 ms; 200 + 612 ms follow, so a cancellation that is more than 0.43 s late, in the loops of entry host and owner together, exceeds the 1,300 ms if all stops are lost. A cancellation that waits unread in a frozen owner is covered by the session's lease, which is judged before it.

--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -251,7 +251,7 @@
 		h.actions = append(h.actions, HostAction{Enqueue: a.Local.Submit})
 	case a.Local != nil:
 		h.actions = append(h.actions, HostAction{Withdraw: a.Local.Cancel})
-		h.pool.Cancel(now, localSession, a.Local.Cancel)
+		h.pool.Cancel(now, localSession, a.Local.Cancel, a.Local.unwantedSince(now))
 	case a.Answer != nil:
 		h.actions = append(h.actions, HostAction{Answer: a.Answer})
 	case a.AssumeOwnership != nil:
@@ -319,8 +319,15 @@
 		h.sessions.noteSubmission(id, m.Submit.ID, m.Submission)
 		h.pool.Submit(now, id, m.job())
 	case m.Cancel != "":
+		h.cancelJob(now, path, m, now)
+	}
+}
+
+// cancelJob handles the cancellation of a job, which was read from a path at readAt.
+func (h *Host) cancelJob(now time.Time, path SessionID, m message, readAt time.Time) {
+	if id, ok := h.sessions.idOf(path); ok {
 		h.sessions.takeSubmission(id, m.Cancel)
-		h.pool.Cancel(now, id, m.Cancel)
+		h.pool.Cancel(now, id, m.Cancel, m.unwantedSince(readAt))
 	}
 }
 
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -1,5 +1,7 @@
 package worker
 
+import "time"
+
 // message is one message on a session between an entry host and an owner. Exactly
 // one field is set, besides those that accompany others: the owner sends Heartbeat, Result and
 // Attached, the entry host the others. A host ignores fields that it doesn't know.
@@ -31,6 +33,20 @@
 	Submission uint64 `cbor:"15,keyasint,omitempty"`
 	// Submissions accompanies an Attach: the number of the latest submission of each of its Jobs.
 	Submissions []uint64 `cbor:"16,keyasint,omitempty"`
+	// UnwantedMs accompanies a Cancel: how long nobody had waited for the job when it was sent,
+	// in milliseconds.
+	UnwantedMs int64 `cbor:"17,keyasint,omitempty"`
+}
+
+// unwantedSince returns since when nobody waits for the job that m cancels. m was read at
+// readAt.
+func (m *message) unwantedSince(readAt time.Time) time.Time {
+	return readAt.Add(-time.Duration(max(m.UnwantedMs, 0)) * time.Millisecond)
+}
+
+// newCancel returns a message that cancels a job for which nobody has waited since a time.
+func newCancel(now time.Time, job string, since time.Time) message {
+	return message{Cancel: job, UnwantedMs: now.Sub(since).Milliseconds()}
 }
 
 // heartbeat is what a host sends periodically on each session that an entry host has
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -127,9 +127,9 @@
 	e.actions = append(e.actions, EntryAction{Send: &OwnerMessage{owner, m}})
 }
 
-// CallerLeft removes a caller that no longer waits. When the last one has left, the
-// job is cancelled at its owner.
-func (e *Entry) CallerLeft(now time.Time, id WaiterID) {
+// CallerLeft removes a caller that has not waited any more since a time. When the last one
+// has left, the job is cancelled at its owner.
+func (e *Entry) CallerLeft(now time.Time, id WaiterID, since time.Time) {
 	j := e.jobs[e.waiters[id]]
 	delete(e.waiters, id)
 	if j == nil {
@@ -142,7 +142,7 @@
 	delete(e.jobs, j.job.ID)
 	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Msg("CallerDisconnected")
 	if j.owner != "" {
-		e.send(j.owner, message{Cancel: j.job.ID})
+		e.send(j.owner, newCancel(now, j.job.ID, since))
 	}
 }
 
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -330,14 +330,16 @@
 }
 
 // Cancel removes a session from the waiters of a job when its entry host no longer
-// needs the result. The job is abandoned if no other session waits for it.
-func (p *Pool) Cancel(now time.Time, session SessionID, id string) {
+// needs the result. The job is abandoned if no other session waits for it; its runs have
+// been due to stop since then.
+func (p *Pool) Cancel(now time.Time, session SessionID, id string, since time.Time) {
 	j := p.jobs[id]
 	if j == nil {
 		return
 	}
 	p.removeWaiter(j, session)
 	if len(j.waiters) == 0 {
+		j.unwantedSince = since
 		p.abandon(now, j, "CallerLeft")
 		p.place(now)
 	}
--- a/internal/worker/pool_bench_test.go
+++ b/internal/worker/pool_bench_test.go
@@ -133,7 +133,7 @@
 	"SubmitAdmitted": func(p *benchPool, timed func(func())) {
 		j := p.job(1, 1)
 		timed(func() { p.pool.Submit(p.now, 1, j) })
-		p.pool.Cancel(p.now, 1, j.ID)
+		p.pool.Cancel(p.now, 1, j.ID, p.now)
 	},
 	"SubmitRefused": func(p *benchPool, timed func(func())) {
 		j := p.job(1, 1)
@@ -143,7 +143,7 @@
 	"Cancel": func(p *benchPool, timed func(func())) {
 		j := p.job(1, 1)
 		p.pool.Submit(p.now, 1, j)
-		timed(func() { p.pool.Cancel(p.now, 1, j.ID) })
+		timed(func() { p.pool.Cancel(p.now, 1, j.ID, p.now) })
 	},
 	"RunEnds": func(p *benchPool, timed func(func())) {
 		timed(p.endRun)
--- a/internal/worker/pool_reference_test.go
+++ b/internal/worker/pool_reference_test.go
@@ -404,7 +404,7 @@
 	"Cancel": func(r *randomPool) {
 		if list := r.p.sortedJobs(); len(list) > 0 {
 			j := list[r.number("job", 0, len(list)-1)]
-			r.p.Cancel(r.now, SessionID(r.number("session", 1, 3)), j.ID)
+			r.p.Cancel(r.now, SessionID(r.number("session", 1, 3)), j.ID, r.now)
 		}
 	},
 	"DropSession": func(r *randomPool) {
--- a/internal/worker/service_streams.go
+++ b/internal/worker/service_streams.go
@@ -141,7 +141,8 @@
 			s.sendMessage(st, message{Result: &r, Submission: m.Submission})
 		}
 	case m.Cancel != "" && id != 0:
-		s.withdraw(id, 0, m.Cancel, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, m) })
+		readAt := s.cfg.Now()
+		s.withdraw(id, 0, m.Cancel, func(h *Host, now time.Time) { h.cancelJob(now, id, m, readAt) })
 	default:
 		// An attach is the first message on its stream. This lane keeps the order, so the
 		// loop opens the session before.
--- a/internal/worker/service_submit.go
+++ b/internal/worker/service_submit.go
@@ -36,10 +36,11 @@
 		return func() {}
 	}
 	return func() {
+		leftAt := s.cfg.Now()
 		s.withdraw(localSession, caller, job.ID, func(h *Host, now time.Time) {
 			if s.waiters[waiter] != nil {
 				delete(s.waiters, waiter)
-				h.entry.CallerLeft(now, waiter)
+				h.entry.CallerLeft(now, waiter, leftAt)
 			}
 		})
 	}
--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -225,7 +225,7 @@
 	}
 	for _, id := range accepted {
 		if !slices.Contains(a.Jobs, id) {
-			h.pool.Cancel(now, o.id, id)
+			h.pool.Cancel(now, o.id, id, now)
 		}
 	}
 }
--- a/internal/worker/session_attach_test.go
+++ b/internal/worker/session_attach_test.go
@@ -203,7 +203,7 @@
 	if m := e.HandlePathOpened("a", dial.Number); m == nil || len(m.Attach.Jobs) != 1 {
 		t.Fatalf("the attach is %+v, want one with a job", m)
 	}
-	e.CallerLeft(now, waiter)
+	e.CallerLeft(now, waiter, now)
 	e.Submit(now, Job{ID: "2"})
 	e.Tick(now.Add(tickInterval))
 	for _, a := range e.TakeActions() {
--- a/internal/worker/session_path_test.go
+++ b/internal/worker/session_path_test.go
@@ -200,7 +200,7 @@
 			for id, at := range p.entry.waiting {
 				at.finished, at.job.finished = true, true
 				delete(p.entry.waiting, id)
-				p.entry.do(p.entry.generation, func(x *worker.Host, now time.Time) { x.Entry().CallerLeft(now, id) })
+				p.entry.do(p.entry.generation, func(x *worker.Host, now time.Time) { x.Entry().CallerLeft(now, id, now) })
 			}
 			p.run(worker.SessionLease - after)
 			if n := p.owner.host.Pool().Jobs(); n != 0 {
--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -51,7 +51,7 @@
 					h.do(at.hostGeneration, func(x *worker.Host, now time.Time) {
 						if h.waiting[id] != nil {
 							delete(h.waiting, id)
-							x.Entry().CallerLeft(now, id)
+							x.Entry().CallerLeft(now, id, now)
 						}
 					})
 				}
