worker: the simulation has the lanes, the mailbox and callers that are cut off

What callers could see, if it happened: a job at two owners at once. Until now nothing in the simulation could show that: its hosts handled each message as it arrived, so that no submission waited while an attach overtook it, and a closed stream delivered nothing more. Hosts now handle events one after the other in the order of service_loop.go, with the real mailbox, which refuses before the loop; they may be slow, pause for up to 250 ms, and paths may be late by up to 400 ms. What a side has sent before it closed a stream may arrive. Other simulations draw as before.

--- a/internal/worker/export_test.go
+++ b/internal/worker/export_test.go
@@ -15,6 +15,11 @@
 	h.handleEntryMessage(now, id, m)
 }
 
+// CancelJob calls cancelJob.
+func (h *Host) CancelJob(now time.Time, path SessionID, m Message, readAt time.Time) {
+	h.cancelJob(now, path, m, readAt)
+}
+
 // HandleIncomingSessionClosed calls handleIncomingSessionClosed.
 func (h *Host) HandleIncomingSessionClosed(now time.Time, id SessionID) {
 	h.handleIncomingSessionClosed(now, id)
--- a/internal/worker/session_path_test.go
+++ b/internal/worker/session_path_test.go
@@ -125,7 +125,7 @@
 			former := p.stream()
 			former.silent[0] = true
 			p.onOpen = func(*simStream) {
-				p.after(3*linkDelay, former.disconnect)
+				p.after(3*linkDelay, func() { former.disconnect(0) })
 				p.onOpen = nil
 			}
 			return j
@@ -200,7 +200,7 @@
 			for id, at := range p.entry.waiting {
 				at.finished, at.job.finished = true, true
 				delete(p.entry.waiting, id)
-				p.entry.do(p.entry.generation, func(x *worker.Host, now time.Time) { x.Entry().CallerLeft(now, id, now) })
+				p.entry.do(simControl, p.entry.generation, func(x *worker.Host, now time.Time) { x.Entry().CallerLeft(now, id, now) })
 			}
 			p.run(worker.SessionLease - after)
 			if n := p.owner.host.Pool().Jobs(); n != 0 {
@@ -218,7 +218,7 @@
 	p.stream().silent[1] = true
 	// The owner drops the session as if its lease were over.
 	st := p.stream()
-	p.owner.do(p.owner.generation, func(x *worker.Host, now time.Time) { x.HandleIncomingSessionClosed(now, st.session) })
+	p.owner.do(simControl, p.owner.generation, func(x *worker.Host, now time.Time) { x.HandleIncomingSessionClosed(now, st.session) })
 	p.run(worker.SessionLease - 50*time.Millisecond)
 	if p.lost != 1 {
 		t.Fatalf("%d answers say that the job is lost, want 1", p.lost)
--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -36,33 +36,30 @@
 	at := &simAttempt{job: j, host: h, hostGeneration: h.generation}
 	j.attempts++
 	w.tracef("job %s is submitted at host%d", j.job.ID, h.index)
-	h.do(h.generation, func(x *worker.Host, now time.Time) {
-		id, ok := x.Submit(now, j.job)
-		if !ok {
+	in := j.job
+	if w.faults.SilentCallers > 0 && w.rand.Float64() < w.faults.SilentCallers {
+		at.silent, in.Budget = true, time.Duration(100+w.rand.IntN(900))*time.Millisecond
+		w.after(in.Budget, func() { w.retryLater(at) })
+	}
+	var id worker.WaiterID
+	h.submitOwn(at, in, func(x *worker.Host, now time.Time, in worker.Job) {
+		var ok bool
+		if id, ok = x.Submit(now, in); !ok {
 			w.answered(at, worker.Result{Outcome: worker.Refused})
 			return
 		}
 		h.waiting[id] = at
-		if w.rand.Float64() < w.faults.CallerLeaves {
-			w.after(time.Duration(w.rand.IntN(400))*time.Millisecond, func() {
-				if !at.finished {
-					at.finished = true
-					j.finished, j.onlyRefused = true, false
-					h.do(at.hostGeneration, func(x *worker.Host, now time.Time) {
-						if h.waiting[id] != nil {
-							delete(h.waiting, id)
-							x.Entry().CallerLeft(now, id, now)
-						}
-					})
-				}
-			})
+	}, func(x *worker.Host, now, since time.Time) {
+		if h.waiting[id] != nil {
+			delete(h.waiting, id)
+			x.Entry().CallerLeft(now, id, since)
 		}
 	})
 }
 
 // answered handles the result that a caller receives.
 func (w *simulation) answered(at *simAttempt, r worker.Result) {
-	if at.finished {
+	if at.finished || at.silent {
 		return
 	}
 	at.finished = true
@@ -97,6 +94,16 @@
 	}
 }
 
+// retryLater makes the caller of an attempt submit its job again, as it got no response.
+func (w *simulation) retryLater(at *simAttempt) {
+	if at.finished {
+		return
+	}
+	at.finished = true
+	at.job.onlyRefused = false
+	w.after(resubmitDelay, func() { w.submit(at.job) })
+}
+
 // kill ends the process of a host and starts a new one after the time down. The
 // connections of its callers break, so they retry.
 func (w *simulation) kill(h *simHost, down time.Duration) {
@@ -105,21 +112,19 @@
 	}
 	w.tracef("host%d is killed", h.index)
 	h.alive = false
+	attempts := h.unread
 	for _, id := range slices.Sorted(maps.Keys(h.waiting)) {
-		at := h.waiting[id]
-		if at.finished {
-			continue
-		}
-		at.finished = true
-		at.job.onlyRefused = false
-		j := at.job
-		w.after(resubmitDelay, func() { w.submit(j) })
+		attempts = append(attempts, h.waiting[id])
+	}
+	h.unread = nil
+	for _, at := range attempts {
+		w.retryLater(at)
 	}
 	for _, name := range slices.Sorted(maps.Keys(h.streams)) {
-		h.streams[name].disconnect()
+		h.streams[name].disconnect(0)
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.sessions)) {
-		h.sessions[id].disconnect()
+		h.sessions[id].disconnect(1)
 	}
 	w.after(2*time.Second, w.updateMembers)
 	w.after(down, h.boot)
@@ -163,6 +168,13 @@
 		}
 	})
 	w.poisson(f.Silences, end, w.silence)
+	w.poisson(f.Slow, end, func() { host().slowDown() })
+	w.poisson(f.SlowPaths, end, w.slowPaths)
+	w.poisson(f.Pauses, end, func() {
+		if h, until := host(), w.now.Add(span(250)); until.After(h.frozenUntil) {
+			h.frozenUntil = until
+		}
+	})
 	w.poisson(f.ServerCuts, end, func() {
 		s, h := server(), host()
 		s.cutUntil[h.index] = w.now.Add(span(5000))
@@ -195,7 +207,7 @@
 		h.leavingSince = w.now
 		gen := h.generation
 		w.tracef("host%d leaves", h.index)
-		h.do(gen, func(x *worker.Host, now time.Time) { x.Leave(now) })
+		h.do(simWork, gen, func(x *worker.Host, now time.Time) { x.Leave(now) })
 		w.after(5*time.Second, func() {
 			if h.generation == gen {
 				w.kill(h, 500*time.Millisecond)
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -19,6 +19,10 @@
 	h.incarnation = fmt.Sprintf("%014d-%03d", w.now.UnixMicro()-simStartUnix*1_000_000, h.index)
 	h.streams, h.sessions, h.waiting = map[string]*simStream{}, map[worker.SessionID]*simStream{}, map[worker.WaiterID]*simAttempt{}
 	h.newPaths = map[worker.PathDial]*simStream{}
+	h.loop = nil
+	if w.faults.Lanes {
+		h.loop = &simLoop{mailbox: worker.NewMailbox()}
+	}
 	tokens := worker.NewTokenGenerator(h.address)
 	h.host = worker.NewHost(worker.HostConfig{
 		Self:      worker.Candidate{Incarnation: h.incarnation, Address: h.address, FailureDomain: h.domain},
@@ -32,14 +36,19 @@
 	w.after(100*time.Millisecond, func() { h.listServers(gen) })
 }
 
-// do runs an event on the host. It delays the event while the host is frozen and drops
-// it if the process of generation gen has ended.
-func (h *simHost) do(gen int, f func(*worker.Host, time.Time)) {
+// do passes an event to the host, in a lane of its loop if it has one. It delays the event
+// while the host is frozen and drops it if the process of generation gen has ended.
+func (h *simHost) do(l simLane, gen int, f func(*worker.Host, time.Time)) {
 	if !h.alive || h.generation != gen {
 		return
 	}
 	if h.w.now.Before(h.frozenUntil) {
-		h.w.after(h.frozenUntil.Sub(h.w.now), func() { h.do(gen, f) })
+		h.w.after(h.frozenUntil.Sub(h.w.now), func() { h.do(l, gen, f) })
+		return
+	}
+	if h.loop != nil {
+		h.loop.lanes[l] = append(h.loop.lanes[l], f)
+		h.wakeLoop(gen)
 		return
 	}
 	for _, a := range h.host.HandleEvent(h.w.now, f) {
@@ -51,7 +60,7 @@
 	if !h.alive || h.generation != gen {
 		return
 	}
-	h.do(gen, func(x *worker.Host, now time.Time) { x.Tick(now) })
+	h.do(simTick, gen, func(x *worker.Host, now time.Time) { h.tickHost(x, now) })
 	h.w.after(simTickInterval, func() { h.tick(gen) })
 }
 
@@ -68,7 +77,7 @@
 			list = append(list, info)
 		}
 	}
-	h.do(gen, func(x *worker.Host, now time.Time) { x.Pool().SetServers(now, list) })
+	h.do(simWork, gen, func(x *worker.Host, now time.Time) { x.Pool().SetServers(now, list) })
 	h.w.after(700*time.Millisecond, func() { h.listServers(gen) })
 }
 
@@ -82,7 +91,7 @@
 				list = append(list, worker.Candidate{Incarnation: o.incarnation, Address: o.address, FailureDomain: o.domain})
 			}
 		}
-		h.do(h.generation, func(x *worker.Host, now time.Time) { x.Entry().SetMembers(now, list) })
+		h.do(simControl, h.generation, func(x *worker.Host, now time.Time) { x.Entry().SetMembers(now, list) })
 	}
 }
 
@@ -138,31 +147,32 @@
 		h.closeNewPaths(a.CloseTo)
 		if st := h.streams[a.CloseTo]; st != nil {
 			delete(h.streams, a.CloseTo)
-			st.disconnect()
+			st.disconnect(0)
 		}
 	case a.SendTo != nil:
 		if st := h.streams[a.SendTo.To]; st != nil {
 			st.sendToOwner(a.SendTo.Message)
+		} else if m := a.SendTo; h.loop != nil && m.Message.Submit != nil {
+			h.do(simFollowUp, gen, func(x *worker.Host, now time.Time) {
+				x.Entry().HandleNotSent(now, m.To, m.Message.Submit.ID, "SessionBroke")
+			})
 		}
 	case a.Reply != nil:
 		if st := h.sessions[a.Reply.Session]; st != nil {
-			m := a.Reply.Message
-			owner := h.incarnation
-			st.deliver(1, func() {
-				st.from.do(st.fromGeneration, func(x *worker.Host, now time.Time) {
-					if m.Heartbeat == nil || st.from.streams[owner] == st {
-						x.HandleOwnerMessage(now, owner, m)
-					}
-				})
-			})
+			st.sendToEntry(a.Reply.Message)
 		}
 	case a.CloseSession != 0:
 		if st := h.sessions[a.CloseSession]; st != nil {
 			delete(h.sessions, a.CloseSession)
-			st.disconnect()
+			st.disconnect(1)
 		}
+		h.dropSubmissions(a.CloseSession)
 	case a.Enqueue != nil:
-		h.do(gen, func(x *worker.Host, now time.Time) { x.SubmitQueued(now, 0, *a.Enqueue, 0, nil) })
+		h.enqueueLocal(gen, *a.Enqueue)
+	case a.Withdraw != "":
+		if h.loop != nil {
+			h.loop.mailbox.Withdraw(0, 0, a.Withdraw)
+		}
 	case a.Answer != nil:
 		if at := h.waiting[a.Answer.Waiter]; at != nil {
 			delete(h.waiting, a.Answer.Waiter)
@@ -189,46 +199,20 @@
 	if w.partitioned(st.from, st.to) {
 		at = w.partitionEnd(st.from, st.to).Add(linkDelay)
 	}
+	if w.now.Before(st.slowUntil) {
+		at = at.Add(time.Duration(w.rand.Int64N(int64(st.slowBy))))
+	}
 	if at.Before(st.lastDelivery[direction]) {
 		at = st.lastDelivery[direction]
 	}
 	st.lastDelivery[direction] = at
 	w.after(at.Sub(w.now), func() {
-		if !st.broken && !st.silent[direction] {
+		if st.delivers(direction) {
 			f()
 		}
 	})
 }
 
-// disconnect closes a stream. Both sides observe the end after linkDelay, or when the
-// partition between them has ended.
-func (st *simStream) disconnect() {
-	if st.broken {
-		return
-	}
-	st.broken = true
-	w := st.from.w
-	delay := linkDelay
-	if w.partitioned(st.from, st.to) {
-		delay = w.partitionEnd(st.from, st.to).Sub(w.now) + linkDelay
-	}
-	w.after(delay, func() {
-		toGeneration, fromGeneration := st.toGeneration, st.fromGeneration
-		if !st.silent[0] {
-			st.to.do(toGeneration, func(x *worker.Host, now time.Time) { x.HandleIncomingSessionClosed(now, st.session) })
-		}
-		if st.silent[1] {
-			return
-		}
-		st.from.do(fromGeneration, func(x *worker.Host, now time.Time) {
-			if st.from.streams[st.ownerIncarnation] == st {
-				delete(st.from.streams, st.ownerIncarnation)
-				x.Entry().HandlePathClosed(now, st.ownerIncarnation)
-			}
-		})
-	})
-}
-
 // open opens a session with a candidate, or reports after 100 ms that it can't be
 // reached.
 func (h *simHost) open(gen int, c worker.Candidate) {
@@ -241,14 +225,17 @@
 			break
 		}
 		st := h.newStream(gen, o)
-		h.do(gen, func(x *worker.Host, now time.Time) {
+		h.do(simLiveness, gen, func(x *worker.Host, now time.Time) {
+			if wanted := x.Entry().HandleSessionOpened(now, c.Incarnation); h.loop != nil && (!wanted || st.broken) {
+				st.disconnect(0)
+				return
+			}
 			h.streams[c.Incarnation] = st
-			x.Entry().HandleSessionOpened(now, c.Incarnation)
 		})
 		return
 	}
 	w.after(100*time.Millisecond, func() {
-		h.do(gen, func(x *worker.Host, now time.Time) { x.Entry().HandleSessionClosed(now, c.Incarnation, "Unreachable") })
+		h.do(simWork, gen, func(x *worker.Host, now time.Time) { x.Entry().HandleSessionClosed(now, c.Incarnation, "Unreachable") })
 	})
 }
 
@@ -263,7 +250,7 @@
 	answer := func(r worker.Reply) {
 		if !answered {
 			answered = true
-			h.do(gen, func(x *worker.Host, now time.Time) { handleReply(x, now, r) })
+			h.do(simWork, gen, func(x *worker.Host, now time.Time) { handleReply(x, now, r) })
 		}
 	}
 	reach := func() bool {
@@ -331,7 +318,7 @@
 	answer := func(r worker.Reply) {
 		if !answered {
 			answered = true
-			h.do(gen, func(x *worker.Host, now time.Time) {
+			h.do(simWork, gen, func(x *worker.Host, now time.Time) {
 				x.Pool().HandlePollReply(now, poll.Server.ID, poll.Command.Token, poll.Immediate, sent, r)
 			})
 		}
--- a/internal/worker/simulation_path_test.go
+++ b/internal/worker/simulation_path_test.go
@@ -14,7 +14,7 @@
 // newStream connects a host with another one, which opens a session.
 func (h *simHost) newStream(gen int, o *simHost) *simStream {
 	st := &simStream{from: h, to: o, fromGeneration: gen, toGeneration: o.generation, ownerIncarnation: o.incarnation}
-	o.do(o.generation, func(x *worker.Host, now time.Time) {
+	o.do(simLiveness, o.generation, func(x *worker.Host, now time.Time) {
 		st.session = x.OpenSession(now, h.incarnation)
 		o.sessions[st.session] = st
 	})
@@ -25,8 +25,59 @@
 }
 
 func (st *simStream) sendToOwner(m worker.Message) {
-	st.deliver(0, func() {
-		st.to.do(st.toGeneration, func(x *worker.Host, now time.Time) { x.HandleEntryMessage(now, st.session, m) })
+	st.deliver(0, func() { st.to.receiveFromEntry(st, m) })
+}
+
+// sendToEntry sends a message to the entry host.
+func (st *simStream) sendToEntry(m worker.Message) {
+	st.deliver(1, func() {
+		st.from.do(simLiveness, st.fromGeneration, func(x *worker.Host, now time.Time) {
+			if m.Heartbeat == nil || st.from.streams[st.ownerIncarnation] == st {
+				x.HandleOwnerMessage(now, st.ownerIncarnation, m)
+			}
+		})
+	})
+}
+
+// delivers reports whether a message that was sent in a direction arrives. What the side that
+// closes a stream has sent before may arrive, if the simulation has lanes.
+func (st *simStream) delivers(direction int) bool {
+	closed := st.broken && !(st.from.w.faults.Lanes && st.closedBy == direction)
+	return !closed && !st.silent[direction]
+}
+
+// disconnect closes a stream at the side that sends in a direction. Both sides observe the
+// end after linkDelay, or when the partition between them has ended.
+func (st *simStream) disconnect(direction int) {
+	if st.broken {
+		return
+	}
+	st.broken, st.closedBy = true, direction
+	w := st.from.w
+	delay := linkDelay
+	if w.partitioned(st.from, st.to) {
+		delay = w.partitionEnd(st.from, st.to).Sub(w.now) + linkDelay
+	}
+	if w.faults.Lanes {
+		delay = max(delay, st.lastDelivery[direction].Sub(w.now))
+	}
+	w.after(delay, func() {
+		toGeneration, fromGeneration := st.toGeneration, st.fromGeneration
+		if !st.silent[0] {
+			st.to.do(simControl, toGeneration, func(x *worker.Host, now time.Time) {
+				st.to.dropSubmissions(st.session)
+				x.HandleIncomingSessionClosed(now, st.session)
+			})
+		}
+		if st.silent[1] {
+			return
+		}
+		st.from.do(simControl, fromGeneration, func(x *worker.Host, now time.Time) {
+			if st.from.streams[st.ownerIncarnation] == st {
+				delete(st.from.streams, st.ownerIncarnation)
+				x.Entry().HandlePathClosed(now, st.ownerIncarnation)
+			}
+		})
 	})
 }
 
@@ -38,12 +89,12 @@
 			continue
 		}
 		if o.incarnation != d.Candidate.Incarnation {
-			h.do(gen, func(x *worker.Host, now time.Time) {
+			h.do(simControl, gen, func(x *worker.Host, now time.Time) {
 				x.Entry().HandlePathFailed(now, d.Candidate.Incarnation, d.Number, true)
 			})
 			return
 		}
-		h.do(gen, func(x *worker.Host, _ time.Time) {
+		h.do(simLiveness, gen, func(x *worker.Host, _ time.Time) {
 			m := x.Entry().HandlePathOpened(d.Candidate.Incarnation, d.Number)
 			if m == nil {
 				return
@@ -58,9 +109,13 @@
 func (h *simHost) adoptPath(d worker.PathDial) {
 	st, former := h.newPaths[d], h.streams[d.Candidate.Incarnation]
 	delete(h.newPaths, d)
+	if h.loop != nil && (st == nil || st.broken) {
+		h.do(simControl, h.generation, func(x *worker.Host, now time.Time) { x.Entry().HandlePathClosed(now, d.Candidate.Incarnation) })
+		return
+	}
 	h.streams[d.Candidate.Incarnation] = st
 	if former != nil {
-		former.disconnect()
+		former.disconnect(0)
 	}
 	h.closeNewPaths(d.Candidate.Incarnation)
 }
@@ -71,7 +126,7 @@
 		if d.Candidate.Incarnation == owner {
 			st := h.newPaths[d]
 			delete(h.newPaths, d)
-			st.disconnect()
+			st.disconnect(0)
 		}
 	}
 }
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -88,6 +88,15 @@
 	// Resets is the rate per second at which a server, which goes on, closes the
 	// connections of a host and refuses new ones for up to 2 s.
 	Resets float64
+	// Lanes makes hosts handle their events one after the other, in the order of the lanes of
+	// the service. Slow is the rate per second at which a host takes slowFactor times as long
+	// for each event for up to a second, SlowPaths that at which some of the open streams
+	// deliver up to 400 ms late, Pauses that at which a host stands still for up to 250 ms.
+	Lanes                   bool
+	Slow, SlowPaths, Pauses float64
+	// SilentCallers is the share of submissions whose caller is cut off from its host, gives up
+	// within a second, as it has stated, and submits the job again elsewhere.
+	SilentCallers float64
 }
 
 const (
@@ -171,6 +180,10 @@
 	sessions     map[worker.SessionID]*simStream
 	waiting      map[worker.WaiterID]*simAttempt
 	generation   int
+	// unread has the attempts whose submissions wait to be read or in the mailbox.
+	unread []*simAttempt
+	// loop has the lanes of the host if the simulation has lanes.
+	loop *simLoop
 }
 
 // simStream is an ordered connection from an entry host to a host that it considers an
@@ -183,11 +196,16 @@
 	// ownerIncarnation is the incarnation with which the stream was opened.
 	ownerIncarnation string
 	broken           bool
+	// closedBy is the direction in which the side that closed the stream sends.
+	closedBy int
 	// silent says in which directions the stream delivers nothing any more: from the entry
 	// host, to it.
 	silent [2]bool
 	// lastDelivery is the time at which the last message sent in each direction arrives.
 	lastDelivery [2]time.Time
+	// slowUntil is until when messages take up to slowBy longer.
+	slowUntil time.Time
+	slowBy    time.Duration
 }
 
 // simServer is a simulated backend server.
@@ -256,6 +274,8 @@
 	host           *simHost
 	hostGeneration int
 	finished       bool
+	// silent is set if the caller receives no result.
+	silent bool
 }
 
 // simConfig configures a simulation. hosts and servers are numbers in each domain. cpu is
