worker: a host that was suspended ends jobs that are past their time limit before it acts

What callers could see: a task that runs twice at the same time (TWICE): once for the caller that returned elsewhere, once at the host that was suspended while it held the first try. Cause: the jobs of an owner's own callers have no session whose lease could expire. Frozen for up to 4 s, the owner finds on waking that their runs have lapsed, and starts them again: the reply of a server may be handled before the next tick, and that the caller has left is seen 50 ms later. By reading, and by the test, which fails before: one start after 4 s, for a caller who had stated that it waits for one.

--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -226,8 +226,10 @@
 	// host never revokes that.
 	leavingHosts map[string]bool
 	// evacuated holds the failure domains that are evacuated, as far as this host knows.
-	evacuated  map[string]bool
-	jobs       map[string]*entryJob
+	evacuated map[string]bool
+	jobs      map[string]*entryJob
+	// nextLimit is a time before which no job ends under rule 6, zero if none does.
+	nextLimit  time.Time
 	waiters    map[WaiterID]string
 	lastWaiter WaiterID
 	// lastSubmission is the number of the last submission to an owner.
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -26,6 +26,7 @@
 		job: job, waiters: []WaiterID{id}, submittedAt: now.Add(-job.Age), waitUntil: now.Add(maxOwnerWait), neededUntil: job.callerLimit(now),
 	}
 	e.jobs[job.ID] = j
+	e.noteLimit(j)
 	e.offerJob(now, j, noOwnerResult(j))
 	return id
 }
--- a/internal/worker/time_limit.go
+++ b/internal/worker/time_limit.go
@@ -25,8 +25,13 @@
 
 // endTimedOutJobs ends the jobs whose callers have all stopped waiting (rule 6).
 func (e *Entry) endTimedOutJobs(now time.Time) {
+	if e.nextLimit.IsZero() || now.Before(e.nextLimit) {
+		return
+	}
+	e.nextLimit = time.Time{}
 	for _, j := range e.sortedJobs() {
 		if j.neededUntil.IsZero() || now.Before(j.neededUntil) {
+			e.noteLimit(j)
 			continue
 		}
 		if j.owner == "" {
@@ -38,6 +43,13 @@
 	}
 }
 
+// noteLimit notes that a job may end under rule 6.
+func (e *Entry) noteLimit(j *entryJob) {
+	if !j.neededUntil.IsZero() && (e.nextLimit.IsZero() || j.neededUntil.Before(e.nextLimit)) {
+		e.nextLimit = j.neededUntil
+	}
+}
+
 // setNeededUntil changes when the last caller of a job stops waiting.
 func (q *jobQueue) setNeededUntil(j *job, until time.Time) {
 	if !j.neededUntil.IsZero() {
--- a/internal/worker/time_limit_test.go
+++ b/internal/worker/time_limit_test.go
@@ -122,3 +122,50 @@
 		})
 	}
 }
+
+// TestSuspendedOwnerRestartsNothing guards against a task that an owner starts again, after it was
+// suspended, for a caller that has given up meanwhile and may have returned elsewhere.
+func TestSuspendedOwnerRestartsNothing(t *testing.T) {
+	const budget = time.Second
+	tests := map[string]struct {
+		suspended time.Duration
+		want      int
+	}{
+		"WithinLimit": {budget / 2, 1},
+		"BeyondLimit": {4 * time.Second, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newStubOwner()
+			h.pool.AssumeOwnership(testStart, nil)
+			h.pool.SetServers(testStart, []Server{testServer("a", false)})
+			s := h.pool.orderedServers[0]
+			list := Reply{Verdict: Accepted, Clock: time.Second, StartedAtMs: 1}
+			h.pool.HandlePollReply(testStart, s.ID, s.token, false, testStart, list)
+			h.entry.isOwner, h.entry.localLoad.Servers = true, 1
+			h.HandleEvent(testStart, func(h *Host, now time.Time) {
+				j := testJob("1")
+				j.Budget = budget
+				h.Submit(now, j)
+			})
+			if len(s.runs) != 1 {
+				t.Fatalf("%d runs, want one", len(s.runs))
+			}
+			started := s.sortedRuns()[0].RunKey
+			now := testStart.Add(c.suspended)
+			starts := 0
+			for _, a := range h.HandleEvent(now, func(h *Host, now time.Time) {
+				list.Clock += c.suspended
+				list.EndedRuns = []EndedRun{{Number: 1, RunKey: started, Outcome: RunStopped}}
+				h.pool.HandlePollReply(now, s.ID, s.token, false, testStart, list)
+			}) {
+				if a.Start != nil {
+					starts++
+				}
+			}
+			if starts != c.want {
+				t.Errorf("%d starts after the suspension, want %d", starts, c.want)
+			}
+		})
+	}
+}
