worker: a submission past its caller's time limit is refused

What callers could see: a task that runs twice at the same time (TWICE), or one that runs for nobody. Cause: a submission that waited in the mailbox of a suspended host was started at once if there was room, however old it was: admission asks for the deadline only of jobs that must wait, and the mailbox only before they enter. The caller may have returned elsewhere meanwhile. By reading, and by TestTimedOutSubmissionIsRefused, which fails before for own callers and for other hosts: one run, want none.

--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -3,7 +3,8 @@
 // Admission control. It sheds load during bursts: a job that would have to wait
 // until its answer is worthless is refused on arrival, not after the wait.
 //
-//  1. A job with a task that fits on no server, even an empty one, is refused.
+//  1. A job with a task that fits on no server, even an empty one, is refused. So is one whose
+//     caller no longer waits, as it states.
 //  2. A job all of whose ready tasks can start at once is accepted. Otherwise, while
 //     the queue is saturated, a job is refused if its expected wait takes up too much
 //     of its slack. The expected wait follows from its queue's share of the room
@@ -68,6 +69,8 @@
 		return Result{Outcome: Refused, Reason: reason, RetryAfter: after}, false
 	}
 	switch {
+	case limitPassed(now, j.neededUntil):
+		return refuse(reasonCallerTimedOut, minRetryAfter)
 	case p.draining:
 		return Result{Outcome: Returned, Reason: "OwnerLeaving"}, false
 	case !p.owner:
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -27,6 +27,10 @@
 	}
 	e.jobs[job.ID] = j
 	e.noteLimit(j)
+	if limitPassed(now, j.neededUntil) {
+		e.answer(now, j, Result{ID: job.ID, Outcome: Refused, Reason: reasonCallerTimedOut, RetryAfter: noOwnerRetry})
+		return id
+	}
 	e.offerJob(now, j, noOwnerResult(j))
 	return id
 }
--- a/internal/worker/time_limit.go
+++ b/internal/worker/time_limit.go
@@ -23,6 +23,9 @@
 	return b
 }
 
+// limitPassed reports whether a time limit, which may be unknown, has passed.
+func limitPassed(now, limit time.Time) bool { return !limit.IsZero() && !now.Before(limit) }
+
 // endTimedOutJobs ends the jobs whose callers have all stopped waiting (rule 6).
 func (e *Entry) endTimedOutJobs(now time.Time) {
 	if e.nextLimit.IsZero() || now.Before(e.nextLimit) {
@@ -30,7 +33,7 @@
 	}
 	e.nextLimit = time.Time{}
 	for _, j := range e.sortedJobs() {
-		if j.neededUntil.IsZero() || now.Before(j.neededUntil) {
+		if !limitPassed(now, j.neededUntil) {
 			e.noteLimit(j)
 			continue
 		}
--- a/internal/worker/time_limit_test.go
+++ b/internal/worker/time_limit_test.go
@@ -169,3 +169,44 @@
 		})
 	}
 }
+
+// TestTimedOutSubmissionIsRefused guards against a task that is started for a caller that gave up
+// while its submission waited in a suspended host.
+func TestTimedOutSubmissionIsRefused(t *testing.T) {
+	tests := map[string]struct {
+		age  time.Duration
+		want int
+	}{
+		"InTime": {999 * time.Millisecond, 1},
+		"Late":   {time.Second, 0},
+	}
+	for name, c := range tests {
+		for _, remote := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				h := newStubOwner()
+				h.pool.AssumeOwnership(testStart, nil)
+				h.pool.SetServers(testStart, []Server{testServer("a", false)})
+				s := h.pool.orderedServers[0]
+				h.pool.HandlePollReply(testStart, s.ID, s.token, false, testStart, Reply{Verdict: Accepted, Clock: time.Second, StartedAtMs: 1})
+				h.entry.isOwner, h.entry.localLoad.Servers = true, 1
+				id := h.sessions.Open(testStart, "entry")
+				j := testJob("1")
+				j.Budget, j.Age = time.Second, c.age
+				refused := false
+				for _, a := range h.HandleEvent(testStart, func(h *Host, now time.Time) {
+					if remote {
+						h.SubmitQueued(now, id, j, 1, nil)
+					} else {
+						h.Submit(now, j)
+					}
+				}) {
+					refused = refused || a.Answer != nil && a.Answer.Result.Outcome == Refused
+					refused = refused || a.Reply != nil && a.Reply.Message.Result != nil && a.Reply.Message.Result.Outcome == Refused
+				}
+				if len(s.runs) != c.want || refused != (c.want == 0) {
+					t.Errorf("remote %v: %d runs, refused %v; want %d and %v", remote, len(s.runs), refused, c.want, c.want == 0)
+				}
+			})
+		}
+	}
+}
