--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -117,7 +117,8 @@
 
 // HandleEvents runs the liveness events that have arrived, closes the sessions that have
 // expired all the same, runs an event, which may be nil, and returns the actions that
-// follow. Liveness events come first, because an acknowledgment or a heartbeat that
+// follow. Before the event it also ends the jobs whose callers have stopped waiting, which may
+// be long ago if this host was suspended. Liveness events come first, because an acknowledgment or a heartbeat that
 // arrived in time must count even if this host handles it late. They change only the
 // sessions and the Entry, so that nothing acts for a session that has expired.
 func (h *Host) HandleEvents(now time.Time, liveness []func(*Host, time.Time), event func(*Host, time.Time)) []HostAction {
@@ -125,6 +126,8 @@
 		f(h, now)
 	}
 	h.tickSessions(now)
+	h.entry.endTimedOutJobs(now)
+	h.pool.endTimedOutJobs(now)
 	if event != nil {
 		event(h, now)
 	}
@@ -253,7 +256,7 @@
 		h.actions = append(h.actions, HostAction{Enqueue: a.Local.Submit})
 	case a.Local != nil:
 		h.actions = append(h.actions, HostAction{Withdraw: a.Local.Cancel})
-		h.pool.Cancel(now, localSession, a.Local.Cancel)
+		h.pool.Cancel(now, localSession, a.Local.Cancel, a.Local.unwantedSince(now))
 	case a.Answer != nil:
 		h.actions = append(h.actions, HostAction{Answer: a.Answer})
 	case a.AssumeOwnership != nil:
@@ -331,8 +334,15 @@
 		h.sessions.noteSubmission(id, m.Submit.ID, m.Submission)
 		h.pool.Submit(now, id, m.job())
 	case m.Cancel != "":
+		h.cancelJob(now, path, m, now)
+	}
+}
+
+// cancelJob handles the cancellation of a job, which was read from a path at readAt.
+func (h *Host) cancelJob(now time.Time, path SessionID, m message, readAt time.Time) {
+	if id, ok := h.sessions.idOf(path); ok {
 		h.sessions.takeSubmission(id, m.Cancel)
-		h.pool.Cancel(now, id, m.Cancel)
+		h.pool.Cancel(now, id, m.Cancel, m.unwantedSince(readAt))
 	}
 }
 
--- a/internal/worker/late_start_test.go
+++ b/internal/worker/late_start_test.go
@@ -175,7 +175,7 @@
 			p.loseStarts = 1
 			p.pool.Submit(p.now, 1, testJob("1"))
 			p.advance(tickInterval, "a")
-			p.pool.Cancel(p.now, 1, "1")
+			p.pool.Cancel(p.now, 1, "1", p.now)
 			p.advanceFor(time.Second, "a")
 			p.pool.HandleStartReply(p.now, "server", p.starts[0].Command.Token, p.starts[0].Command.RunKey, Reply{})
 			p.pool.Submit(p.now, 1, testJob("2"))
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -18,15 +18,23 @@
 	e.waiters[id] = job.ID
 	if j := e.jobs[job.ID]; j != nil {
 		j.waiters = append(j.waiters, id)
+		j.neededUntil = laterLimit(j.neededUntil, job.callerLimit(now))
 		return id
 	}
 	e.usual.add(now, &job)
-	j := &entryJob{job: job, waiters: []WaiterID{id}, submittedAt: now.Add(-job.Age), waitUntil: now.Add(maxOwnerWait)}
+	j := &entryJob{
+		job: job, waiters: []WaiterID{id}, submittedAt: now.Add(-job.Age), waitUntil: now.Add(maxOwnerWait), neededUntil: job.callerLimit(now),
+	}
 	e.jobs[job.ID] = j
+	e.noteLimit(j)
 	if e.cfg.LateStarts.contains(now, job.ID) {
 		e.offerToResume(now, j)
 		return id
 	}
+	if limitPassed(now, j.neededUntil) {
+		e.answer(now, j, Result{ID: job.ID, Outcome: Refused, Reason: reasonCallerTimedOut, RetryAfter: noOwnerRetry})
+		return id
+	}
 	e.offerJob(now, j, noOwnerResult(j))
 	return id
 }
@@ -66,6 +74,11 @@
 // (rule 3). If there is none and the job may not wait any longer, offerJob answers
 // the callers with otherwise.
 func (e *Entry) offerJob(now time.Time, j *entryJob, otherwise Result) {
+	if j.resumes {
+		// No other owner may start it, and an earlier submission may have run.
+		e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: otherwise.Reason})
+		return
+	}
 	best, last := e.bestOwner(now, j)
 	j.usableOwners = last.owners
 	if owner := e.startOwner(j); owner != "" {
@@ -145,9 +158,9 @@
 	e.actions = append(e.actions, EntryAction{Send: &OwnerMessage{owner, m}})
 }
 
-// CallerLeft removes a caller that no longer waits. When the last one has left, the
-// job is cancelled at its owner.
-func (e *Entry) CallerLeft(now time.Time, id WaiterID) {
+// CallerLeft removes a caller that has not waited any more since a time. When the last one
+// has left, the job is cancelled at its owner.
+func (e *Entry) CallerLeft(now time.Time, id WaiterID, since time.Time) {
 	j := e.jobs[e.waiters[id]]
 	delete(e.waiters, id)
 	if j == nil {
@@ -160,7 +173,7 @@
 	delete(e.jobs, j.job.ID)
 	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Msg("CallerDisconnected")
 	if j.owner != "" {
-		e.send(j.owner, message{Cancel: j.job.ID})
+		e.send(j.owner, newCancel(now, j.job.ID, since))
 	}
 }
 
@@ -201,11 +214,6 @@
 			Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).Msg("ResultOutdated")
 		return
 	}
-	if j.resumes && r.Outcome != Completed && r.Outcome != Failed {
-		// An earlier submission may have run.
-		e.answer(now, j, Result{ID: r.ID, Outcome: Lost, Reason: r.Reason})
-		return
-	}
 	if r.Outcome == Refused || r.Outcome == Returned {
 		if r.Outcome == Returned && r.Reason != reasonBusy {
 			j.returned, j.waitUntil = true, now.Add(maxOwnerWait)
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -24,6 +24,8 @@
 //     the owner, it waits for the read that this triggers, unless its list is
 //     recent, that read fails, or maxServerListWait has passed. An earlier read
 //     that failed doesn't count, since the store may be back.
+//  7. A job is abandoned when the time is over for which its callers said that they wait,
+//     since the entry host may be late to cancel it. Its runs are due to stop since then.
 //
 // A host leaves when it is about to shut down; its pool is draining from then on.
 // Admission and refusals are in admission.go, the choice of servers is in place.go,
@@ -130,11 +132,14 @@
 	arrived time.Time
 	// returned reports whether the job was refused before. arrived is that of the first time.
 	returned bool
-	// started reports whether a start command was sent for any task (rule 3).
-	started bool
+	// started reports whether a start command was sent for any task (rule 3), resumes whether
+	// one for an earlier submission may still be executed (server.go, rule 9).
+	started, resumes bool
 	// unwantedSince is since when nobody waits for the job, if this host noticed it late; else
 	// zero.
 	unwantedSince time.Time
+	// neededUntil is when the last caller stops waiting (rule 7), the zero time if unknown.
+	neededUntil time.Time
 	// firstStart and lastStart are the times of the first and the latest start
 	// command, and starts is their number. They are logged when the job ends.
 	firstStart, lastStart time.Time
@@ -269,6 +274,7 @@
 			j.waiters = append(j.waiters, session)
 			p.queue.addWaiter(j, session)
 		}
+		p.queue.setNeededUntil(j, laterLimit(j.neededUntil, in.callerLimit(now)))
 		return
 	}
 	if err := in.Validate(); err != nil {
@@ -284,8 +290,12 @@
 		p.answer(j, Result{ID: in.ID, Outcome: Lost, Reason: reasonStartUnresolved})
 		return
 	}
+	j.resumes = resumes
 	if r, ok := p.admit(now, session, j); !ok {
 		r.ID = in.ID
+		if resumes {
+			r = Result{ID: in.ID, Outcome: Lost, Reason: r.Reason}
+		}
 		p.answer(j, r)
 		return
 	}
@@ -302,7 +312,7 @@
 }
 
 func (p *Pool) newJob(now time.Time, session SessionID, in Job) *job {
-	j := &job{Job: in, waiters: []SessionID{session}, arrived: now.Add(-in.Age)}
+	j := &job{Job: in, waiters: []SessionID{session}, arrived: now.Add(-in.Age), neededUntil: in.callerLimit(now)}
 	if at, ok := p.refusedJobs.arrived(in.ID); ok && at.Before(j.arrived) {
 		j.arrived, j.returned = at, true
 	}
@@ -343,14 +353,16 @@
 }
 
 // Cancel removes a session from the waiters of a job when its entry host no longer
-// needs the result. The job is abandoned if no other session waits for it.
-func (p *Pool) Cancel(now time.Time, session SessionID, id string) {
+// needs the result. The job is abandoned if no other session waits for it; its runs have
+// been due to stop since then.
+func (p *Pool) Cancel(now time.Time, session SessionID, id string, since time.Time) {
 	j := p.jobs[id]
 	if j == nil {
 		return
 	}
 	p.removeWaiter(j, session)
 	if len(j.waiters) == 0 {
+		j.unwantedSince = since
 		p.abandon(now, j, "CallerLeft")
 		p.place(now)
 	}
@@ -378,7 +390,7 @@
 // abandon ends a job that can't be completed or that no session waits for. The
 // outcome is Lost if a task may have run, otherwise Refused.
 func (p *Pool) abandon(now time.Time, j *job, reason string) {
-	if j.started {
+	if j.started || j.resumes {
 		p.endJob(now, j, Result{Outcome: Lost, Reason: reason})
 		return
 	}
@@ -474,6 +486,7 @@
 	p.forgetCrashes(now)
 	p.reviewCautious(now)
 	p.updateShares(now)
+	p.endTimedOutJobs(now)
 	p.refuseTooLate(now)
 	p.tickEvacuation(now)
 	p.place(now)
