--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -307,9 +307,7 @@
 
 // mergeLateStarts adds the records of a message to the late-start log.
 func (h *Host) mergeLateStarts(now time.Time, m message) {
-	if m.ServerIDsKept {
-		h.pool.idKept()
-	}
+	h.lateStarts.idsKept = h.lateStarts.idsKept || m.ServerIDsKept
 	h.lateStarts.merge(now, m.LateStarts)
 }
 
--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -67,7 +67,6 @@
 	server string
 	// startedAtMs is the incarnation of the server that the command was sent to.
 	startedAtMs int64
-	need        Resources
 	copies      startCopies
 	// until is when the last copy can't be executed any more.
 	until time.Time
@@ -133,7 +132,7 @@
 	if r.copies.outstanding() == 0 || s.replaced {
 		return
 	}
-	u := &unsettledStart{r.RunKey, s.ID, r.startedAtMs, r.need, r.copies, r.copiedAt.Add(lateStartTimeout)}
+	u := &unsettledStart{r.RunKey, s.ID, r.startedAtMs, r.copies, r.copiedAt.Add(lateStartTimeout)}
 	p.unsettled[r.Task] = u
 	p.cfg.Log.Info().Str("Task", r.Task).Int("Run", r.Run).Str("Server", s.ID).Int64("StartedAtMs", r.startedAtMs).
 		Int("Copies", r.copies.sent).Int("Outstanding", r.copies.outstanding()).Msg("StartUnsettled")
@@ -150,7 +149,6 @@
 	} else if u.copies.unanswered > 0 {
 		p.cfg.LateStarts.add(now, jobOfTask(u.key.Task), p.domainOf(u.server), u.until)
 	}
-	p.reserveUnsettled(u.server)
 	return outstanding
 }
 
@@ -197,43 +195,6 @@
 	p.cfg.LateStarts.forget(now)
 }
 
-// reserveUnsettled takes up the resources of the unsettled starts on a server, all of which its
-// next incarnation may execute before it is acquired. It does so only where servers were seen
-// to start again under their IDs: elsewhere a late command is refused, and a few of them would
-// take a server out of use for lateStartTimeout.
-func (p *Pool) reserveUnsettled(id string) {
-	s := p.servers[id]
-	if s == nil || !p.cfg.LateStarts.idsKept {
-		return
-	}
-	var sum Resources
-	for _, u := range p.unsettled {
-		if u.server == id {
-			sum = sum.Add(u.need)
-		}
-	}
-	if s.unsettled != sum {
-		s.unsettled = sum
-		p.fleet.serverChanged(s)
-	}
-}
-
-// idKept notes that a server has started again under its ID.
-func (p *Pool) idKept() {
-	if p.cfg.LateStarts.idsKept {
-		return
-	}
-	p.cfg.LateStarts.idsKept = true
-	p.reserveAllUnsettled()
-}
-
-// reserveAllUnsettled applies reserveUnsettled to all servers.
-func (p *Pool) reserveAllUnsettled() {
-	for _, s := range p.orderedServers {
-		p.reserveUnsettled(s.ID)
-	}
-}
-
 // settleReplaced forgets the unsettled starts on a server once another ID has taken its address,
 // where late commands for this one are refused.
 func (p *Pool) settleReplaced(now time.Time, s *server) {
--- a/internal/worker/late_start_resume.go
+++ b/internal/worker/late_start_resume.go
@@ -39,12 +39,8 @@
 
 // mayResume reports whether the unsettled start of a task may be sent to its server again.
 func (p *Pool) mayResume(now time.Time, s *server, t *task, u *unsettledStart) bool {
-	free := s.free()
-	if s.unsettled != (Resources{}) {
-		free = free.Add(u.need)
-	}
 	return s.accepts(now) && s.startedAtMs != 0 && s.startedAtMs != u.startedAtMs && s.mayRun(t.job, t.step) &&
-		t.job.Steps[t.step].Need.Fits(free) && p.cautionOf(t.name) == cautionNone
+		t.job.Steps[t.step].Need.Fits(s.free()) && p.cautionOf(t.name) == cautionNone
 }
 
 // resume starts the unsettled tasks of a job that was admitted. The job is lost if one of them
@@ -56,7 +52,6 @@
 			return
 		}
 		delete(p.unsettled, x.task.name)
-		p.reserveUnsettled(x.start.server)
 		x.task.lastRun = x.start.key.Run - 1
 		p.start(now, x.server, x.task)
 		r := x.task.currentRun
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -34,7 +34,6 @@
 			p.incarnationSeen(now, info.ID, info.Address, 0)
 			s = &server{Server: info, runs: map[RunKey]*run{}}
 			p.servers[info.ID] = s
-			p.reserveUnsettled(info.ID)
 			p.orderedServers = append(p.orderedServers, s)
 			p.fleet.add(s)
 			p.cfg.Log.Info().Str("Server", info.ID).Str("Address", info.Address).Int("CPUMilli", info.Capacity.CPUMilli).Msg("ServerListed")
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -17,7 +17,7 @@
 	}
 	if s.startedAtMs != 0 && reply.StartedAtMs != 0 && reply.StartedAtMs != s.startedAtMs {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("StartedAtMs", reply.StartedAtMs).Msg("ServerRestarted")
-		p.idKept()
+		p.cfg.LateStarts.idsKept = true
 		p.acquire(now, s, 0)
 		return
 	}
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -174,8 +174,6 @@
 	extendedAt time.Time
 	runs       map[RunKey]*run
 	used       Resources
-	// unsettled is what the unsettled starts take up (rule 9).
-	unsettled Resources
 	// expired holds the runs of unfinished tasks that were resolved when the lease
 	// last expired, at expiredAt, and whose ends the server may still list (rule 8).
 	expired   map[RunKey]*run
@@ -230,8 +228,8 @@
 	indexedServer
 }
 
-// free returns the resources that neither tracked runs nor unsettled starts take up.
-func (s *server) free() Resources { return s.Capacity.Sub(s.used).Sub(s.unsettled) }
+// free returns the resources that no tracked run takes up.
+func (s *server) free() Resources { return s.Capacity.Sub(s.used) }
 
 // usable reports whether the server's state permits starting tasks, regardless of
 // its health and its free resources.
