platform: bound each value of the entries in the store

Cause: decodeServer checked that service, address and state were there and that the processor capacity was above 0, and nothing else. Taken as a server were ports 99999, 70000, 65536, 0, -1, "http" and none, addresses with a path, a user or a line break, 0.0.0.0, processor capacities up to 2^63-1, negative memory, no zone, a zone of 10,000 bytes, 10,000 labels, and IDs with a slash or a line break, which become an HTTP header. An entry host's entry was taken whatever it said. Pages that repeat a key, alternate between two keys or never end were followed until the deadline of the read. One item whose key, value or revision can't be decoded cost the whole read, and with it the list.

Fix: each value is bounded where it is decoded. The bounds are those of the protocol (ports, 200 byte keys) or named constants that no server reaches (10,000 cores, 1 PB, 10,000 accelerators, 64 labels), so that no sum over servers overflows. An item that can't be decoded is marked and the rest of its page is used; a range ends with an error when it doesn't advance. The entry of a server that can't be used is listed as an InvalidServer, since the server itself may be at work. EntriesInvalid, at most one line in 10 s, and the counter Store.InvalidEntries tell an operator of the writer; they replace a debug line for each entry and read.

The stand-in's invalid entries are 50 now, most made from the entry of a real server, so that one that is believed would be used. Nesting of 100,000 levels, 1e400 and numbers beyond 64 bits were refused before, too: the JSON package limits the nesting.

Evidence: the tests fail on the code before. Of the 50 entries 28 named a server there; 7 of 15 entries at the bounds, 7 of 13 page cases were wrong and 3 more never ended; TestManyInvalidEntries (3,000 entries on 7 pages) found no line in the log.

--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -46,6 +46,7 @@
 	store := kvstore.New(kvstore.Config{
 		Store: adapter.NewStore(adapter.StoreConfig{
 			Address: set.PlatformAddresses[0], Network: deps.network, Timeout: storeTimeout, Log: logger, OnCall: countCall,
+			OnInvalid:   func(entries int) { metrics.GetOrRegisterCounter("Store.InvalidEntries", registry).Inc(int64(entries)) },
 			Evacuations: evacuations > 0,
 		}),
 		Self: kvstore.Host{
--- a/internal/kvstore/store.go
+++ b/internal/kvstore/store.go
@@ -89,6 +89,9 @@
 const (
 	EntryHost     HostKind = "Entry"
 	BackendServer HostKind = "Backend"
+	// InvalidServer is a backend server whose entry names none that may be used, since
+	// another program has written it. Only its Name is known.
+	InvalidServer HostKind = "InvalidBackend"
 )
 
 // Host is an entry of the platform's list of hosts.
