worker: a server whose entry is overwritten keeps its runs, gets no start

When another program overwrote the entry of a server that ran tasks with one whose port is out of range, the owner took it for a move of the server: it stopped polling the real address, gave the runs up when their lease had expired, and started them again elsewhere. Callers waited that much longer. With an entry that can't be decoded the server counted as one without an entry, and went on to get starts, although the platform says that such an entry names no server to use; whether the server drains can't be seen then.

A server without any entry stays in use while it answers, as before, since entries expire while the store is down. ServerEntryInvalid says which server an owner doesn't use, and when it does again.

--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -22,8 +22,12 @@
 // of this owner that is missing from the list stays in use while it answers.
 func (p *Pool) SetServers(now time.Time, list []Server) {
 	p.serverListReadAt = now
-	listed := map[string]bool{}
+	listed, invalid := map[string]bool{}, map[string]bool{}
 	for _, info := range list {
+		if info.Invalid {
+			invalid[info.ID] = true
+			continue
+		}
 		listed[info.ID] = true
 		s := p.servers[info.ID]
 		if s != nil && s.Address != info.Address {
@@ -51,6 +55,11 @@
 	}
 	for _, s := range p.orderedServers {
 		s.listed = listed[s.ID] && p.servers[s.ID] == s
+		if s.invalid != invalid[s.ID] {
+			s.invalid = invalid[s.ID]
+			p.fleet.serverChanged(s)
+			p.cfg.Log.Info().Str("Server", s.ID).Bool("Invalid", s.invalid).Int("Runs", len(s.runs)).Msg("ServerEntryInvalid")
+		}
 		p.removeIfGone(now, s)
 	}
 	p.orderedServers = slices.DeleteFunc(p.orderedServers, func(s *server) bool { return s.gone })
--- a/internal/worker/ownership_test.go
+++ b/internal/worker/ownership_test.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -93,3 +94,65 @@
 		t.Errorf("got %d starts, want 1", len(p.starts))
 	}
 }
+
+// TestInvalidEntryOfServer checks what becomes of a server that runs a task when another
+// program overwrites its entry: the run goes on, also if the entry stays as it is, no task is
+// started there, and the server is used again once its own entry is back.
+func TestInvalidEntryOfServer(t *testing.T) {
+	server := func(id string) Server {
+		s := testServer(id, false)
+		s.ID = id
+		return s
+	}
+	cases := map[string]struct {
+		list []Server
+		// silent is set if the server with the run doesn't answer any more.
+		silent bool
+		// want has the addresses of the starts of the second task and, if the server is
+		// silent, of the first one again.
+		want []string
+	}{
+		"Valid":         {[]Server{server("a")}, false, []string{"a"}},
+		"Invalid":       {[]Server{{ID: "a", Invalid: true}}, false, nil},
+		"Missing":       {nil, false, []string{"a"}},
+		"OtherHolds":    {[]Server{{ID: "a", Invalid: true}, server("b")}, false, []string{"b"}},
+		"UnknownServer": {[]Server{server("a"), {ID: "x", Invalid: true}}, false, []string{"a"}},
+		"InvalidSilent": {[]Server{{ID: "a", Invalid: true}, server("b")}, true, []string{"b", "b"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := newPoolTester(t)
+			job := func(id string) Job {
+				j := testJob(id)
+				j.Steps[0].Need.CPUMilli = 10000
+				return j
+			}
+			p.pool.AssumeOwnership(p.now, nil)
+			p.pool.SetServers(p.now, []Server{server("a")})
+			p.advance(time.Millisecond, "a")
+			p.pool.Submit(p.now, 1, job("1"))
+			p.advance(time.Millisecond, "a")
+			p.pool.SetServers(p.now, c.list)
+			answering := []string{"a", "b"}
+			if c.silent {
+				answering = []string{"b"}
+			}
+			p.advanceFor(time.Second, answering...)
+			p.pool.Submit(p.now, 1, job("2"))
+			p.advanceFor(5*time.Second, answering...)
+			var got []string
+			for _, s := range p.starts[1:] {
+				got = append(got, s.Server.Address)
+			}
+			if !slices.Equal(got, c.want) || len(p.answers) > 0 || p.pool.trackedRuns["1.0.0.0"] != 1 {
+				t.Errorf("starts at %v, want %v; answers %v; %d runs of the first task", got, c.want, p.answers, p.pool.trackedRuns["1.0.0.0"])
+			}
+			p.pool.SetServers(p.now, []Server{server("a"), server("b")})
+			p.pool.Submit(p.now, 1, job("3"))
+			p.advanceFor(time.Second, "a", "b")
+			if n := p.pool.queue.readyJobs; n != 0 {
+				t.Errorf("%d jobs still wait once the entry is back", n)
+			}
+		})
+	}
+}
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -46,6 +46,9 @@
 //     wait for a server that may never return. Up to maxCommandDelay the server is
 //     polled at lateStartPollInterval, so that its next incarnation is soon
 //     acquired: a command that rule 4 has resolved may be executed there too.
+//  10. A server whose entry can't be used, because another program has written it, gets
+//     no start, and what runs there goes on. A server without an entry stays in use
+//     while it answers.
 
 import "time"
 
@@ -224,6 +227,8 @@
 	reserved bool
 	// listed reports whether the platform lists the server.
 	listed bool
+	// invalid is set while the entry of the server can't be used (rule 10).
+	invalid bool
 	// lastRunEndedAt is when a tracked run last ended.
 	lastRunEndedAt time.Time
 	// heldBack is set while the server is not used yet after an evacuation.
@@ -246,7 +251,7 @@
 // usable reports whether the server's state permits starting tasks, regardless of
 // its health and its free resources.
 func (s *server) usable() bool {
-	return s.state == stateReady && !s.Leaving && !s.unresponsive && !s.heldBack
+	return s.state == stateReady && !s.Leaving && !s.unresponsive && !s.heldBack && !s.invalid
 }
 
 // setUnresponsive notes that the server didn't answer a command.
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -304,6 +304,9 @@
 	var list []Server
 	var entryHosts []Candidate
 	for _, h := range hosts {
+		if h.Kind == kvstore.InvalidServer {
+			list = append(list, Server{ID: h.Name, Invalid: true})
+		}
 		if h.Kind == kvstore.EntryHost && h.FailureDomain == s.cfg.Self.FailureDomain {
 			entryHosts = append(entryHosts, Candidate{Address: h.Address, FailureDomain: h.FailureDomain, CPUMilli: h.CPUMilli})
 		}
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -133,6 +133,8 @@
 	Capacity Resources
 	// Leaving is true while the server drains.
 	Leaving bool
+	// Invalid is true if the entry of the server can't be used. Only ID is set then.
+	Invalid bool
 }
 
 // RunKey identifies a run, which is one start of a task. Every start of a task
