worker, platform: bound the numbers of jobs and of queues

Needs of 2^63-1 and hundreds of estimates of years let the sums over waiting tasks overflow, so that waits came out negative; a hop between hosts took NaN for stretch, an age before the year 1750, labels and IDs of any length.

The objective is limited before it is converted to a duration.

--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -199,9 +199,13 @@
 	return n
 }
 
+// maxObjective bounds the part of a latency objective that depends on the run time. Callers
+// wait for less.
+const maxObjective = 30 * 24 * time.Hour
+
 // objective returns the latency objective of the job, counted from its arrival.
 func (j *job) objective() time.Duration {
-	return time.Duration(j.Stretch*float64(j.criticalPath)) + j.Target
+	return time.Duration(min(j.Stretch*float64(j.criticalPath), float64(maxObjective))) + j.Target
 }
 
 // answerDeadline returns the time until which the job is still worth answering:
--- a/internal/worker/route.go
+++ b/internal/worker/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"net"
 	"slices"
@@ -61,15 +62,28 @@
 	j.Stretch, j.Target = q.Stretch, time.Duration(q.TargetMs)*time.Millisecond
 }
 
-// Bounds of a job, so that one request can't exhaust a host's memory.
+// Bounds of a job, so that one request can't exhaust a host's memory, and no sum or product of
+// the numbers of jobs exceeds its type.
 const (
 	maxSteps     = 256
 	maxTasks     = 10000
 	maxSpecBytes = 4000
+	// maxJobTextBytes bounds the ID of a job and the labels that it names.
+	maxJobTextBytes = 200
+	// MaxEstimate bounds the run time that a caller may declare. It waits for the result.
+	MaxEstimate = time.Hour
+	// MaxStretch and MaxTime bound the settings of a queue: Stretch, and Target and the time
+	// that a caller waits.
+	MaxStretch = 1000
+	MaxTime    = 24 * time.Hour
 )
 
-// Validate returns an error that describes the first problem of a job that a caller
-// sent, or nil.
+// MaxResources is more than any server has: 10,000 cores, 1 PB of memory and 10,000
+// accelerators.
+var MaxResources = Resources{CPUMilli: 10_000_000, MemoryMB: 1_000_000_000, GPUs: 10_000}
+
+// Validate returns an error that describes the first problem of a job that a caller or another
+// host sent, or nil.
 func (j *Job) Validate() error {
 	if len(j.Spec) > maxSpecBytes {
 		return fmt.Errorf("the spec has %d bytes, at most %d are allowed", len(j.Spec), maxSpecBytes)
@@ -77,19 +91,46 @@
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return fmt.Errorf("a job has 1 to %d steps, not %d", maxSteps, len(j.Steps))
 	}
+	if len(j.ID) > maxJobTextBytes {
+		return fmt.Errorf("the ID has %d bytes, at most %d are allowed", len(j.ID), maxJobTextBytes)
+	}
+	// A comparison with NaN is false.
+	if !(j.Stretch >= 0 && j.Stretch <= MaxStretch) || outside(j.Target) || outside(j.Budget) || outside(j.Age) {
+		return fmt.Errorf("stretch %v, target %v, budget %v or age %v is out of bounds", j.Stretch, j.Target, j.Budget, j.Age)
+	}
 	tasks := 0
-	for i, st := range j.Steps {
-		tasks += max(st.Count, 0)
-		switch {
-		case st.Count < 1 || tasks > maxTasks:
+	for i := range j.Steps {
+		st := &j.Steps[i]
+		if st.Count < 1 || st.Count > maxTasks-tasks {
 			return fmt.Errorf("step %d: %d tasks; a job has at most %d and a step at least one", i, st.Count, maxTasks)
-		case st.Need.CPUMilli < 0 || st.Need.MemoryMB < 0 || st.Need.GPUs < 0 || st.Estimate < 0 || st.MaxPerServer < 0:
-			return fmt.Errorf("step %d: a number is negative", i)
 		}
-		for _, a := range st.After {
-			if a < 0 || a >= i {
-				return fmt.Errorf("step %d: comes after step %d, which is not before it", i, a)
-			}
+		tasks += st.Count
+		if err := st.validate(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// outside reports whether a time is out of the bounds of a job's times.
+func outside(d time.Duration) bool { return d < 0 || d > MaxTime }
+
+// validate returns an error that describes the first problem of the step with an index, or nil.
+func (st *Step) validate(index int) error {
+	n := st.Need
+	switch {
+	case n.CPUMilli < 0 || n.MemoryMB < 0 || n.GPUs < 0 || st.Estimate < 0 || st.MaxPerServer < 0:
+		return errors.New("a number is negative")
+	case !n.Fits(MaxResources) || st.Estimate > MaxEstimate:
+		return errors.New("a number is larger than any server or run time")
+	case len(st.Requires) > maxJobTextBytes || len(st.Rack) > maxJobTextBytes:
+		return fmt.Errorf("a label has more than %d bytes", maxJobTextBytes)
+	case len(st.After) > maxSteps:
+		return fmt.Errorf("comes after %d steps, at most %d are allowed", len(st.After), maxSteps)
+	}
+	for _, a := range st.After {
+		if a < 0 || a >= index {
+			return fmt.Errorf("comes after step %d, which is not before it", a)
 		}
 	}
 	return nil
