kvstore: bound the hosts in lists of peers and of the product's protocol

While the store turns a host away, it takes the list of hosts from a peer. That list was believed as it came, so that one peer of an earlier version, which takes a server at port 99999 or with 2^63-1 of processor capacity for one to use, passed it on to hosts that bound entries themselves. In the product's own protocol one host that can't be decoded (a number of 1e400, a name that is a number) cost the whole list, each time it was read.

Fix: the bounds of a host move to kvstore.Host.Validate, which the adapter uses as well. Hosts of a list that are out of bounds are listed as InvalidServer, or left out if their name is; HostsFetched says how many. A host of the platform's list that can't be decoded is treated alike, and the others hold.

--- a/internal/kvstore/peerhosts.go
+++ b/internal/kvstore/peerhosts.go
@@ -75,18 +75,46 @@
 	if err != nil {
 		return HostList{}, fmt.Errorf("fetch the list of hosts: %w", err)
 	}
-	var list HostList
-	if err := cbor.Unmarshal(raw, &list); err != nil {
+	list, invalid, err := decodeHostList(raw)
+	if err != nil {
 		s.cfg.Log.Warn().Str("Peer", m.Name).Err(err).Msg("MessageMalformed")
 		return HostList{}, fmt.Errorf("decode the list of hosts: %w", err)
 	}
 	if known := s.hostsVersion.Load(); list.Version < known {
 		return HostList{}, fmt.Errorf("list of hosts of version %d is older than %d", list.Version, known)
 	}
-	s.cfg.Log.Info().Str("Peer", m.Name).Uint64("Version", list.Version).Int("Hosts", len(list.Hosts)).Msg("HostsFetched")
+	s.cfg.Log.Info().Str("Peer", m.Name).Uint64("Version", list.Version).Int("Hosts", len(list.Hosts)).Int("Invalid", invalid).Msg("HostsFetched")
 	return list, nil
 }
 
+// decodeHostList decodes the list of a peer. It also returns the number of invalid hosts in it.
+func decodeHostList(raw []byte) (list HostList, invalid int, err error) {
+	if err := cbor.Unmarshal(raw, &list); err != nil {
+		return HostList{}, 0, err
+	}
+	invalid = list.dropInvalid()
+	return list, invalid, nil
+}
+
+// dropInvalid removes the hosts with a value out of bounds, which a peer of an earlier version
+// takes for hosts, and returns their number. Those with a name stay listed as InvalidServer.
+func (l *HostList) dropInvalid() int {
+	invalid := 0
+	valid := l.Hosts[:0]
+	for _, h := range l.Hosts {
+		if h.Validate() != nil {
+			invalid++
+			h = Host{Name: h.Name, Kind: InvalidServer}
+			if h.Validate() != nil {
+				continue
+			}
+		}
+		valid = append(valid, h)
+	}
+	l.Hosts = valid
+	return invalid
+}
+
 // serveHosts handles the call by which a peer asks for the list of hosts. It reads the list, and
 // fails at once if the store doesn't serve this host either.
 func (s *Service) serveHosts(ctx context.Context, _ []byte) ([]byte, error) {
--- a/internal/kvstore/store.go
+++ b/internal/kvstore/store.go
@@ -268,9 +268,18 @@
 		return HostList{}, &StatusError{"Hosts", "", r.status}
 	}
 	list := HostList{Version: r.version}
-	if err := json.Unmarshal(r.body, &list.Hosts); err != nil {
+	var raw []json.RawMessage
+	if err := json.Unmarshal(r.body, &raw); err != nil {
 		return HostList{}, fmt.Errorf("platform host list: %w", err)
 	}
+	list.Hosts = make([]Host, len(raw))
+	for i, b := range raw {
+		if err := json.Unmarshal(b, &list.Hosts[i]); err != nil {
+			// A host that can't be decoded is listed like one out of bounds.
+			list.Hosts[i] = Host{Name: list.Hosts[i].Name}
+		}
+	}
+	list.dropInvalid()
 	return list, nil
 }
 
--- a/internal/worker/route.go
+++ b/internal/worker/route.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"guavayoke/internal/kvstore"
 	"guavayoke/pkg/document"
 )
 
@@ -78,9 +79,8 @@
 	MaxTime    = 24 * time.Hour
 )
 
-// MaxResources is more than any server has: 10,000 cores, 1 PB of memory and 10,000
-// accelerators.
-var MaxResources = Resources{CPUMilli: 10_000_000, MemoryMB: 1_000_000_000, GPUs: 10_000}
+// MaxResources is more than any server has.
+var MaxResources = Resources{CPUMilli: kvstore.MaxCPUMilli, MemoryMB: kvstore.MaxMemoryMB, GPUs: kvstore.MaxGPUs}
 
 // Validate returns an error that describes the first problem of a job that a caller or another
 // host sent, or nil.
