peer: bound what another host says of members

A ping or an acknowledgement could say anything of any member, and it was kept and passed on: a sequence number of 2^64-1, after which the member can't refute a suspicion (the number after it is 0); a state beyond Dead; a negative processor capacity or one of 2^63-1, by which owners are chosen; no incarnation; names of any length; and up to 131,072 members in a message, each of which stays in the tables of all hosts for half an hour.

Fix: updates out of bounds are dropped where a message is decoded, and a message whose sender is out of bounds counts as malformed. The bounds are 2^53 for sequence numbers, which grow by one with each suspicion, 300 bytes for texts, 10,000 cores, and 256 updates, four times the largest sample of a table. Members within them are treated as before, so that hosts of both versions understand each other.

--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -140,7 +140,7 @@
 // membership, and the items of the heartbeat to the handlers of notifications.
 func (s *Service) handleHeartbeat(f frame, reply func(frame)) {
 	var h heartbeat
-	if cbor.Unmarshal(f.Body, &h) != nil || h.Message.From.Incarnation == "" {
+	if cbor.Unmarshal(f.Body, &h) != nil || !h.Message.limit() {
 		s.Stats.Malformed.Add(1)
 		return
 	}
@@ -163,7 +163,7 @@
 // heartbeats.
 func (s *Service) handleMembership(f frame) {
 	var m Message
-	if cbor.Unmarshal(f.Body, &m) != nil {
+	if cbor.Unmarshal(f.Body, &m) != nil || !m.limit() {
 		s.Stats.Malformed.Add(1)
 		return
 	}
