worker: limit the numbers that another host tells, in messages and records

An owner whose heartbeat told a wait of 2^63-1 ms was the best of all: the conversion to a duration overflowed, and the negative cost won, so that entry hosts sent it each job. Free capacity, startable tasks, Retry-After, the time that a queue stays closed and the usual demand were taken as told, as were lists of 100,000 queues or records. Records of crashes were kept with names of any length; the bound of the log counts records only.

A message isn't rejected for them, since its session would end with it. Crash records with longer names, or a server that started before 1970, are not kept.

--- a/internal/worker/crashlog.go
+++ b/internal/worker/crashlog.go
@@ -30,6 +30,8 @@
 	maxCrashedTasks = 4096
 	// maxCrashesOfTask bounds the crashes of a record. A task is given up before.
 	maxCrashesOfTask = 8
+	// maxCrashTextBytes bounds the names in a record.
+	maxCrashTextBytes = 800
 	// maxRecordsInMessage bounds what one message carries; the rest follows.
 	maxRecordsInMessage = 32
 )
@@ -115,7 +117,7 @@
 
 // add merges a crash into the record of a task (rules 1 and 4).
 func (l *CrashLog) add(now time.Time, task string, c taskCrash) {
-	if task == "" || c.Server == "" || c.State > crashDismissed {
+	if task == "" || c.Server == "" || c.State > crashDismissed || c.StartedAtMs < 0 || len(task)+len(c.Server)+len(c.Address) > maxCrashTextBytes {
 		return // Another host has sent what no owner records.
 	}
 	t := l.tasks[task]
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -1,5 +1,12 @@
 package worker
 
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
 // message is one message on a session between an entry host and an owner. Exactly
 // one field is set, besides those that accompany others: the owner sends Heartbeat, Result and
 // Attached, the entry host the others. A host ignores fields that it doesn't know.
@@ -56,3 +63,47 @@
 	j.StartOrReturn = m.StartOrReturn
 	return j
 }
+
+// Bounds of the numbers that another host tells, so that no sum of them exceeds its type.
+const (
+	// maxToldServers and maxToldTasks are far above the servers and tasks of an owner.
+	maxToldServers, maxToldTasks = 1_000_000, 1_000_000
+	// maxToldCPUMilli is the processor capacity of maxToldServers of 1,000 cores each, in
+	// thousandths of a core.
+	maxToldCPUMilli = maxToldServers * 1_000_000
+	// maxToldCoreMs is the work of a million cores in a day, in thousandths of a core-second.
+	maxToldCoreMs = 1_000_000 * int64(MaxTime/time.Millisecond)
+)
+
+// decodeMessage decodes a message of another host. It limits its numbers to their bounds and its
+// lists to the lengths that hosts send; a job is checked by Validate. An earlier or a later
+// version of a host may not do that.
+func decodeMessage(b []byte) (message, error) {
+	var m message
+	if err := cbor.Unmarshal(b, &m); err != nil {
+		return message{}, fmt.Errorf("decode message: %w", err)
+	}
+	if m.Heartbeat != nil {
+		l := &m.Heartbeat.Load
+		l.WaitMs = limit(l.WaitMs, MaxTime.Milliseconds())
+		l.FreeCPUMilli = limit(l.FreeCPUMilli, maxToldCPUMilli)
+		l.Servers = limit(l.Servers, maxToldServers)
+	}
+	if m.Result != nil {
+		m.Result.RetryAfter = limit(m.Result.RetryAfter, maxRetryAfter)
+	}
+	m.Startable = limit(m.Startable, maxToldTasks)
+	m.Closed = m.Closed[:min(len(m.Closed), maxToldQueues)]
+	for i := range m.Closed {
+		m.Closed[i].ReopensMs = limit(m.Closed[i].ReopensMs, MaxTime.Milliseconds())
+	}
+	m.Usual = m.Usual[:min(len(m.Usual), maxToldQueues)]
+	for i := range m.Usual {
+		m.Usual[i].CoreMs = limit(m.Usual[i].CoreMs, maxToldCoreMs)
+	}
+	m.Crashes = m.Crashes[:min(len(m.Crashes), maxRecordsInMessage)]
+	return m, nil
+}
+
+// limit returns n, or the nearest bound if it is not from 0 to most.
+func limit[N int | int64 | time.Duration](n, most N) N { return min(max(n, 0), most) }
--- a/internal/worker/service_path.go
+++ b/internal/worker/service_path.go
@@ -71,8 +71,8 @@
 // receiveFromOwner handles a message on a stream to an owner. Heartbeats count only on the
 // stream that carries the session. Results and answers to attaches count on any.
 func (s *Service) receiveFromOwner(st *peer.Stream, b []byte) {
-	var m message
-	if err := cbor.Unmarshal(b, &m); err != nil {
+	m, err := decodeMessage(b)
+	if err != nil {
 		s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 		return
 	}
--- a/internal/worker/service_streams.go
+++ b/internal/worker/service_streams.go
@@ -51,8 +51,8 @@
 	var current *peer.Stream
 	ended := false
 	receive := func(b []byte) {
-		var m message
-		if err := cbor.Unmarshal(b, &m); err != nil {
+		m, err := decodeMessage(b)
+		if err != nil {
 			s.cfg.Log.Warn().Str("Peer", c.Incarnation).Err(err).Msg("MessageMalformed")
 			return
 		}
@@ -106,8 +106,8 @@
 		s.sessionStreams[id] = st
 	})
 	receive = func(b []byte) {
-		var m message
-		if err := cbor.Unmarshal(b, &m); err != nil {
+		m, err := decodeMessage(b)
+		if err != nil {
 			s.cfg.Log.Warn().Str("Peer", st.Peer).Err(err).Msg("MessageMalformed")
 			return
 		}
