worker: end a job whose run numbers are used up

A server that refuses a start as too old makes the owner double the number. If another program has stopped a run of that task with a very high number there, every start is refused, one after the other without a pause: after 53 of them the number is beyond what a JSON number holds exactly, after 63 it overflows and is negative, which the server refuses as well. The owner went on forever, and the caller got no answer.

Fix: when the number can't be doubled below 2^53, the job ends as lost, as starts were sent for it.

Evidence: on the code before, TestRunNumbersUsedUp sees start 53 with the number and, without that check, 1000 starts in 1000 ticks and no answer. It passes now: at most 60 starts, and one answer.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -10,6 +10,10 @@
 // How a pool sends commands to backend servers and applies their replies. The
 // rules cited here are those of server.go.
 
+// maxRunNumber is the highest run number, which every JSON decoder can read. No task has that
+// many runs, but any program may send a server a run of a task with any number.
+const maxRunNumber = 1<<53 - 1
+
 func taskName(id string, step, index int) string {
 	return id + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
 }
@@ -201,8 +205,10 @@
 	case RefusedOldRun:
 		// The job was submitted before, and its runs had higher numbers than this
 		// owner knows.
-		if r.task != nil {
-			r.task.lastRun = r.task.lastRun*2 + 1
+		if t := r.task; t != nil && t.lastRun >= maxRunNumber/2 {
+			p.abandon(now, t.job, "RunNumbersUsedUp")
+		} else if t != nil {
+			t.lastRun = t.lastRun*2 + 1
 		}
 		p.resolveRun(now, s, r, "OldRun")
 	case RefusedDeadline, RefusedCapacity, RefusedOther, WrongIncarnation:
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -354,3 +354,33 @@
 		t.Errorf("got %d starts and the answers %+v, want 1 and %+v", len(p.starts), p.answers, want)
 	}
 }
+
+// TestRunNumbersUsedUp guards against run numbers that exceed their type, and against a task that
+// is started forever: its server refuses each run as too old, since another program has stopped
+// one with the highest number there.
+func TestRunNumbersUsedUp(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.AssumeOwnership(p.now, nil)
+	p.pool.SetServers(p.now, []Server{testServer("a", false)})
+	p.advance(time.Millisecond, "a")
+	p.pool.Submit(p.now, 1, testJob("1"))
+	starts := 0
+	for range 1000 {
+		p.pool.Tick(p.now)
+		for _, a := range p.pool.TakeActions() {
+			if a.Start == nil {
+				p.perform(a, []string{"a"})
+				continue
+			}
+			starts++
+			if n := a.Start.Command.Run; n < 1 || n > maxRunNumber {
+				t.Fatalf("start %d has the number %d", starts, n)
+			}
+			p.pool.HandleStartReply(p.now, a.Start.Server.ID, a.Start.Command.Token, a.Start.Command.RunKey, Reply{Verdict: RefusedOldRun})
+		}
+		p.now = p.now.Add(time.Millisecond)
+	}
+	if starts > 60 || len(p.answers) != 1 || p.answers[0].Outcome != Lost {
+		t.Errorf("%d starts, answers %+v", starts, p.answers)
+	}
+}
