kvstore: bound the evacuations that hosts tell each other

A store with thousands of keys of another program below op/evacuate/ made each host put all of them into each heartbeat (930 KB with 5,000 keys of 200 bytes), and each peer reject the message as a whole, since it names more than 64 failure domains. A host that the store turns away then learned of no evacuation at all, and went on starting tasks in an evacuated domain. A revision of 2^64-1 from one peer would have been the highest of all from then on, so that no later set counted; names of any length were taken.

Fix: of a set with more than 64 failure domains a host tells its peers those that have hosts, which are the ones that matter to them. Revisions are bounded to 2^53-1 and names to 1 to 200 bytes where a message is decoded, and EvacuationApplied names 64 at most.

--- a/internal/kvstore/evacuation_test.go
+++ b/internal/kvstore/evacuation_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +82,34 @@
 		}
 	}
 }
+
+// TestEvacuationsOfPeersOutOfBounds checks which sets of a peer are taken, and that a host whose
+// store has thousands of keys of another program still tells its peers what matters to them.
+func TestEvacuationsOfPeersOutOfBounds(t *testing.T) {
+	many := make([]string, 5000)
+	for i := range many {
+		many[i] = fmt.Sprintf("%04d%s", i, strings.Repeat("x", 180))
+	}
+	cases := map[string]struct {
+		told  Evacuations
+		taken bool
+		want  []string
+	}{
+		"Usual":           {Evacuations{7, []string{"a"}}, true, []string{"a"}},
+		"None":            {Evacuations{7, nil}, true, nil},
+		"Many":            {NewEvacuations(7, append(many, "a", "b")), true, []string{"a", "b"}},
+		"LargestRevision": {Evacuations{maxRevision, []string{"a"}}, true, []string{"a"}},
+		"RevisionMax64":   {Evacuations{math.MaxUint64, []string{"a"}}, false, nil},
+		"LongName":        {Evacuations{7, []string{strings.Repeat("x", 10_000)}}, false, nil},
+		"NoName":          {Evacuations{7, []string{""}}, false, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := encodeEvacuations(c.told, map[string]bool{"a": true, "b": true, "c": true})
+			e, err := decodeEvacuations(b)
+			if (err == nil) != c.taken || !slices.Equal(e.FailureDomains, c.want) || len(b) > 11_000 {
+				t.Errorf("%d bytes are decoded as %v, %v", len(b), e, err)
+			}
+		})
+	}
+}
--- a/internal/kvstore/evacuationservice.go
+++ b/internal/kvstore/evacuationservice.go
@@ -3,6 +3,8 @@
 // How a host learns which failure domains are evacuated and tells its peers.
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -15,6 +17,8 @@
 	// maxEvacuatedDomains limits the failure domains that a peer may name, far above
 	// those of an installation, so that a malformed message stays small.
 	maxEvacuatedDomains = 64
+	// maxRevision bounds the revisions of the store, which JSON numbers hold exactly.
+	maxRevision = 1<<53 - 1
 )
 
 // wireEvacuations is the wire format of Evacuations.
@@ -86,8 +90,8 @@
 	if !changed {
 		return
 	}
-	s.cfg.Log.Info().Uint64("Revision", e.Revision).Strs("FailureDomains", e.FailureDomains).Str("Source", source).
-		Uint64("Previous", previous.Revision).Strs("PreviousFailureDomains", previous.FailureDomains).Msg("EvacuationApplied")
+	s.cfg.Log.Info().Uint64("Revision", e.Revision).Strs("FailureDomains", loggedDomains(e)).Str("Source", source).
+		Uint64("Previous", previous.Revision).Strs("PreviousFailureDomains", loggedDomains(previous)).Msg("EvacuationApplied")
 	passedOn := false
 	s.evacuations.Update(func(old Evacuations) (Evacuations, bool) {
 		current := s.Evacuations()
@@ -105,6 +109,11 @@
 	}
 }
 
+// loggedDomains returns the failure domains of a set for a log line.
+func loggedDomains(e Evacuations) []string {
+	return e.FailureDomains[:min(len(e.FailureDomains), maxEvacuatedDomains)]
+}
+
 // publishEvacuations returns the encoded wireEvacuations that this host knows, or nil if it
 // knows none.
 func (s *Service) publishEvacuations() []byte {
@@ -112,6 +121,20 @@
 	if e.Revision == 0 {
 		return nil
 	}
+	inUse := map[string]bool{s.peers.Self().FailureDomain: true}
+	for _, m := range s.peers.Members() {
+		inUse[m.FailureDomain] = true
+	}
+	return encodeEvacuations(e, inUse)
+}
+
+// encodeEvacuations encodes a set for peers. Of a set with too many failure domains, which
+// another program must have written, it encodes those that have hosts: no others matter.
+func encodeEvacuations(e Evacuations, inUse map[string]bool) []byte {
+	if len(e.FailureDomains) > maxEvacuatedDomains {
+		used := slices.DeleteFunc(slices.Clone(e.FailureDomains), func(d string) bool { return !inUse[d] })
+		e.FailureDomains = used[:min(len(used), maxEvacuatedDomains)]
+	}
 	b, err := cbor.Marshal(wireEvacuations(e))
 	if err != nil {
 		// A number and texts can always be encoded.
@@ -120,10 +143,28 @@
 	return b
 }
 
+// decodeEvacuations decodes the set of a peer. A revision that no store has would stay the
+// highest one forever.
+func decodeEvacuations(b []byte) (Evacuations, error) {
+	var w wireEvacuations
+	if err := cbor.Unmarshal(b, &w); err != nil {
+		return Evacuations{}, fmt.Errorf("decode evacuations: %w", err)
+	}
+	if w.Revision > maxRevision || len(w.FailureDomains) > maxEvacuatedDomains {
+		return Evacuations{}, &BoundsError{"Revision or FailureDomains"}
+	}
+	for _, d := range w.FailureDomains {
+		if d == "" || len(d) > maxNameBytes {
+			return Evacuations{}, &BoundsError{"FailureDomains"}
+		}
+	}
+	return NewEvacuations(w.Revision, w.FailureDomains), nil
+}
+
 // handlePeerEvacuations handles a wireEvacuations from a peer.
 func (s *Service) handlePeerEvacuations(from string, b []byte) {
-	var w wireEvacuations
-	if err := cbor.Unmarshal(b, &w); err != nil || len(w.FailureDomains) > maxEvacuatedDomains {
+	e, err := decodeEvacuations(b)
+	if err != nil {
 		s.cfg.Log.Warn().Str("Peer", from).Int("Bytes", len(b)).Err(err).Msg("EvacuationsMalformed")
 		return
 	}
@@ -131,5 +172,5 @@
 	if m, ok := s.peers.Find(from); ok {
 		source = m.Name
 	}
-	s.learnEvacuations(source, NewEvacuations(w.Revision, w.FailureDomains))
+	s.learnEvacuations(source, e)
 }
