peer: bound what is read of a handshake

An entry of a host with the address of some other program made each host dial it, again and again, as a seed. A program there that never ends the status line or a header of its response to the handshake was read into memory until the handshake timed out: over 256 MB in 2 s on loopback, on a host whose daemon may use 64 MB.

Cause: the WebSocket library reads the response with the standard library's reader, which has no limit, and the limit for frames applies to frames only.

Fix: a connection that this host dials delivers 64 KB until the handshake has ended; a handshake has some hundred bytes. Then it is as before.

Evidence: on the code before, two of four cases of TestEndlessHandshake fail (StatusLine, Header) after bytes; in the other two the reader gave up by itself. All pass now.

--- a/internal/peer/bounds_test.go
+++ b/internal/peer/bounds_test.go
@@ -1,12 +1,18 @@
 package peer
 
 import (
+	"bytes"
+	"context"
+	"io"
 	"math"
+	"net"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"guavayoke/internal/network"
 )
 
 // TestMembersOutOfBounds checks which members and messages of another host are taken.
@@ -105,3 +111,43 @@
 		t.Errorf("%d members", n)
 	}
 }
+
+// TestEndlessHandshake checks that a program at a listed address that never ends its response to
+// the handshake costs little memory. The rest of this test process needs some, too.
+func TestEndlessHandshake(t *testing.T) {
+	for name, first := range map[string]string{
+		"StatusLine": "HTTP/1.1 101 ", "Header": "HTTP/1.1 101 Switching Protocols\r\nX: ", "Headers": "HTTP/1.1 101 Switching Protocols\r\n",
+		"Body": "HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			served := make(chan int, 1)
+			go func() {
+				sent := 0
+				c, err := l.Accept()
+				if err == nil {
+					_, err = io.WriteString(c, first)
+				}
+				chunk := []byte(strings.Repeat("X: "+strings.Repeat("y", 59)+"\r\n", 1024))
+				if name != "Headers" {
+					chunk = bytes.ReplaceAll(chunk, []byte("\r\n"), []byte("zz"))
+				}
+				for err == nil && sent < 1<<28 {
+					_, err = c.Write(chunk)
+					sent += len(chunk)
+				}
+				served <- sent
+			}()
+			if _, err := dialLink(context.Background(), network.Network{}, l.Addr().String(), []byte("key"), "self"); err == nil {
+				t.Error("the handshake succeeded")
+			}
+			_ = l.Close()
+			if sent := <-served; sent >= 1<<28 {
+				t.Errorf("%d bytes were read", sent)
+			}
+		})
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -18,6 +18,9 @@
 const (
 	// linkQueueFrames is the capacity of the send queue of a connection in frames.
 	linkQueueFrames = 1024
+	// maxHandshakeBytes bounds what the other host sends in a handshake, which has some hundred
+	// bytes.
+	maxHandshakeBytes = 64 << 10
 	// linkIdleTimeout is how long an accepted connection may carry no frame before
 	// it is closed.
 	linkIdleTimeout = 90 * time.Second
@@ -48,12 +51,39 @@
 	calls map[uint64]chan frame
 }
 
+// handshakeConn is a connection that fails after left bytes have been read, until done is set. The
+// reader of the response to a handshake has no limit of its own, and any program may listen at
+// a listed address.
+type handshakeConn struct {
+	net.Conn
+	left int
+	done bool
+}
+
+// Read implements net.Conn.
+func (c *handshakeConn) Read(b []byte) (int, error) {
+	if c.done {
+		return c.Conn.Read(b)
+	}
+	if c.left <= 0 {
+		return 0, &HandshakeError{"the response is too long"}
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.left)])
+	c.left -= n
+	return n, err
+}
+
 // dialLink connects to an address and performs the handshake, by which each side
 // proves to the other that it has the key.
 func dialLink(ctx context.Context, n network.Network, address string, key []byte, self string) (*link, error) {
+	limited := &handshakeConn{left: maxHandshakeBytes}
 	d := websocket.Dialer{
 		HandshakeTimeout: handshakeTimeout,
-		NetDialContext:   func(ctx context.Context, _, address string) (net.Conn, error) { return n.Connect(ctx, address) },
+		NetDialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := n.Connect(ctx, address)
+			limited.Conn = conn
+			return limited, err
+		},
 	}
 	conn, res, err := d.DialContext(ctx, "ws://"+address+"/peer", nil)
 	if err != nil {
@@ -73,6 +103,7 @@
 	if err := conn.SetReadDeadline(time.Time{}); err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
+	limited.done = true
 	l := &link{
 		address: address, incarnation: incarnation, dialedAt: time.Now(), conn: conn,
 		out: ring.New[frame](linkQueueFrames), done: make(chan struct{}), calls: map[uint64]chan frame{},
