caller: bound the numbers of loans between hosts

A host lends what another requests of a team's quota, up to what it has to spare, without looking at the numbers: a request for NaN left NaN in the lender's own part, which then refused all tasks of the team, also a minute later; one for -10^9 tokens added as many to it, so that the quota was not kept. What a lender answered was added as it came.

Fix: a loan whose numbers are not from 0 to 10^9 is refused where it is decoded, and counts as none where it is received.

--- a/internal/caller/lend.go
+++ b/internal/caller/lend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -15,6 +16,19 @@
 	LoanRequest QuotaLoan `cbor:"Need"`
 }
 
+// maxLoan bounds each number of a loan, far above the task starts a second and the tasks of an
+// installation.
+const maxLoan = 1e9
+
+var errLoanOutOfBounds = errors.New("a number of the loan is out of bounds")
+
+// valid reports whether the numbers of a loan are from 0 to maxLoan. What is lent is subtracted
+// from the lender's part: NaN would stay there, and a negative number add to it.
+func (l QuotaLoan) valid() bool {
+	ok := func(n float64) bool { return n >= 0 && n <= maxLoan } // False for NaN.
+	return ok(l.Rate) && ok(l.Tokens) && ok(float64(l.ConcurrentTasks))
+}
+
 // requestLoan requests a loan from a host and adds what it lends to the quota. It
 // reports whether the host lent anything.
 func (s *Service) requestLoan(lender, team string, request QuotaLoan) bool {
@@ -30,7 +44,7 @@
 	if err == nil {
 		err = cbor.Unmarshal(b, &loan)
 	}
-	if err != nil {
+	if err != nil || !loan.valid() {
 		loan = QuotaLoan{}
 	}
 	s.mu.Lock()
@@ -45,6 +59,9 @@
 	if err := cbor.Unmarshal(b, &w); err != nil {
 		return nil, fmt.Errorf("decode loan request: %w", err)
 	}
+	if !w.LoanRequest.valid() {
+		return nil, errLoanOutOfBounds
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return encodeCBOR(s.quota.Lend(time.Now(), w.Team, w.LoanRequest)), nil
