backend: limit the numbers in the dispatchers' messages

Requests for slots, grants and loads from other hosts were taken as told: a request that may wait for 292 years stayed in the lender's list until a slot fell idle, a heartbeat could carry any number of loads with names of any length, each of which is remembered by service, and idle slots could be negative or 2^63-1.

Fix: where they are decoded, slots are limited to 0 to a million, the wait of a request to the 250 ms after which its borrower counts it as refused, and loads to the 12 that a heartbeat carries, with names of 200 bytes.

--- a/internal/backend/service.go
+++ b/internal/backend/service.go
@@ -230,7 +230,7 @@
 		var w wireLoanRequest
 		if cbor.Unmarshal(b, &w) == nil {
 			s.enqueue(func(now time.Time) {
-				s.perform(s.dispatcher.HandleLoanRequest(now, LoanRequest{from, w.Seq, w.Service, w.MaxSlots, w.MaxWait}))
+				s.perform(s.dispatcher.HandleLoanRequest(now, w.loanRequest(from)))
 			})
 		}
 	})
@@ -257,10 +257,7 @@
 	peers.HandleNotification(loadsName, func(from string, b []byte) {
 		var w []wireLoad
 		if cbor.Unmarshal(b, &w) == nil {
-			loads := make([]Load, len(w))
-			for i, l := range w {
-				loads[i] = Load(l)
-			}
+			loads := loadsOf(w)
 			s.enqueue(func(now time.Time) { s.dispatcher.UpdatePeerLoads(now, from, loads) })
 		}
 	})
--- a/internal/backend/wire.go
+++ b/internal/backend/wire.go
@@ -57,6 +57,33 @@
 	Queued  int
 }
 
+// Bounds of what another host tells. It may be of another version.
+const (
+	// maxToldSlots is far above the slots of an installation.
+	maxToldSlots = 1_000_000
+	// maxToldNameBytes bounds the name of a service.
+	maxToldNameBytes = 200
+)
+
+// loanRequest limits the numbers of a request. The borrower doesn't wait for longer than
+// loanRequestTimeout.
+func (w wireLoanRequest) loanRequest(from string) LoanRequest {
+	return LoanRequest{from, w.Seq, w.Service, limitSlots(w.MaxSlots), min(max(w.MaxWait, 0), loanRequestTimeout)}
+}
+
+// loadsOf limits the loads in a heartbeat to as many as a host sends, and their numbers.
+func loadsOf(told []wireLoad) []Load {
+	var loads []Load
+	for _, l := range told[:min(len(told), loadsPerHeartbeat)] {
+		if len(l.Service) <= maxToldNameBytes {
+			loads = append(loads, Load{Service: l.Service, Idle: limitSlots(l.Idle), Queued: limitSlots(l.Queued)})
+		}
+	}
+	return loads
+}
+
+func limitSlots(n int) int { return min(max(n, 0), maxToldSlots) }
+
 func newWireLoanGrant(g *LoanGrant) wireLoanGrant {
 	w := wireLoanGrant{Seq: g.Seq, Service: g.Service, Idle: g.Idle}
 	for _, l := range g.Slots {
@@ -68,7 +95,7 @@
 }
 
 func (w wireLoanGrant) loanGrant(from string) LoanGrant {
-	g := LoanGrant{Peer: from, Seq: w.Seq, Service: w.Service, Idle: w.Idle}
+	g := LoanGrant{Peer: from, Seq: w.Seq, Service: w.Service, Idle: limitSlots(w.Idle)}
 	for _, l := range w.Slots {
 		g.Slots = append(g.Slots, LentSlot{l.LoanID, Server{
 			Name: l.Server, Service: w.Service, Address: l.Address, FailureDomain: l.FailureDomain, Slots: l.Slots,
