worker: a returning job is lost once its former run may start late

What callers saw: a task could run twice if its job was submitted again while the run of its former submission was still tracked.

Cause: a returning job is compared with the unsettled starts only when it is submitted. A run whose start command got no reply becomes one when it is resolved. The task then waited for nothing any more and was started elsewhere, with another command, while the next incarnation of the server could execute the first one (server.go, rule 9).

Fix: when a run that no job needs is resolved with outstanding copies, the job that has returned is lost. Lost, not refused, since an entry host offers a refused job to another owner.

Evidence: TestReturningJobWaitsForNoLateStart failed before in all three cases, with a second start of the task.

--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -187,6 +187,15 @@
 	return false
 }
 
+// loseReturned ends a job as lost that was submitted again while a run of its former submission
+// was tracked, if the start command of that run is unsettled. Another run of the task must not
+// follow (server.go, rule 9).
+func (p *Pool) loseReturned(now time.Time, task string) {
+	if j := p.jobs[jobOfTask(task)]; j != nil && p.isUnsettled(now, task) {
+		p.endJob(now, j, Result{Outcome: Lost, Reason: reasonStartUnresolved})
+	}
+}
+
 // forgetUnsettled forgets the unsettled starts that can't be executed any more.
 func (p *Pool) forgetUnsettled(now time.Time) {
 	for _, task := range slices.Sorted(maps.Keys(p.unsettled)) {
--- a/internal/worker/pool_runs.go
+++ b/internal/worker/pool_runs.go
@@ -27,6 +27,7 @@
 	}
 	t := r.task
 	if t == nil {
+		p.loseReturned(now, r.Task)
 		return
 	}
 	t.assignedServer, t.currentRun = nil, nil
