worker: a late-start record outlasts one of its starts

What callers saw: a task could run twice if a job had unsettled starts of two tasks, or one here and one at another owner.

Cause: the record of a job was removed as soon as one of its starts was settled, whatever had put it there. The record of a change that is gone is not sent to hosts that lack it, and this host as an entry host offered the job to any owner, beside the other start.

Fix: the log knows for which tasks its owner added a job, and removes the record with the last of them. A record that another host sent, or that an entry host added for a lost owner, stays until its time is over.

Evidence: TestRecordOfJobOutlastsOneOfItsStarts failed before in OneOfTwo, OnlyStartButTold and BothSettledButTold.

--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -146,9 +146,9 @@
 	outstanding := u.copies.outstanding() > 0 && now.Before(u.until)
 	if !outstanding {
 		delete(p.unsettled, u.key.Task)
-		p.cfg.LateStarts.remove(jobOfTask(u.key.Task))
+		p.cfg.LateStarts.removeTask(u.key.Task)
 	} else if u.copies.unanswered > 0 {
-		p.cfg.LateStarts.add(now, jobOfTask(u.key.Task), p.domainOf(u.server), u.until)
+		p.cfg.LateStarts.addTask(now, u.key.Task, p.domainOf(u.server), u.until)
 	}
 	p.reserveUnsettled(u.server)
 	return outstanding
--- a/internal/worker/late_start_log.go
+++ b/internal/worker/late_start_log.go
@@ -13,6 +13,8 @@
 //     that know it.
 //  3. Records carry the remaining time, as clocks differ. One that prolongs a known record by
 //     less than lateStartMargin is ignored, so that what comes back doesn't.
+//  4. An owner removes its record of a job once the starts of all tasks for which it added the
+//     job have been settled. It keeps one of another host, whose starts it doesn't know.
 //
 // Records are soft state. They are forgotten at the end of their time.
 
@@ -42,11 +44,13 @@
 	FailureDomain string
 }
 
-// lateStartJob is a job in the log. change is the number of its last change.
+// lateStartJob is a job in the log. change is the number of its last change. told is set if the
+// record doesn't stand for the tasks of this owner alone (rule 4).
 type lateStartJob struct {
 	domain string
 	until  time.Time
 	change uint64
+	told   bool
 }
 
 // lateStartChange is the change of a job's record. It is outdated if the job has a later one.
@@ -57,7 +61,9 @@
 
 // LateStartLog is the late-start log of a host. It is not safe for concurrent use.
 type LateStartLog struct {
-	jobs       map[string]lateStartJob
+	jobs map[string]lateStartJob
+	// tasks has the tasks for which this owner added a job.
+	tasks      map[string][]string
 	changes    []lateStartChange
 	lastChange uint64
 	// idsKept is set once a server was seen to start again under its ID.
@@ -65,21 +71,51 @@
 }
 
 // NewLateStartLog returns an empty log.
-func NewLateStartLog() *LateStartLog { return &LateStartLog{jobs: map[string]lateStartJob{}} }
+func NewLateStartLog() *LateStartLog {
+	return &LateStartLog{jobs: map[string]lateStartJob{}, tasks: map[string][]string{}}
+}
 
-// add adds a job up to a time. domain is that of lateStart.
+// add adds a job up to a time that is not known by its tasks. domain is that of lateStart.
 func (l *LateStartLog) add(now time.Time, job, domain string, until time.Time) {
+	l.put(now, job, domain, until, true)
+}
+
+// addTask adds the job of a task of this owner.
+func (l *LateStartLog) addTask(now time.Time, task, domain string, until time.Time) {
+	job := jobOfTask(task)
+	l.put(now, job, domain, until, false)
+	if _, ok := l.jobs[job]; ok && !slices.Contains(l.tasks[job], task) {
+		l.tasks[job] = append(l.tasks[job], task)
+	}
+}
+
+// put adds or prolongs the record of a job (rule 3).
+func (l *LateStartLog) put(now time.Time, job, domain string, until time.Time, told bool) {
 	known, ok := l.jobs[job]
 	if !until.After(now) || ok && until.Sub(known.until) < lateStartMargin || !ok && len(l.jobs) >= maxLateStartJobs {
 		return
 	}
 	l.lastChange++
-	l.jobs[job] = lateStartJob{domain, until, l.lastChange}
+	l.jobs[job] = lateStartJob{domain, until, l.lastChange, told || known.told}
 	l.changes = append(l.changes, lateStartChange{l.lastChange, job})
 }
 
-// remove removes a job whose start commands were all answered after all. Other hosts keep it.
-func (l *LateStartLog) remove(job string) { delete(l.jobs, job) }
+// removeTask notes that the start of a task has been settled (rule 4). Other hosts keep the
+// record.
+func (l *LateStartLog) removeTask(task string) {
+	job := jobOfTask(task)
+	n := slices.Index(l.tasks[job], task)
+	if n < 0 {
+		return
+	}
+	if l.tasks[job] = slices.Delete(l.tasks[job], n, n+1); len(l.tasks[job]) > 0 {
+		return
+	}
+	delete(l.tasks, job)
+	if !l.jobs[job].told {
+		delete(l.jobs, job)
+	}
+}
 
 // contains reports whether a start command for the job may still be executed.
 func (l *LateStartLog) contains(now time.Time, job string) bool {
@@ -126,6 +162,7 @@
 			break
 		}
 		delete(l.jobs, c.job)
+		delete(l.tasks, c.job)
 	}
 	l.changes = slices.Delete(l.changes, 0, n)
 }
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -53,3 +53,39 @@
 		})
 	}
 }
+
+// TestRecordOfJobOutlastsOneOfItsStarts guards against a job that other hosts start since the
+// record of its late starts was removed once one of several was settled.
+func TestRecordOfJobOutlastsOneOfItsStarts(t *testing.T) {
+	tests := map[string]struct {
+		// told is whether another host's record of the job has arrived before.
+		told   bool
+		starts int
+		want   bool
+	}{
+		"OnlyStart":          {false, 1, false},
+		"OneOfTwo":           {false, 2, true},
+		"OnlyStartButTold":   {true, 1, true},
+		"BothSettledButTold": {true, 2, true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			if c.told {
+				p.pool.cfg.LateStarts.merge(p.now, []lateStart{{Job: "1", RemainingMs: lateStartTimeout.Milliseconds()}})
+			}
+			s := p.pool.servers["a"]
+			until := p.now.Add(lateStartTimeout)
+			for n := range c.starts {
+				key := RunKey{taskName("1", 0, n), 1}
+				u := &unsettledStart{key: key, server: s.ID, copies: startCopies{sent: 1, unanswered: 1}, until: until}
+				p.pool.unsettled[key.Task] = u
+				p.pool.reviewUnsettled(p.now, u)
+			}
+			p.pool.noteStartListed(p.now, RunKey{taskName("1", 0, 0), 1})
+			if got := p.pool.cfg.LateStarts.contains(p.now, "1"); got != c.want {
+				t.Errorf("the log has the job: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
