worker: a late start is told to other hosts as soon as its job ends

What callers saw: a task could run twice if a caller turned to an owner in another domain.

Cause: the record of an unanswered start was added when its run was resolved, up to 1,222 ms after the caller had lost its host. Two heartbeats, 100 ms apart, carry it to the other owners; callers return after 1,300 ms. That owner then started the task beside the late command.

Fix: the record is added when no job needs the run any more, or when the reply is then missed, which is at most 250 ms after the command. It is removed if the run turns out to be settled.

Evidence: TestLateStartIsLoggedBeforeItsRunIsResolved failed before in both cases: nothing was sent to other hosts until the run was resolved.

--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -106,6 +106,9 @@
 	if s := p.servers[id]; s != nil && s.runs[key] != nil {
 		r := s.runs[key]
 		r.copies.note(v)
+		if r.task == nil {
+			p.logUnneeded(now, s, r)
+		}
 		return r.copies.outstanding() > 0
 	}
 	u := p.unsettled[key.Task]
@@ -127,10 +130,20 @@
 	}
 }
 
+// logUnneeded tells other hosts of a run that no job needs any more and whose start command was
+// left unanswered. The run may be tracked for almost as long as a caller waits before it submits
+// the job to another owner.
+func (p *Pool) logUnneeded(now time.Time, s *server, r *run) {
+	if r.copies.unanswered > 0 && r.copies.outstanding() > 0 && !s.replaced {
+		p.cfg.LateStarts.addTask(now, r.Task, s.FailureDomain, r.copiedAt.Add(lateStartTimeout))
+	}
+}
+
 // keepUnsettled keeps the start command of a run that is tracked no longer, if copies of it are
 // outstanding.
 func (p *Pool) keepUnsettled(now time.Time, s *server, r *run) {
 	if r.copies.outstanding() == 0 || s.replaced {
+		p.cfg.LateStarts.removeTask(r.Task)
 		return
 	}
 	u := &unsettledStart{r.RunKey, s.ID, r.startedAtMs, r.need, r.copies, r.copiedAt.Add(lateStartTimeout)}
--- a/internal/worker/late_start_log.go
+++ b/internal/worker/late_start_log.go
@@ -4,9 +4,10 @@
 // Such a job is answered as lost, since each host that starts its tasks could start one beside
 // the late command. The rules are:
 //
-//  1. An owner adds a job when a start command for one of its tasks got no reply and its run is
-//     not tracked any more. Where servers start again under their IDs, an entry host adds the
-//     jobs that are lost with their owner: which of its commands were answered isn't known.
+//  1. An owner adds a job when a start command for one of its tasks got no reply and no job needs
+//     its run any more, or the run is not tracked any more. Where servers start again under their
+//     IDs, an entry host adds the jobs that are lost with their owner: which of its commands were
+//     answered isn't known.
 //  2. Hosts exchange their logs on all sessions: owners with heartbeats, entry hosts with the
 //     acknowledgments. A record is sent once on each path. So a caller that turns to another
 //     host after its retry delay finds the job there, unless that host is partitioned from all
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -89,3 +89,38 @@
 		})
 	}
 }
+
+// TestLateStartIsLoggedBeforeItsRunIsResolved guards against a caller that returns to an owner
+// which was not told of an unanswered start in time: the lease may last almost as long as the
+// caller waits.
+func TestLateStartIsLoggedBeforeItsRunIsResolved(t *testing.T) {
+	for name, endsFirst := range map[string]bool{"JobEndsFirst": true, "ReplyIsMissedFirst": false} {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			p.loseStarts = 1
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advance(tickInterval)
+			end := func() { p.pool.Cancel(p.now, 1, "1") }
+			miss := func() {
+				s := p.starts[0]
+				p.pool.HandleStartReply(p.now, s.Server.ID, s.Command.Token, s.Command.RunKey, Reply{})
+			}
+			if endsFirst {
+				end()
+				miss()
+			} else {
+				miss()
+				end()
+			}
+			if list, _ := p.pool.cfg.LateStarts.since(p.now, 0); len(list) != 1 || list[0].Job != "1" {
+				t.Errorf("other hosts are sent %+v, want the record of job 1", list)
+			}
+			first := p.starts[0]
+			p.pool.HandleStartReply(p.now, first.Server.ID, first.Command.Token, first.Command.RunKey, Reply{Verdict: RefusedOther})
+			p.advanceFor(time.Second, "a", "b")
+			if p.pool.cfg.LateStarts.contains(p.now, "1") {
+				t.Error("the record remains although all copies were answered and the run has ended")
+			}
+		})
+	}
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -398,6 +398,7 @@
 				continue
 			}
 			t.currentRun.task = nil // No job needs the run any more.
+			p.logUnneeded(now, t.assignedServer, t.currentRun)
 			p.requestStop(now, t.assignedServer, t.currentRun)
 			if !j.unwantedSince.IsZero() && j.unwantedSince.Before(t.currentRun.stopRequestedAt) {
 				t.currentRun.stopRequestedAt = j.unwantedSince
