worker: an owner loses a job that it could have resumed, and doesn't refuse it

What callers saw: a task could run twice if a job with an unsettled start came to its owner through an entry host that lacked the record.

Cause: a job whose unsettled starts may be sent again passes admission as any other. Refused or returned there (queue full, busy, draining, no server), it is offered to another owner, unless its entry host knows the record.

Fix: such a job is lost if it isn't admitted, and if its starts can't be resumed after all. That is also what REFUSED asks for: its tasks may have run.

Evidence: TestResumableJobIsNotRefused failed before in all six cases: the job was refused or returned.

--- a/internal/worker/late_start_resume.go
+++ b/internal/worker/late_start_resume.go
@@ -52,7 +52,7 @@
 func (p *Pool) resume(now time.Time, j *job, list []resumable) {
 	for _, x := range list {
 		if !p.mayResume(now, x.server, x.task, x.start) {
-			p.abandon(now, j, reasonStartUnresolved)
+			p.endJob(now, j, Result{Outcome: Lost, Reason: reasonStartUnresolved})
 			return
 		}
 		delete(p.unsettled, x.task.name)
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -124,3 +124,40 @@
 		})
 	}
 }
+
+// TestResumableJobIsNotRefused guards against a job with an unsettled start that an owner
+// refuses or returns, so that an entry host without its record offers it to another owner.
+func TestResumableJobIsNotRefused(t *testing.T) {
+	tests := map[string]func(p *poolTester, j *Job){
+		"Draining": func(p *poolTester, _ *Job) { p.pool.draining = true },
+		"NotOwner": func(p *poolTester, _ *Job) { p.pool.owner = false },
+		"Busy":     func(_ *poolTester, j *Job) { j.StartOrReturn, j.Steps[0].Count = true, 9 },
+		"NoServer": func(_ *poolTester, j *Job) { j.Service = "other" },
+		"TooLarge": func(_ *poolTester, j *Job) {
+			j.Steps = append(j.Steps, Step{Count: 1, Need: Resources{CPUMilli: 1 << 20}, After: []int{0}})
+		},
+		"QueueFull": func(_ *poolTester, j *Job) {
+			j.Steps[0].Count, j.Target, j.Budget = 9, time.Millisecond, time.Millisecond
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			s := p.pool.servers["a"]
+			key := RunKey{taskName("1", 0, 0), 1}
+			u := &unsettledStart{key: key, server: s.ID, startedAtMs: s.startedAtMs + 1, need: testJob("1").Steps[0].Need, copies: startCopies{sent: 1, unanswered: 1}, until: p.now.Add(lateStartTimeout)}
+			p.pool.unsettled[key.Task] = u
+			p.pool.reviewUnsettled(p.now, u)
+			job := testJob("1")
+			change(p, &job)
+			p.pool.Submit(p.now, 1, job)
+			p.advance(tickInterval, "a", "b")
+			if len(p.answers) != 1 || p.answers[0].Outcome != Lost {
+				t.Errorf("the answers are %+v, want that the job is lost", p.answers)
+			}
+			if len(p.starts) != 0 {
+				t.Errorf("%d starts, want none", len(p.starts))
+			}
+		})
+	}
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -285,6 +285,10 @@
 		return
 	}
 	if r, ok := p.admit(now, session, j); !ok {
+		if resumes {
+			// Its tasks may run, and an entry host without its record would offer it to another owner.
+			r = Result{Outcome: Lost, Reason: r.Reason}
+		}
 		r.ID = in.ID
 		p.answer(j, r)
 		return
