--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -105,6 +105,9 @@
 	if s := p.servers[id]; s != nil && s.runs[key] != nil {
 		r := s.runs[key]
 		r.copies.note(v)
+		if r.task == nil {
+			p.logUnneeded(now, s, r)
+		}
 		return r.copies.outstanding() > 0
 	}
 	u := p.unsettled[key.Task]
@@ -126,10 +129,20 @@
 	}
 }
 
+// logUnneeded tells other hosts of a run that no job needs any more and whose start command was
+// left unanswered. The run may be tracked for almost as long as a caller waits before it submits
+// the job to another owner.
+func (p *Pool) logUnneeded(now time.Time, s *server, r *run) {
+	if r.copies.unanswered > 0 && r.copies.outstanding() > 0 && !s.replaced {
+		p.cfg.LateStarts.addTask(now, r.Task, s.FailureDomain, r.copiedAt.Add(lateStartTimeout))
+	}
+}
+
 // keepUnsettled keeps the start command of a run that is tracked no longer, if copies of it are
 // outstanding.
 func (p *Pool) keepUnsettled(now time.Time, s *server, r *run) {
 	if r.copies.outstanding() == 0 || s.replaced {
+		p.cfg.LateStarts.removeTask(r.Task)
 		return
 	}
 	u := &unsettledStart{r.RunKey, s.ID, r.startedAtMs, r.copies, r.copiedAt.Add(lateStartTimeout)}
@@ -145,9 +158,9 @@
 	outstanding := u.copies.outstanding() > 0 && now.Before(u.until)
 	if !outstanding {
 		delete(p.unsettled, u.key.Task)
-		p.cfg.LateStarts.remove(jobOfTask(u.key.Task))
+		p.cfg.LateStarts.removeTask(u.key.Task)
 	} else if u.copies.unanswered > 0 {
-		p.cfg.LateStarts.add(now, jobOfTask(u.key.Task), p.domainOf(u.server), u.until)
+		p.cfg.LateStarts.addTask(now, u.key.Task, p.domainOf(u.server), u.until)
 	}
 	return outstanding
 }
@@ -185,6 +198,15 @@
 	return false
 }
 
+// loseReturned ends a job as lost that was submitted again while a run of its former submission
+// was tracked, if the start command of that run is unsettled. Another run of the task must not
+// follow (server.go, rule 9).
+func (p *Pool) loseReturned(now time.Time, task string) {
+	if j := p.jobs[jobOfTask(task)]; j != nil && p.isUnsettled(now, task) {
+		p.endJob(now, j, Result{Outcome: Lost, Reason: reasonStartUnresolved})
+	}
+}
+
 // forgetUnsettled forgets the unsettled starts that can't be executed any more.
 func (p *Pool) forgetUnsettled(now time.Time) {
 	for _, task := range slices.Sorted(maps.Keys(p.unsettled)) {
--- /dev/null
+++ b/internal/worker/late_start_return_test.go
@@ -0,0 +1,163 @@
+package worker
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestReturningJobWaitsForNoLateStart guards against a second run of a task whose job was
+// submitted again while its former run, the start command of which got no reply, was still
+// tracked. Once the lease has expired, the next incarnation of the server may execute it.
+func TestReturningJobWaitsForNoLateStart(t *testing.T) {
+	tests := map[string]struct {
+		// reply is whether the missing reply is noted before the job returns.
+		reply bool
+		// tasks is the number of tasks of the job.
+		tasks int
+	}{
+		"ReplyNoted":   {true, 1},
+		"ReplyPending": {false, 1},
+		"TwoTasks":     {false, 2},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			p.loseStarts = c.tasks
+			job := testJob("1")
+			job.Steps[0].Count = c.tasks
+			p.pool.Submit(p.now, 1, job)
+			p.advance(tickInterval)
+			first := p.starts[0]
+			if c.reply {
+				p.pool.HandleStartReply(p.now, first.Server.ID, first.Command.Token, first.Command.RunKey, Reply{})
+			}
+			p.pool.Cancel(p.now, 1, "1", p.now)
+			p.answers = nil
+			p.pool.Submit(p.now, 1, job)
+			p.advance(tickInterval)
+			for _, s := range p.starts {
+				p.pool.HandleStartReply(p.now, s.Server.ID, s.Command.Token, s.Command.RunKey, Reply{})
+			}
+			other := "b"
+			if first.Server.ID == other {
+				other = "a"
+			}
+			p.advanceFor(3*time.Second, other)
+			if len(p.starts) != c.tasks {
+				t.Errorf("%d starts, want %d", len(p.starts), c.tasks)
+			}
+			if want := []Result{{ID: "1", Outcome: Lost, Reason: reasonStartUnresolved}}; !slices.Equal(p.answers, want) {
+				t.Errorf("the answers are %+v, want %+v", p.answers, want)
+			}
+		})
+	}
+}
+
+// TestRecordOfJobOutlastsOneOfItsStarts guards against a job that other hosts start since the
+// record of its late starts was removed once one of several was settled.
+func TestRecordOfJobOutlastsOneOfItsStarts(t *testing.T) {
+	tests := map[string]struct {
+		// told is whether another host's record of the job has arrived before.
+		told   bool
+		starts int
+		want   bool
+	}{
+		"OnlyStart":          {false, 1, false},
+		"OneOfTwo":           {false, 2, true},
+		"OnlyStartButTold":   {true, 1, true},
+		"BothSettledButTold": {true, 2, true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			if c.told {
+				p.pool.cfg.LateStarts.merge(p.now, []lateStart{{Job: "1", RemainingMs: lateStartTimeout.Milliseconds()}})
+			}
+			s := p.pool.servers["a"]
+			until := p.now.Add(lateStartTimeout)
+			for n := range c.starts {
+				key := RunKey{taskName("1", 0, n), 1}
+				u := &unsettledStart{key: key, server: s.ID, copies: startCopies{sent: 1, unanswered: 1}, until: until}
+				p.pool.unsettled[key.Task] = u
+				p.pool.reviewUnsettled(p.now, u)
+			}
+			p.pool.noteStartListed(p.now, RunKey{taskName("1", 0, 0), 1})
+			if got := p.pool.cfg.LateStarts.contains(p.now, "1"); got != c.want {
+				t.Errorf("the log has the job: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestLateStartIsLoggedBeforeItsRunIsResolved guards against a caller that returns to an owner
+// which was not told of an unanswered start in time: the lease may last almost as long as the
+// caller waits.
+func TestLateStartIsLoggedBeforeItsRunIsResolved(t *testing.T) {
+	for name, endsFirst := range map[string]bool{"JobEndsFirst": true, "ReplyIsMissedFirst": false} {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			p.loseStarts = 1
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advance(tickInterval)
+			end := func() { p.pool.Cancel(p.now, 1, "1", p.now) }
+			miss := func() {
+				s := p.starts[0]
+				p.pool.HandleStartReply(p.now, s.Server.ID, s.Command.Token, s.Command.RunKey, Reply{})
+			}
+			if endsFirst {
+				end()
+				miss()
+			} else {
+				miss()
+				end()
+			}
+			if list, _ := p.pool.cfg.LateStarts.since(p.now, 0); len(list) != 1 || list[0].Job != "1" {
+				t.Errorf("other hosts are sent %+v, want the record of job 1", list)
+			}
+			first := p.starts[0]
+			p.pool.HandleStartReply(p.now, first.Server.ID, first.Command.Token, first.Command.RunKey, Reply{Verdict: RefusedOther})
+			p.advanceFor(time.Second, "a", "b")
+			if p.pool.cfg.LateStarts.contains(p.now, "1") {
+				t.Error("the record remains although all copies were answered and the run has ended")
+			}
+		})
+	}
+}
+
+// TestResumableJobIsNotRefused guards against a job with an unsettled start that an owner
+// refuses or returns, so that an entry host without its record offers it to another owner.
+func TestResumableJobIsNotRefused(t *testing.T) {
+	tests := map[string]func(p *poolTester, j *Job){
+		"Draining": func(p *poolTester, _ *Job) { p.pool.draining = true },
+		"NotOwner": func(p *poolTester, _ *Job) { p.pool.owner = false },
+		"Busy":     func(_ *poolTester, j *Job) { j.StartOrReturn, j.Steps[0].Count = true, 9 },
+		"NoServer": func(_ *poolTester, j *Job) { j.Service = "other" },
+		"TooLarge": func(_ *poolTester, j *Job) {
+			j.Steps = append(j.Steps, Step{Count: 1, Need: Resources{CPUMilli: 1 << 20}, After: []int{0}})
+		},
+		"QueueFull": func(_ *poolTester, j *Job) {
+			j.Steps[0].Count, j.Target, j.Budget = 9, time.Millisecond, time.Millisecond
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			s := p.pool.servers["a"]
+			key := RunKey{taskName("1", 0, 0), 1}
+			u := &unsettledStart{key: key, server: s.ID, startedAtMs: s.startedAtMs + 1, copies: startCopies{sent: 1, unanswered: 1}, until: p.now.Add(lateStartTimeout)}
+			p.pool.unsettled[key.Task] = u
+			p.pool.reviewUnsettled(p.now, u)
+			job := testJob("1")
+			change(p, &job)
+			p.pool.Submit(p.now, 1, job)
+			p.advance(tickInterval, "a", "b")
+			if len(p.answers) != 1 || p.answers[0].Outcome != Lost {
+				t.Errorf("the answers are %+v, want that the job is lost", p.answers)
+			}
+			if len(p.starts) != 0 {
+				t.Errorf("%d starts, want none", len(p.starts))
+			}
+		})
+	}
+}
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -292,10 +292,11 @@
 	}
 	j.resumes = resumes
 	if r, ok := p.admit(now, session, j); !ok {
-		r.ID = in.ID
 		if resumes {
-			r = Result{ID: in.ID, Outcome: Lost, Reason: r.Reason}
+			// Its tasks may run, and an entry host without its record would offer it to another owner.
+			r = Result{Outcome: Lost, Reason: r.Reason}
 		}
+		r.ID = in.ID
 		p.answer(j, r)
 		return
 	}
@@ -410,6 +411,7 @@
 				continue
 			}
 			t.currentRun.task = nil // No job needs the run any more.
+			p.logUnneeded(now, t.assignedServer, t.currentRun)
 			p.requestStop(now, t.assignedServer, t.currentRun)
 			if !j.unwantedSince.IsZero() && j.unwantedSince.Before(t.currentRun.stopRequestedAt) {
 				t.currentRun.stopRequestedAt = j.unwantedSince
