worker: late-start records outlast the command that prolongs them least

What callers saw: a task could run twice if its caller turned to another owner in the last second of the 13.3 s.

Cause: hosts ignore what prolongs a record by less than a second, so that records that come back don't go round forever. A later copy of the command, or the start of another task, may be up to a second later than the first.

Fix: whoever adds a job adds that second.

--- a/internal/worker/late_start_log.go
+++ b/internal/worker/late_start_log.go
@@ -13,7 +13,8 @@
 //     host after its retry delay finds the job there, unless that host is partitioned from all
 //     that know it.
 //  3. Records carry the remaining time, as clocks differ. One that prolongs a known record by
-//     less than lateStartMargin is ignored, so that what comes back doesn't.
+//     less than lateStartMargin is ignored, so that what comes back doesn't. A host that adds
+//     a job does so for this margin more.
 //  4. An owner removes its record of a job once the starts of all tasks for which it added the
 //     job have been settled. It keeps one of another host, whose starts it doesn't know.
 //
@@ -78,13 +79,13 @@
 
 // add adds a job up to a time that is not known by its tasks. domain is that of lateStart.
 func (l *LateStartLog) add(now time.Time, job, domain string, until time.Time) {
-	l.put(now, job, domain, until, true)
+	l.put(now, job, domain, until.Add(lateStartMargin), true)
 }
 
 // addTask adds the job of a task of this owner.
 func (l *LateStartLog) addTask(now time.Time, task, domain string, until time.Time) {
 	job := jobOfTask(task)
-	l.put(now, job, domain, until, false)
+	l.put(now, job, domain, until.Add(lateStartMargin), false)
 	if _, ok := l.jobs[job]; ok && !slices.Contains(l.tasks[job], task) {
 		l.tasks[job] = append(l.tasks[job], task)
 	}
@@ -129,7 +130,8 @@
 		if r.Job == "" || len(r.Job) > maxJobIDBytes || len(r.FailureDomain) > maxJobIDBytes || r.RemainingMs <= 0 {
 			continue // Another host has sent what none records.
 		}
-		l.add(now, r.Job, r.FailureDomain, now.Add(time.Duration(min(r.RemainingMs, lateStartTimeout.Milliseconds()))*time.Millisecond))
+		remaining := time.Duration(min(r.RemainingMs, (lateStartTimeout + lateStartMargin).Milliseconds())) * time.Millisecond
+		l.put(now, r.Job, r.FailureDomain, now.Add(remaining), true)
 	}
 }
 
