worker: an entry host that was suspended sends no job of a gone caller to another owner

What callers could see: a task that runs twice at the same time (TWICE). Cause: the refusal of an owner waits in the socket of a frozen entry host. When that wakes, it handles what owners say first, and offers the job to the next owner, which starts it, before it looks at time limits; the caller may have returned elsewhere meanwhile. By reading, and by the test, which fails before: after 4 s the job of a caller that had stated one second is sent to another owner. Time limits of own callers are now judged before all else. Nothing is lost by that: whatever an owner has said since, the caller has stopped waiting.

--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -116,16 +116,16 @@
 
 // HandleEvents runs the liveness events that have arrived, closes the sessions that have
 // expired all the same, runs an event, which may be nil, and returns the actions that
-// follow. Before the event it also ends the jobs whose callers have stopped waiting, which may
-// be long ago if this host was suspended. Liveness events come first, because an acknowledgment or a heartbeat that
+// follow. Before any of them it ends the jobs whose callers have stopped waiting, which may be
+// long ago if this host was suspended: a refusal that has waited must not send them elsewhere. Liveness events come first, because an acknowledgment or a heartbeat that
 // arrived in time must count even if this host handles it late. They change only the
 // sessions and the Entry, so that nothing acts for a session that has expired.
 func (h *Host) HandleEvents(now time.Time, liveness []func(*Host, time.Time), event func(*Host, time.Time)) []HostAction {
+	h.entry.endTimedOutJobs(now)
 	for _, f := range liveness {
 		f(h, now)
 	}
 	h.tickSessions(now)
-	h.entry.endTimedOutJobs(now)
 	h.pool.endTimedOutJobs(now)
 	if event != nil {
 		event(h, now)
--- a/internal/worker/time_limit_test.go
+++ b/internal/worker/time_limit_test.go
@@ -210,3 +210,40 @@
 		}
 	}
 }
+
+// TestSuspendedEntryHostOffersNothing guards against a job that a host, after it was suspended, sends
+// to a second owner for a caller that has given up meanwhile and may have returned elsewhere.
+func TestSuspendedEntryHostOffersNothing(t *testing.T) {
+	const budget = time.Second
+	tests := map[string]struct {
+		suspended time.Duration
+		want      bool
+	}{
+		"WithinLimit": {budget / 2, true},
+		"BeyondLimit": {4 * time.Second, false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newStubOwner()
+			h.entry.SetMembers(testStart, []Candidate{{"b", "b", "domain2", 0}, {"c", "c", "domain3", 0}})
+			hb := heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}}
+			acceptSessions(h.entry, testStart, hb)
+			h.HandleEvent(testStart, func(h *Host, now time.Time) {
+				j := testJob("1")
+				j.Budget = budget
+				h.Submit(now, j)
+			})
+			j := h.entry.jobs["1"]
+			owner, submission := j.owner, j.submission
+			sent := false
+			for _, a := range h.HandleEvents(testStart.Add(c.suspended), []func(*Host, time.Time){func(h *Host, now time.Time) {
+				h.handleOwnerMessage(now, owner, message{Result: &Result{ID: "1", Outcome: Refused, Reason: "HostBusy"}, Submission: submission})
+			}}, nil) {
+				sent = sent || a.SendTo != nil && a.SendTo.Message.Submit != nil
+			}
+			if sent != c.want {
+				t.Errorf("sent to the other owner: %v, want %v", sent, c.want)
+			}
+		})
+	}
+}
