worker: after a stall, an owner sees which callers have left before it starts tasks again

What callers could see: a task that runs twice at the same time (TWICE). Cause: a caller's connection breaks while its host, the owner of the job, stands still, and the caller returns elsewhere after 1,300 ms. On waking, the owner learns that the runs have lapsed, and starts the tasks again. That the caller has left is known at the same moment, but its event waits behind the tick or the reply that was taken first. By reading, and by TestStalledOwnerSeesCallersLeaveFirst, which fails before: two starts, want one. After a stall of 100 ms, control events are handled before the tick or reply.

--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -175,7 +175,7 @@
 	s.peers.HandleNotification(ownerItem, func(from string, _ []byte) {
 		// The announcement comes again, and this goroutine also reads the messages of
 		// sessions, so it must not wait.
-		s.work.Offer(queuedEvent{func(h *Host, now time.Time) { h.entry.HandleOwnerAnnouncement(now, from) }, s.cfg.Now()})
+		s.work.Offer(queuedEvent{run: func(h *Host, now time.Time) { h.entry.HandleOwnerAnnouncement(now, from) }, queuedAt: s.cfg.Now()})
 	})
 	s.peers.OnChange(s.membersChanged)
 	s.kvstore.OnHosts(s.hostsChanged)
--- a/internal/worker/service_loop.go
+++ b/internal/worker/service_loop.go
@@ -14,6 +14,8 @@
 type queuedEvent struct {
 	run      func(h *Host, now time.Time)
 	queuedAt time.Time
+	// ordered is set if the event must be handled before control events that came later.
+	ordered bool
 }
 
 // enqueue passes an event to the loop and waits while the lane is full. It drops no
@@ -21,7 +23,7 @@
 func (s *Service) enqueue(f func(h *Host, now time.Time)) { s.enqueueIn(s.work, f) }
 
 func (s *Service) enqueueIn(lane *ring.Queue[queuedEvent], f func(h *Host, now time.Time)) {
-	if err := lane.Put(s.ctx, queuedEvent{f, s.cfg.Now()}); err != nil {
+	if err := lane.Put(s.ctx, queuedEvent{run: f, queuedAt: s.cfg.Now()}); err != nil {
 		// The service has ended, and nothing waits for the event any more.
 		return
 	}
@@ -31,7 +33,7 @@
 // any submission that enters the mailbox later.
 func (s *Service) enqueueControl(f func(h *Host, now time.Time)) {
 	s.queuesMu.Lock()
-	s.control = append(s.control, queuedEvent{f, s.cfg.Now()})
+	s.control = append(s.control, queuedEvent{f, s.cfg.Now(), true})
 	s.queuesMu.Unlock()
 	s.wakeLoop()
 }
@@ -93,7 +95,7 @@
 	if !ok {
 		return queuedEvent{}, laneWork, false
 	}
-	return queuedEvent{func(h *Host, now time.Time) { sub.Run(h, now, sub.Job) }, sub.EnteredAt}, laneSubmissions, true
+	return queuedEvent{func(h *Host, now time.Time) { sub.Run(h, now, sub.Job) }, sub.EnteredAt, true}, laneSubmissions, true
 }
 
 // loop runs all events on the Host, one at a time, and carries out the actions that
@@ -106,7 +108,7 @@
 	for ctx.Err() == nil {
 		var e queuedEvent
 		l, ok := laneWork, false
-		tick := func() { e, ok, ticked = queuedEvent{s.tick, s.cfg.Now()}, true, true }
+		tick := func() { e, ok, ticked = queuedEvent{run: s.tick, queuedAt: s.cfg.Now()}, true, true }
 		if !ticked {
 			select {
 			case <-ticker.C:
@@ -132,17 +134,44 @@
 				liveness = append(liveness, v)
 			}
 		}
-		now := s.cfg.Now()
-		if now.Sub(last) > stallThreshold {
+		stalled := s.cfg.Now().Sub(last) > stallThreshold
+		if stalled {
 			time.Sleep(stallGracePeriod)
-			now = s.cfg.Now()
 		}
-		last = now
-		for range len(s.liveness.C()) {
-			liveness = append(liveness, <-s.liveness.C())
+		last = s.cfg.Now()
+		s.handleNext(stalled, liveness, e, l)
+	}
+}
+
+// handleNext handles liveness events and those that have come since, and an event of lane l. After
+// a stall the control events come before it: a caller may have left long ago, and e may
+// start its tasks again. That holds for ticks and replies only; a submission that was taken, say,
+// comes before its cancellation.
+func (s *Service) handleNext(stalled bool, liveness []queuedEvent, e queuedEvent, l lane) {
+	if stalled && !e.ordered {
+		for _, c := range s.takeControl() {
+			s.handle(s.cfg.Now(), s.drainLiveness(liveness), c, laneWork)
+			liveness = nil
 		}
-		s.handle(now, liveness, e, l)
 	}
+	s.handle(s.cfg.Now(), s.drainLiveness(liveness), e, l)
+}
+
+// drainLiveness appends the liveness events that wait to a list.
+func (s *Service) drainLiveness(list []queuedEvent) []queuedEvent {
+	for range len(s.liveness.C()) {
+		list = append(list, <-s.liveness.C())
+	}
+	return list
+}
+
+// takeControl removes and returns the control events that wait.
+func (s *Service) takeControl() []queuedEvent {
+	s.queuesMu.Lock()
+	defer s.queuesMu.Unlock()
+	list := s.control
+	s.control = nil
+	return list
 }
 
 // handle runs liveness events and an event of lane l, which may be empty, and carries
@@ -188,5 +217,5 @@
 }
 
 func (s *Service) followUp(now time.Time, f func(h *Host, now time.Time)) {
-	s.followUps = append(s.followUps, queuedEvent{f, now})
+	s.followUps = append(s.followUps, queuedEvent{f, now, true})
 }
