worker: the log tells which submission a job's runs belong to

For an operator who compares the runs of a task that ran twice: RunResolved names task, run, server, its start time, token and deadline, but nothing told whether two runs came from one submission or from two. JobAnswered now has the Submission that was answered; JobEnded on that owner has the same number and the Session that sent the job first, 0 for the owner's own callers; SessionOpened, one line for each stream, says which entry host that is. No other line is added for a job. What is still missing is in files of others: the first start of a run that its server lists as ended has no line of its own, only the job's Starts and last Server.

--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -69,6 +69,6 @@
 // job returns the submitted job with what accompanies it.
 func (m *message) job() Job {
 	j := *m.Submit
-	j.StartOrReturn = m.StartOrReturn
+	j.StartOrReturn, j.Submission = m.StartOrReturn, m.Submission
 	return j
 }
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -79,11 +79,11 @@
 
 // submitTo sends a job to an owner.
 func (e *Entry) submitTo(now time.Time, owner string, j *entryJob, startOrReturn bool) {
-	job := j.job
-	job.Age, job.StartOrReturn = now.Sub(j.submittedAt), startOrReturn
-	e.countSent(owner, &job)
 	e.lastSubmission++
 	j.submission = e.lastSubmission
+	job := j.job
+	job.Age, job.StartOrReturn, job.Submission = now.Sub(j.submittedAt), startOrReturn, j.submission
+	e.countSent(owner, &job)
 	e.send(owner, message{
 		Submit: &job, StartOrReturn: startOrReturn, Crashes: e.cfg.Crashes.ofJob(job.ID), Submission: j.submission,
 	})
@@ -205,8 +205,8 @@
 
 func (e *Entry) answer(now time.Time, j *entryJob, r Result) {
 	delete(e.jobs, j.job.ID)
-	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Str("Owner", j.owner).Stringer("Outcome", r.Outcome).
-		Str("Reason", r.Reason).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Int("Offers", len(j.tried)+len(j.triedToStart)).
+	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Str("Owner", j.owner).Uint64("Submission", j.submission).
+		Stringer("Outcome", r.Outcome).Str("Reason", r.Reason).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Int("Offers", len(j.tried)+len(j.triedToStart)).
 		Int64("OfferMs", j.offerMs()).Int64("LoadWaitMs", j.lastOffer.loadWaitMs).Int64("LoadAgeMs", j.lastOffer.loadAge.Milliseconds()).
 		Int("Owners", j.usableOwners).Msg("JobAnswered")
 	for _, id := range j.waiters {
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -127,6 +127,8 @@
 type job struct {
 	Job
 	waiters []SessionID
+	// session is the one that submitted the job first; it is logged.
+	session SessionID
 	arrived time.Time
 	// returned reports whether the job was refused before. arrived is that of the first time.
 	returned bool
@@ -289,7 +291,7 @@
 }
 
 func (p *Pool) newJob(now time.Time, session SessionID, in Job) *job {
-	j := &job{Job: in, waiters: []SessionID{session}, arrived: now.Add(-in.Age), neededUntil: in.callerLimit(now)}
+	j := &job{Job: in, waiters: []SessionID{session}, session: session, arrived: now.Add(-in.Age), neededUntil: in.callerLimit(now)}
 	if at, ok := p.refusedJobs.arrived(in.ID); ok && at.Before(j.arrived) {
 		j.arrived, j.returned = at, true
 	}
@@ -404,7 +406,7 @@
 		Int64("CriticalPathMs", j.criticalPath.Milliseconds()).Int64("FirstStartMs", j.msSinceArrival(j.firstStart)).Int64("LastStartMs", j.msSinceArrival(j.lastStart)).
 		Int("Tasks", j.size()).Int("Starts", j.starts).Int("Queued", len(p.jobs)).
 		Bool("Saturated", p.queueSaturated()).Str("Server", j.lastServer).Float64("RunMs", j.meanRunMs()).
-		Int64("LongestRunMs", j.longestRun.Milliseconds()).Msg("JobEnded")
+		Int64("LongestRunMs", j.longestRun.Milliseconds()).Uint64("Session", uint64(j.session)).Uint64("Submission", j.Submission).Msg("JobEnded")
 	p.answer(j, r)
 }
 
--- a/internal/worker/service_streams.go
+++ b/internal/worker/service_streams.go
@@ -103,6 +103,7 @@
 	s.enqueueIn(s.liveness, func(h *Host, now time.Time) {
 		id := h.sessions.Open(now, st.Peer)
 		opened.Store(uint64(id))
+		s.cfg.Log.Info().Uint64("Session", uint64(id)).Str("Peer", st.Peer).Msg("SessionOpened")
 		s.sessionStreams[id] = st
 	})
 	receive = func(b []byte) {
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -82,6 +82,9 @@
 	// StartOrReturn reports whether the owner is to return the job unless all ready tasks can
 	// start at once (start_offer.go). It accompanies the job in a message.
 	StartOrReturn bool `cbor:"-"`
+	// Submission is the number of the submission by the entry host, 0 if unknown. It accompanies
+	// the job in a message and is logged.
+	Submission uint64 `cbor:"-"`
 }
 
 // Outcome is how a job ended, as its caller sees it.
