worker: callers that are cut off, beside frozen hosts and cuts, in the simulation

Callers submit jobs only to hosts that are awake, so requests that wait unread in a frozen host are not in it.

--- a/internal/worker/simulation_lanes_test.go
+++ b/internal/worker/simulation_lanes_test.go
@@ -269,6 +269,7 @@
 	"Silences":      {faults: simFaults{Lanes: true, Slow: 2, SlowPaths: 2, Silences: 2, Pauses: 5}, rate: 40},
 	"Freezes":       {faults: simFaults{Lanes: true, Slow: 1, SlowPaths: 1, Silences: 1, Freezes: 1}, rate: 40},
 	"SilentCallers": {faults: silentCallers, rate: 6, meanRunTime: time.Second},
+	"SilentFreezes": {faults: silentFreezes, rate: 6, meanRunTime: time.Second},
 	"All":           {faults: lanesAll, rate: 40},
 	"LongAll":       {faults: lanesAll, rate: 3, meanRunTime: 2 * time.Second},
 }
@@ -283,6 +284,9 @@
 // try late.
 var silentCallers = simFaults{Lanes: true, Slow: 1, SlowPaths: 1, Pauses: 3, Lost: 0.3, Silences: 0.5, SilentCallers: 0.3}
 
+// silentFreezes has frozen hosts and hosts that are cut off, too.
+var silentFreezes = simFaults{Lanes: true, Slow: 1, SlowPaths: 1, Pauses: 3, Freezes: 1.5, Lost: 0.1, Silences: 0.5, HostCuts: 0.5, SilentCallers: 0.3}
+
 // TestSimulationLanes checks the invariants of TestSimulationKeepsInvariants where messages
 // overtake each other in the lanes of their hosts.
 func TestSimulationLanes(t *testing.T) {
