--- a/internal/worker/late_start_log.go
+++ b/internal/worker/late_start_log.go
@@ -130,7 +130,7 @@
 		if r.Job == "" || len(r.Job) > maxJobIDBytes || len(r.FailureDomain) > maxJobIDBytes || r.RemainingMs <= 0 {
 			continue // Another host has sent what none records.
 		}
-		remaining := time.Duration(min(r.RemainingMs, (lateStartTimeout + lateStartMargin).Milliseconds())) * time.Millisecond
+		remaining := time.Duration(min(r.RemainingMs, (lateStartTimeout+lateStartMargin).Milliseconds())) * time.Millisecond
 		l.put(now, r.Job, r.FailureDomain, now.Add(remaining), true)
 	}
 }
