worker: an unsettled start is tied to the address it was sent to

What callers saw: a task could run twice if a server's ID was listed at another address.

Cause: unsettled starts were matched by the server's ID alone. The start was resumed on the server at the new address, which doesn't know the run, while the copy for the former address could be executed there; and a server with another ID at the new address counted as proof that this copy is refused.

Fix: both compare the address, too. A job without a resumable start is lost, as before. A start is also not resumed while a run of the task is tracked.

Evidence: TestStartIsResumedAtItsAddressOnly failed before in both cases, with a second start.

--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -63,8 +63,9 @@
 
 // unsettledStart is a start command with outstanding copies whose run is not tracked any more.
 type unsettledStart struct {
-	key    RunKey
-	server string
+	key RunKey
+	// server and address are the ID of the server and where the command was sent to.
+	server, address string
 	// startedAtMs is the incarnation of the server that the command was sent to.
 	startedAtMs int64
 	need        Resources
@@ -146,7 +147,7 @@
 		p.cfg.LateStarts.removeTask(r.Task)
 		return
 	}
-	u := &unsettledStart{r.RunKey, s.ID, r.startedAtMs, r.need, r.copies, r.copiedAt.Add(lateStartTimeout)}
+	u := &unsettledStart{r.RunKey, s.ID, s.Address, r.startedAtMs, r.need, r.copies, r.copiedAt.Add(lateStartTimeout)}
 	p.unsettled[r.Task] = u
 	p.cfg.Log.Info().Str("Task", r.Task).Int("Run", r.Run).Str("Server", s.ID).Int64("StartedAtMs", r.startedAtMs).
 		Int("Copies", r.copies.sent).Int("Outstanding", r.copies.outstanding()).Msg("StartUnsettled")
@@ -260,7 +261,7 @@
 // where late commands for this one are refused.
 func (p *Pool) settleReplaced(now time.Time, s *server) {
 	for _, task := range slices.Sorted(maps.Keys(p.unsettled)) {
-		if u := p.unsettled[task]; u.server == s.ID {
+		if u := p.unsettled[task]; u.server == s.ID && u.address == s.Address {
 			u.copies.answered = u.copies.sent
 			p.reviewUnsettled(now, u)
 		}
--- a/internal/worker/late_start_resume.go
+++ b/internal/worker/late_start_resume.go
@@ -37,13 +37,14 @@
 	return list, len(list) > 0
 }
 
-// mayResume reports whether the unsettled start of a task may be sent to its server again.
+// mayResume reports whether the unsettled start of a task may be sent to its server again. A
+// server with the same ID at another address doesn't guard against a late copy at the former one.
 func (p *Pool) mayResume(now time.Time, s *server, t *task, u *unsettledStart) bool {
 	free := s.free()
 	if s.unsettled != (Resources{}) {
 		free = free.Add(u.need)
 	}
-	return s.accepts(now) && s.startedAtMs != 0 && s.startedAtMs != u.startedAtMs && s.mayRun(t.job, t.step) &&
+	return s.accepts(now) && s.Address == u.address && p.trackedRuns[t.name] == 0 && s.startedAtMs != 0 && s.startedAtMs != u.startedAtMs && s.mayRun(t.job, t.step) &&
 		t.job.Steps[t.step].Need.Fits(free) && p.cautionOf(t.name) == cautionNone
 }
 
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -145,7 +145,7 @@
 			p := newTwoServerTester(t)
 			s := p.pool.servers["a"]
 			key := RunKey{taskName("1", 0, 0), 1}
-			u := &unsettledStart{key: key, server: s.ID, startedAtMs: s.startedAtMs + 1, need: testJob("1").Steps[0].Need, copies: startCopies{sent: 1, unanswered: 1}, until: p.now.Add(lateStartTimeout)}
+			u := &unsettledStart{key: key, server: s.ID, address: s.Address, startedAtMs: s.startedAtMs + 1, need: testJob("1").Steps[0].Need, copies: startCopies{sent: 1, unanswered: 1}, until: p.now.Add(lateStartTimeout)}
 			p.pool.unsettled[key.Task] = u
 			p.pool.reviewUnsettled(p.now, u)
 			job := testJob("1")
@@ -161,3 +161,35 @@
 		})
 	}
 }
+
+// TestStartIsResumedAtItsAddressOnly guards against a second run beside a late start command
+// for another address at which a server has the same ID, and against a command that is taken
+// for refused because another server has the later address.
+func TestStartIsResumedAtItsAddressOnly(t *testing.T) {
+	for name, replaced := range map[string]bool{"NextIncarnationAnswers": false, "OtherIDAnswers": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newPoolTester(t)
+			p.pool.AssumeOwnership(p.now, nil)
+			p.pool.SetServers(p.now, []Server{testServer("a", false)})
+			p.advance(time.Millisecond, "a")
+			p.loseStarts = 1
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advance(tickInterval)
+			first := p.starts[0]
+			p.pool.HandleStartReply(p.now, first.Server.ID, first.Command.Token, first.Command.RunKey, Reply{})
+			p.pool.Cancel(p.now, 1, "1")
+			p.pool.SetServers(p.now, []Server{testServer("c", false)})
+			p.restarted = map[string]bool{"c": true}
+			p.replaced = map[string]bool{"c": replaced}
+			p.advanceFor(3*time.Second, "c")
+			p.replaced = nil
+			p.advanceFor(time.Second, "c")
+			p.answers = nil
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advance(tickInterval, "c")
+			if want := []Result{{ID: "1", Outcome: Lost, Reason: reasonStartUnresolved}}; len(p.starts) != 1 || !slices.Equal(p.answers, want) {
+				t.Errorf("%d starts and the answers %+v, want 1 and %+v", len(p.starts), p.answers, want)
+			}
+		})
+	}
+}
