worker: a start is not repeated on a server that has shrunk

What callers saw: nothing yet; by reading, a server could be brought over its capacity (LIMIT).

Cause: the room for a start was looked at before its first copy only. Up to six copies follow, and the server may be listed with a smaller capacity meanwhile.

Fix: the job is lost instead, as on a server that leaves.

Evidence: TestStartIsNotRepeatedOnShrunkServer failed before in Shrunk.

--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -75,12 +75,12 @@
 }
 
 // repeatStart repeats the start command of a run that the server doesn't list, or ends its job
-// if the server has left too many copies unanswered.
+// if the server has left too many copies unanswered, leaves, or has shrunk.
 func (p *Pool) repeatStart(now time.Time, s *server, r *run) {
 	switch {
 	case r.task == nil:
 		p.requestStop(now, s, r)
-	case s.Leaving || r.sends >= maxStartCopies:
+	case s.Leaving || r.sends >= maxStartCopies || !r.need.Fits(s.Capacity.Sub(s.used).Add(r.need)):
 		p.abandon(now, r.task.job, reasonStartUnresolved)
 	case s.state == stateReady && r.token == s.token && s.mayRenewLease(now):
 		r.deadline = s.deadline(now)
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -193,3 +193,26 @@
 		})
 	}
 }
+
+// TestStartIsNotRepeatedOnShrunkServer guards against a copy of a start command that brings a
+// server over its capacity, which has shrunk since the first copy was sent.
+func TestStartIsNotRepeatedOnShrunkServer(t *testing.T) {
+	for name, cpuMilli := range map[string]int{"Fits": 20000, "Shrunk": 19999} {
+		t.Run(name, func(t *testing.T) {
+			p := newPoolTester(t)
+			p.pool.AssumeOwnership(p.now, nil)
+			p.pool.SetServers(p.now, []Server{testServer("a", false)})
+			p.advance(time.Millisecond, "a")
+			p.loseStarts = 1
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advance(tickInterval)
+			s := testServer("a", false)
+			s.Capacity.CPUMilli = cpuMilli
+			p.pool.SetServers(p.now, []Server{s})
+			p.advanceFor(time.Second, "a")
+			if repeated := len(p.starts) > 1; repeated != (cpuMilli == 20000) {
+				t.Errorf("%d starts, the job needs 20000 of %d", len(p.starts), cpuMilli)
+			}
+		})
+	}
+}
