worker: a delayed reply doesn't show that servers keep their IDs

What callers saw: nothing yet. Where servers were seen to start again under their IDs, jobs that are lost with an owner are lost for 13.3 s more.

Cause: a start's reply has no start time, so that a restart is told by the clock in it.

Fix: only another start time counts. It is seen with the poll that follows.

Evidence: TestDelayedReplyIsNoKeptID/SameLife failed before.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -231,7 +231,6 @@
 	if s.state != stateNotOwned && !s.clockReadAt.IsZero() && reply.Clock < s.clock-maxReplyDelay {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("ClockMs", reply.Clock.Milliseconds()).
 			Int64("KnownClockMs", s.clock.Milliseconds()).Msg("ServerRestarted")
-		p.cfg.LateStarts.idsKept = true
 		p.acquire(now, s, 0)
 		return false
 	}
--- a/internal/worker/late_start_log_test.go
+++ b/internal/worker/late_start_log_test.go
@@ -154,3 +154,22 @@
 		t.Error("the record ends before the later command can't be executed any more")
 	}
 }
+
+// TestDelayedReplyIsNoKeptID guards against jobs that are lost for longer since a reply, which an
+// owner that stood still has read late, looked like that of a server that had started again.
+func TestDelayedReplyIsNoKeptID(t *testing.T) {
+	for name, c := range map[string]struct{ restarted, want bool }{"SameLife": {false, false}, "NextLife": {true, true}} {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advanceFor(time.Second, "a", "b")
+			start := p.starts[0]
+			p.pool.HandleStartReply(p.now, start.Server.ID, start.Command.Token, start.Command.RunKey, Reply{Verdict: Accepted, Clock: time.Second})
+			p.restarted = map[string]bool{start.Server.Address: c.restarted}
+			p.advanceFor(time.Second, "a", "b")
+			if got := p.pool.cfg.LateStarts.idsKept; got != c.want {
+				t.Errorf("servers are taken to keep their IDs: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -10,6 +10,7 @@
 func (p *Pool) applyRunLists(now time.Time, s *server, sent time.Time, reply Reply) {
 	if reply.StartedAtMs != 0 && s.incarnation != 0 && reply.StartedAtMs != s.incarnation {
 		p.noteServerLost(now, s, true)
+		p.cfg.LateStarts.idsKept = true
 	}
 	if reply.StartedAtMs != 0 {
 		s.incarnation = reply.StartedAtMs
@@ -17,7 +18,6 @@
 	}
 	if s.startedAtMs != 0 && reply.StartedAtMs != 0 && reply.StartedAtMs != s.startedAtMs {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("StartedAtMs", reply.StartedAtMs).Msg("ServerRestarted")
-		p.cfg.LateStarts.idsKept = true
 		p.acquire(now, s, 0)
 		return
 	}
