worker: a record of a late start reaches jobs that wait

What callers saw: a task could run twice if an owner was told of its late start while the job waited there.

Cause: the log was consulted when a job was submitted only. A job that waited at an owner was started later, and one that was refused, not sent, or missing after an attach was offered to any other owner, even if it had been sent to the one that could resume it.

Fix: an owner that is told of a job which has started nothing loses it, and an entry host looks at the log at each offer.

Evidence: TestRecordReachesWaitingJob failed before in Owner, Refused, NotSent and NotSentToResume.

--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -308,6 +308,7 @@
 		h.pool.idKept()
 	}
 	h.lateStarts.merge(now, m.LateStarts)
+	h.pool.loseTold(now, m.LateStarts)
 }
 
 // handleEntryMessage handles a message from an entry host on a path that the entry
--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -210,6 +210,16 @@
 	}
 }
 
+// loseTold ends jobs as lost that wait here, if another host has just told that a start command
+// for them may still be executed.
+func (p *Pool) loseTold(now time.Time, records []lateStart) {
+	for _, r := range records {
+		if j := p.jobs[r.Job]; j != nil && !j.started && p.cfg.LateStarts.contains(now, r.Job) {
+			p.endJob(now, j, Result{Outcome: Lost, Reason: reasonStartUnresolved})
+		}
+	}
+}
+
 // forgetUnsettled forgets the unsettled starts that can't be executed any more.
 func (p *Pool) forgetUnsettled(now time.Time) {
 	for _, task := range slices.Sorted(maps.Keys(p.unsettled)) {
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -216,3 +216,65 @@
 		})
 	}
 }
+
+// TestRecordReachesWaitingJob guards against a task that is started beside a late start command
+// of which this host is told while the job waits.
+func TestRecordReachesWaitingJob(t *testing.T) {
+	records := []lateStart{{Job: "1", RemainingMs: 5000, FailureDomain: "domain2"}}
+	lost := Result{ID: "1", Outcome: Lost, Reason: reasonStartUnresolved}
+	t.Run("Owner", func(t *testing.T) {
+		h := newStubOwner()
+		h.pool.AssumeOwnership(testStart, nil)
+		h.pool.SetServers(testStart, []Server{testServer("a", true)})
+		id := h.sessions.Open(testStart, "entry")
+		h.HandleEvent(testStart, func(h *Host, now time.Time) { h.pool.Submit(now, id, testJob("1")) })
+		if h.pool.jobs["1"] == nil {
+			t.Fatal("the job doesn't wait")
+		}
+		var results []Result
+		for _, a := range h.HandleEvent(testStart, func(h *Host, now time.Time) { h.handleEntryMessage(now, id, message{Ack: 1, LateStarts: records}) }) {
+			if a.Reply != nil && a.Reply.Message.Result != nil {
+				results = append(results, *a.Reply.Message.Result)
+			}
+		}
+		if !slices.Equal(results, []Result{lost}) {
+			t.Errorf("the results are %+v, want %+v", results, lost)
+		}
+	})
+	tests := map[string]struct {
+		// toldFirst is whether the record arrives before the job.
+		toldFirst bool
+		end       func(e *Entry, owner string)
+	}{
+		"Refused": {false, func(e *Entry, owner string) {
+			e.HandleResult(testStart, owner, 0, Result{ID: "1", Outcome: Refused, Reason: "QueueFull"})
+		}},
+		"NotSent":         {false, func(e *Entry, owner string) { e.HandleNotSent(testStart, owner, "1", "LinkFull") }},
+		"NotSentToResume": {true, func(e *Entry, owner string) { e.HandleNotSent(testStart, owner, "1", "LinkFull") }},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEntry("c", "a")
+			e.SetMembers(testStart, []Candidate{{"a", "a", "domain1", 0}, {"b", "b", "domain2", 0}})
+			acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+			e.TakeActions()
+			if c.toldFirst {
+				e.cfg.LateStarts.merge(testStart, records)
+			}
+			e.Submit(testStart, testJob("1"))
+			owner := e.jobs["1"].owner
+			e.cfg.LateStarts.merge(testStart, records)
+			e.TakeActions()
+			c.end(e, owner)
+			var answers []Result
+			for _, a := range e.TakeActions() {
+				if a.Answer != nil {
+					answers = append(answers, a.Answer.Result)
+				}
+			}
+			if !slices.Equal(answers, []Result{lost}) {
+				t.Errorf("the answers are %+v, want %+v", answers, lost)
+			}
+		})
+	}
+}
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -64,8 +64,13 @@
 
 // offerJob sends a job to the best owner among those that it was not offered to yet
 // (rule 3). If there is none and the job may not wait any longer, offerJob answers
-// the callers with otherwise.
+// the callers with otherwise. A job with a late start of which this host was told since it was
+// submitted is answered as lost.
 func (e *Entry) offerJob(now time.Time, j *entryJob, otherwise Result) {
+	if e.cfg.LateStarts.contains(now, j.job.ID) {
+		e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reasonStartUnresolved})
+		return
+	}
 	best, last := e.bestOwner(now, j)
 	j.usableOwners = last.owners
 	if owner := e.startOwner(j); owner != "" {
