--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -309,6 +309,7 @@
 func (h *Host) mergeLateStarts(now time.Time, m message) {
 	h.lateStarts.idsKept = h.lateStarts.idsKept || m.ServerIDsKept
 	h.lateStarts.merge(now, m.LateStarts)
+	h.pool.loseTold(now, m.LateStarts)
 }
 
 // handleEntryMessage handles a message from an entry host on a path that the entry
