worker: an owner learns that another caller of the job waits longer

What callers would see: a job that is answered 502 although its caller still waits. Cause: the owner ends a job at the time limit that came with its submission. A second caller with the same ID at the same entry host, who joins the first one's job, extended the limit at the entry host alone. The entry host now tells the owner (Extend, ExtendMs; earlier versions ignore them and have no limit of their own), and another owner to which the job is offered later gets the later limit with it. Repeating the submission was left out: its number would make the answer to the first one outdated. Both tests fail without: the owner ends the job at 1 s, want 3.5 s and never; the next owner is told 1 s, want 2.5 s and none.

--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -116,10 +116,11 @@
 
 // HandleEvents runs the liveness events that have arrived, closes the sessions that have
 // expired all the same, runs an event, which may be nil, and returns the actions that
-// follow. Before any of them it ends the jobs whose callers have stopped waiting, which may be
-// long ago if this host was suspended: a refusal that has waited must not send them elsewhere. Liveness events come first, because an acknowledgment or a heartbeat that
+// follow. Liveness events come first, because an acknowledgment or a heartbeat that
 // arrived in time must count even if this host handles it late. They change only the
-// sessions and the Entry, so that nothing acts for a session that has expired.
+// sessions, the Entry and time limits, so that nothing acts for a session that has expired.
+// Before them the Entry ends the jobs whose callers have stopped waiting, which may be long
+// ago if this host was suspended: a refusal that has waited must not send them elsewhere.
 func (h *Host) HandleEvents(now time.Time, liveness []func(*Host, time.Time), event func(*Host, time.Time)) []HostAction {
 	h.entry.endTimedOutJobs(now)
 	for _, f := range liveness {
@@ -252,6 +253,8 @@
 		h.pool.Submit(now, localSession, *a.Local.Submit)
 	case a.Local != nil && a.Local.Submit != nil:
 		h.actions = append(h.actions, HostAction{Enqueue: a.Local.Submit})
+	case a.Local != nil && a.Local.Extend != "":
+		h.pool.extendJob(now, localSession, *a.Local)
 	case a.Local != nil:
 		h.actions = append(h.actions, HostAction{Withdraw: a.Local.Cancel})
 		h.pool.Cancel(now, localSession, a.Local.Cancel, a.Local.unwantedSince(now))
@@ -317,6 +320,8 @@
 		if len(m.Usual) > 0 {
 			h.pool.LearnUsual(now, id, m.Usual)
 		}
+	case m.Extend != "":
+		h.pool.extendJob(now, id, m)
 	case m.Submit != nil:
 		h.crashes.merge(now, m.Crashes)
 		h.sessions.noteSubmission(id, m.Submit.ID, m.Submission)
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -36,6 +36,10 @@
 	// UnwantedMs accompanies a Cancel: how long nobody had waited for the job when it was sent,
 	// in milliseconds.
 	UnwantedMs int64 `cbor:"17,keyasint,omitempty"`
+	// Extend names a job for which another caller waits, ExtendMs is how long it does, in
+	// milliseconds; 0 if that is unknown. Hosts of earlier versions ignore both.
+	Extend   string `cbor:"18,keyasint,omitempty"`
+	ExtendMs int64  `cbor:"19,keyasint,omitempty"`
 }
 
 // unwantedSince returns since when nobody waits for the job that m cancels. m was read at
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -18,7 +18,7 @@
 	e.waiters[id] = job.ID
 	if j := e.jobs[job.ID]; j != nil {
 		j.waiters = append(j.waiters, id)
-		j.neededUntil = laterLimit(j.neededUntil, job.callerLimit(now))
+		e.extend(now, j, job.callerLimit(now))
 		return id
 	}
 	e.usual.add(now, &job)
@@ -83,6 +83,10 @@
 	j.submission = e.lastSubmission
 	job := j.job
 	job.Age, job.StartOrReturn, job.Submission = now.Sub(j.submittedAt), startOrReturn, j.submission
+	job.Budget = 0
+	if !j.neededUntil.IsZero() {
+		job.Budget = j.neededUntil.Sub(j.submittedAt)
+	}
 	e.countSent(owner, &job)
 	e.send(owner, message{
 		Submit: &job, StartOrReturn: startOrReturn, Crashes: e.cfg.Crashes.ofJob(job.ID), Submission: j.submission,
--- a/internal/worker/time_limit.go
+++ b/internal/worker/time_limit.go
@@ -1,6 +1,9 @@
 package worker
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The ends of jobs whose callers have stopped waiting (entry.go, rule 6).
 
@@ -46,6 +49,37 @@
 	}
 }
 
+// extend handles a further caller of a job, who stops waiting at a time. The owner that has the
+// job is told, since it ends the job at the limit that it knows.
+func (e *Entry) extend(now time.Time, j *entryJob, limit time.Time) {
+	until := laterLimit(j.neededUntil, limit)
+	if until.Equal(j.neededUntil) {
+		return
+	}
+	j.neededUntil = until
+	if j.owner == "" {
+		return
+	}
+	m := message{Extend: j.job.ID}
+	if !until.IsZero() {
+		m.ExtendMs = max(until.Sub(now).Milliseconds(), 1)
+	}
+	e.send(j.owner, m)
+}
+
+// extendJob handles the message of a session that another caller waits for a job.
+func (p *Pool) extendJob(now time.Time, session SessionID, m message) {
+	j := p.jobs[m.Extend]
+	if j == nil || !slices.Contains(j.waiters, session) {
+		return
+	}
+	var limit time.Time
+	if m.ExtendMs > 0 {
+		limit = now.Add(time.Duration(m.ExtendMs) * time.Millisecond)
+	}
+	p.queue.setNeededUntil(j, laterLimit(j.neededUntil, limit))
+}
+
 // noteLimit notes that a job may end under rule 6.
 func (e *Entry) noteLimit(j *entryJob) {
 	if !j.neededUntil.IsZero() && (e.nextLimit.IsZero() || j.neededUntil.Before(e.nextLimit)) {
--- a/internal/worker/time_limit_test.go
+++ b/internal/worker/time_limit_test.go
@@ -247,3 +247,83 @@
 		})
 	}
 }
+
+// TestSecondCallerExtendsLimitOfOwner guards against a job that its owner ends at the time limit of
+// the first caller, although a second one of the same entry host waits longer.
+func TestSecondCallerExtendsLimitOfOwner(t *testing.T) {
+	const budget = time.Second
+	tests := map[string]struct {
+		second time.Duration
+		// want is when the owner ends the job, 0 for never.
+		want time.Duration
+	}{
+		"Longer":  {3 * budget, 3*budget + budget/2},
+		"Shorter": {budget / 4, budget},
+		"Unknown": {0, 0},
+	}
+	for name, c := range tests {
+		for _, remote := range []bool{false, true} {
+			t.Run(name, func(t *testing.T) {
+				owner := newStubOwner()
+				owner.pool.AssumeOwnership(testStart, nil)
+				owner.pool.SetServers(testStart, []Server{testServer("a", false)})
+				s := owner.pool.orderedServers[0]
+				owner.pool.HandlePollReply(testStart, s.ID, s.token, false, testStart, Reply{Verdict: Accepted, Clock: time.Second, StartedAtMs: 1})
+				owner.entry.isOwner, owner.entry.localLoad.Servers = true, 1
+				entry, path := owner, localSession
+				if remote {
+					entry = newStubOwner()
+					entry.entry.cfg.Self = Candidate{"c", "c", "domain1", 0}
+					entry.entry.SetMembers(testStart, []Candidate{{"a", "a", "domain1", 0}})
+					acceptSessions(entry.entry, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+					path = owner.sessions.Open(testStart, "c")
+				}
+				submit := func(now time.Time, budget time.Duration) {
+					j := testJob("1")
+					j.Budget = budget
+					for _, a := range entry.HandleEvent(now, func(h *Host, now time.Time) { h.Submit(now, j) }) {
+						if a.SendTo != nil {
+							owner.handleEntryMessage(now, path, a.SendTo.Message)
+						}
+					}
+				}
+				submit(testStart, budget)
+				submit(testStart.Add(budget/2), c.second)
+				j := owner.pool.jobs["1"]
+				if j == nil {
+					t.Fatal("the owner hasn't accepted the job")
+				}
+				if want := testStart.Add(c.want); c.want > 0 && !j.neededUntil.Equal(want) || c.want == 0 && !j.neededUntil.IsZero() {
+					t.Errorf("remote %v: the owner ends the job at %v, want %v", remote, j.neededUntil.Sub(testStart), c.want)
+				}
+			})
+		}
+	}
+}
+
+// TestNextOwnerKnowsLaterLimit guards against a job that its second owner ends at the time limit of
+// the first caller.
+func TestNextOwnerKnowsLaterLimit(t *testing.T) {
+	tests := map[string]struct{ second, want time.Duration }{
+		"Longer":  {2 * time.Second, 2500 * time.Millisecond},
+		"Shorter": {100 * time.Millisecond, time.Second},
+		"Unknown": {0, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := newTestEntry("c")
+			e.Submit(testStart, Job{ID: "1", Budget: time.Second, Steps: []Step{{Count: 1}}})
+			e.Submit(testStart.Add(500*time.Millisecond), Job{ID: "1", Budget: c.second, Steps: []Step{{Count: 1}}})
+			e.SetMembers(testStart, []Candidate{{"a", "a", "domain1", 0}})
+			acceptSessions(e, testStart, heartbeat{Number: 1, IsOwner: true, Load: Load{Servers: 1}})
+			e.Tick(testStart)
+			m := submissionTo(e.TakeActions(), "a")
+			if m == nil {
+				t.Fatal("the job was not sent to the owner")
+			}
+			if m.Submit.Budget != c.want {
+				t.Errorf("the owner is told that callers wait for %v, want %v", m.Submit.Budget, c.want)
+			}
+		})
+	}
+}
