--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -45,6 +45,10 @@
 	// late-start log, and whether a server was seen to start again under its ID.
 	LateStarts    []lateStart `cbor:"18,keyasint,omitempty"`
 	ServerIDsKept bool        `cbor:"19,keyasint,omitempty"`
+	// Extend names a job for which another caller waits, ExtendMs is how long it does, in
+	// milliseconds; 0 if that is unknown. Hosts of earlier versions ignore both.
+	Extend   string `cbor:"20,keyasint,omitempty"`
+	ExtendMs int64  `cbor:"21,keyasint,omitempty"`
 }
 
 // unwantedSince returns since when nobody waits for the job that m cancels. m was read at
@@ -122,6 +126,7 @@
 	m.Crashes = m.Crashes[:min(len(m.Crashes), maxRecordsInMessage)]
 	m.LateStarts = m.LateStarts[:min(len(m.LateStarts), maxRecordsInMessage)]
 	m.UnwantedMs = limit(m.UnwantedMs, MaxTime.Milliseconds())
+	m.ExtendMs = limit(m.ExtendMs, MaxTime.Milliseconds())
 	return m, nil
 }
 
