worker: a late start is settled by replies and lists of its server only

What callers saw: a task could run twice after a change of owner.

Cause: an unsettled start was matched by task and run alone. Each owner numbers its runs from 1, so a server that is acquired later may list a run with the same number that an earlier owner started there. That settled the start on the other server, and the task was started once more beside it.

Fix: server and address must match, too.

Evidence: TestLateStartIsSettledByItsServerOnly failed before in ListedByOther and RepliedByOther.

--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -119,9 +119,10 @@
 // expired all the same, runs an event, which may be nil, and returns the actions that
 // follow. Liveness events come first, because an acknowledgment or a heartbeat that
 // arrived in time must count even if this host handles it late. They change only the
-// sessions, the Entry and time limits, so that nothing acts for a session that has expired.
-// Before them the Entry ends the jobs whose callers have stopped waiting, which may be long
-// ago if this host was suspended: a refusal that has waited must not send them elsewhere.
+// sessions, the Entry, time limits and the logs, and end jobs that have not started (loseTold),
+// so that nothing acts for a session that has expired. Before them the Entry ends the jobs whose
+// callers have stopped waiting, which may be long ago if this host was suspended: a refusal that
+// has waited must not send them elsewhere.
 func (h *Host) HandleEvents(now time.Time, liveness []func(*Host, time.Time), event func(*Host, time.Time)) []HostAction {
 	h.entry.endTimedOutJobs(now)
 	for _, f := range liveness {
--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -112,7 +112,7 @@
 		return r.copies.outstanding() > 0
 	}
 	u := p.unsettled[key.Task]
-	if u == nil || u.key != key {
+	if u == nil || u.key != key || u.server != id {
 		return false
 	}
 	u.copies.note(v)
@@ -122,9 +122,10 @@
 	return p.reviewUnsettled(now, u)
 }
 
-// noteStartListed notes that a server lists a run, or its end, that is not tracked any more.
-func (p *Pool) noteStartListed(now time.Time, key RunKey) {
-	if u := p.unsettled[key.Task]; u != nil && u.key == key {
+// noteStartListed notes that a server lists a run, or its end, that is not tracked any more. A run
+// that another owner started on another server may have the same number.
+func (p *Pool) noteStartListed(now time.Time, s *server, key RunKey) {
+	if u := p.unsettled[key.Task]; u != nil && u.key == key && u.server == s.ID && u.address == s.Address {
 		u.copies.listed = true
 		p.reviewUnsettled(now, u)
 	}
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -78,11 +78,11 @@
 			until := p.now.Add(lateStartTimeout)
 			for n := range c.starts {
 				key := RunKey{taskName("1", 0, n), 1}
-				u := &unsettledStart{key: key, server: s.ID, copies: startCopies{sent: 1, unanswered: 1}, until: until}
+				u := &unsettledStart{key: key, server: s.ID, address: s.Address, copies: startCopies{sent: 1, unanswered: 1}, until: until}
 				p.pool.unsettled[key.Task] = u
 				p.pool.reviewUnsettled(p.now, u)
 			}
-			p.pool.noteStartListed(p.now, RunKey{taskName("1", 0, 0), 1})
+			p.pool.noteStartListed(p.now, s, RunKey{taskName("1", 0, 0), 1})
 			if got := p.pool.cfg.LateStarts.contains(p.now, "1"); got != c.want {
 				t.Errorf("the log has the job: %v, want %v", got, c.want)
 			}
@@ -278,3 +278,36 @@
 		})
 	}
 }
+
+// TestLateStartIsSettledByItsServerOnly guards against another run of a task because a server lists
+// a run with the same number that an earlier owner started there.
+func TestLateStartIsSettledByItsServerOnly(t *testing.T) {
+	tests := map[string]struct {
+		server string
+		reply  bool
+		want   bool
+	}{
+		"ListedBySame":   {"a", false, false},
+		"ListedByOther":  {"b", false, true},
+		"RepliedBySame":  {"a", true, false},
+		"RepliedByOther": {"b", true, true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			key := RunKey{taskName("1", 0, 0), 1}
+			u := &unsettledStart{key: key, server: "a", address: "a", copies: startCopies{sent: 1, unanswered: 1}, until: p.now.Add(lateStartTimeout)}
+			p.pool.unsettled[key.Task] = u
+			p.pool.reviewUnsettled(p.now, u)
+			if c.reply {
+				p.pool.HandleStartReply(p.now, c.server, p.pool.servers[c.server].token, key, Reply{Verdict: RefusedOther})
+			} else {
+				p.ended[c.server] = []EndedRun{{Number: 1, RunKey: key, Outcome: RunStopped}}
+				p.advanceFor(2*time.Second, "a", "b")
+			}
+			if got := p.pool.isUnsettled(p.now, key.Task); got != c.want {
+				t.Errorf("the start is unsettled: %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		s.lastSeen = e.Number
-		p.noteStartListed(now, e.RunKey)
+		p.noteStartListed(now, s, e.RunKey)
 		if r := s.runs[e.RunKey]; r != nil {
 			r.copies.listed = true
 			p.runEnded(now, s, r, e.Outcome)
@@ -85,7 +85,7 @@
 	if r != nil {
 		r.copies.listed = true
 	} else {
-		p.noteStartListed(now, k)
+		p.noteStartListed(now, s, k)
 	}
 	switch {
 	case r == nil && (s.state == stateAcquiring || sent.After(s.lastRunEndedAt)):
