--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -221,11 +221,16 @@
 
 // forgetUnsettled forgets the unsettled starts that can't be executed any more.
 func (p *Pool) forgetUnsettled(now time.Time) {
-	for _, task := range slices.Sorted(maps.Keys(p.unsettled)) {
-		if u := p.unsettled[task]; !now.Before(u.until) {
-			p.reviewUnsettled(now, u)
+	var over []string
+	for task, u := range p.unsettled {
+		if !now.Before(u.until) {
+			over = append(over, task)
 		}
 	}
+	slices.Sort(over)
+	for _, task := range over {
+		p.reviewUnsettled(now, p.unsettled[task])
+	}
 	p.cfg.LateStarts.forget(now)
 }
 
