worker: an owner notes that servers keep their IDs after it had given one up

What callers saw: nothing yet; by reading. Until an owner knows that servers start again under their IDs, unsettled starts take up no room, and entry hosts don't record the jobs that they lose with an owner.

Cause: it was learned only from a server that started again while it was owned. One that was given up meanwhile (fenced, stepped down, unlisted) is acquired without anything to compare it with.

Fix: when a server is acquired, its start time is compared with that of the unsettled starts at its address.

Evidence: TestIncarnationIsComparedWithUnsettledStarts failed before in Next.

--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -234,6 +234,20 @@
 	p.cfg.LateStarts.forget(now)
 }
 
+// compareUnsettled notes that a server that was just acquired has started again under its ID, if an
+// unsettled start was sent to another incarnation of it. The server may have been given up since.
+func (p *Pool) compareUnsettled(s *server, startedAtMs int64) {
+	if p.cfg.LateStarts.idsKept {
+		return
+	}
+	for _, u := range p.unsettled {
+		if u.server == s.ID && u.address == s.Address && u.startedAtMs != 0 && u.startedAtMs != startedAtMs {
+			p.cfg.LateStarts.idsKept = true
+			return
+		}
+	}
+}
+
 // settleReplaced forgets the unsettled starts on a server once another ID has taken its address,
 // where late commands for this one are refused.
 func (p *Pool) settleReplaced(now time.Time, s *server) {
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -311,3 +311,24 @@
 		})
 	}
 }
+
+// TestIncarnationIsComparedWithUnsettledStarts guards against an owner that doesn't learn that servers
+// start again under their IDs, because it had given up the server meanwhile.
+func TestIncarnationIsComparedWithUnsettledStarts(t *testing.T) {
+	for name, restarted := range map[string]bool{"Same": false, "Next": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			p.loseStarts = 1
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advance(tickInterval)
+			p.pool.StepDown(p.now, "Deposed")
+			p.restarted = map[string]bool{"a": restarted, "b": restarted}
+			p.advanceFor(maxPollRetryDelay)
+			p.pool.AssumeOwnership(p.now, nil)
+			p.advanceFor(time.Second, "a", "b")
+			if kept := p.pool.cfg.LateStarts.idsKept; kept != restarted {
+				t.Errorf("servers keep their IDs: %v, want %v", kept, restarted)
+			}
+		})
+	}
+}
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -22,6 +22,9 @@
 		return
 	}
 	if reply.StartedAtMs != 0 {
+		if s.startedAtMs == 0 {
+			p.compareUnsettled(s, reply.StartedAtMs)
+		}
 		s.startedAtMs = reply.StartedAtMs
 	}
 	if s.unresponsive {
