worker: the time of an unsettled start includes the wait in the command queue

What callers saw: nothing; by reading. A task could run twice for up to 0.6 s.

Cause: the time for which a start without a reply ties its task was counted from when it was decided on. A copy may wait in the command queue of its server for up to leaseDuration before it is sent, and a command can be late from then on.

Fix: lateStartTimeout includes leaseDuration: 13.9 s instead of 13.3 s.

Evidence: TestUnsettledStartOutlastsItsQueue failed before in SentAtTheEndOfTheLease.

--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -16,9 +16,10 @@
 	// maxLateLease is the longest lease that a server grants. The deadline of a command for
 	// its predecessor may lie far ahead on its clock.
 	maxLateLease = time.Second
-	// lateStartTimeout is how long after a copy of its start command was sent a run may be in
-	// progress that was neither accepted nor listed.
-	lateStartTimeout = (maxCommandDelay + maxLateLease) * 100 / (100 - maxClockDriftPercent)
+	// lateStartTimeout is how long after a copy of its start command was decided on a run may be
+	// in progress that was neither accepted nor listed. A copy may wait in its command queue for
+	// up to leaseDuration.
+	lateStartTimeout = leaseDuration + (maxCommandDelay+maxLateLease)*100/(100-maxClockDriftPercent)
 	// lateStartPollInterval is the longest wait of a poll, and the longest delay after a
 	// failed one, for a server whose next incarnation may execute a late start command.
 	lateStartPollInterval = 100 * time.Millisecond
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -332,3 +332,22 @@
 		})
 	}
 }
+
+// TestUnsettledStartOutlastsItsQueue guards against another run of a task while a copy of its start
+// command that waited in the command queue, as long as it may, can still be executed.
+func TestUnsettledStartOutlastsItsQueue(t *testing.T) {
+	for name, queued := range map[string]time.Duration{"SentAtOnce": 0, "SentAtTheEndOfTheLease": leaseDuration} {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			p.loseStarts = 1
+			p.pool.Submit(p.now, 1, testJob("1"))
+			decided := p.now
+			p.advance(tickInterval)
+			p.pool.StepDown(p.now, "Deposed")
+			over := decided.Add(queued + maxCommandDelay + maxLateLease*100/(100-maxClockDriftPercent))
+			if !p.pool.isUnsettled(over.Add(-time.Millisecond), taskName("1", 0, 0)) {
+				t.Errorf("the start is settled %v before its run must be over", time.Millisecond)
+			}
+		})
+	}
+}
