worker: late starts of many jobs are told within the callers' retry delay

What callers saw: nothing; by reading. A task could run twice after an owner or a domain was lost with some hundred jobs.

Cause: a message carried 32 records, the bound of the crash log, and there is one message each 100 ms. After 1,300 ms, and two hops, most of a thousand jobs were unknown at the hosts to which their callers turned.

Fix: the late-start log has a bound of its own, 512.

Evidence: TestManyLateStartsAreToldInTime failed before in Many: 128 of 1,000 after four heartbeats.

--- a/internal/worker/late_start_log.go
+++ b/internal/worker/late_start_log.go
@@ -29,6 +29,10 @@
 const (
 	// maxLateStartJobs bounds the log, to less than 1 MB.
 	maxLateStartJobs = 4096
+	// maxLateStartsInMessage bounds what one message carries, to some 20 KB. An entry host that
+	// loses an owner may add a thousand jobs, whose callers return after 1,300 ms; the records
+	// take two messages by then, 100 ms apart.
+	maxLateStartsInMessage = 512
 	// lateStartMargin exceeds the time that a record takes from host to host.
 	lateStartMargin = time.Second
 	// maxJobIDBytes bounds the names in records of other hosts.
@@ -126,7 +130,7 @@
 
 // merge adds what another host has sent.
 func (l *LateStartLog) merge(now time.Time, records []lateStart) {
-	for _, r := range records[:min(len(records), maxRecordsInMessage)] {
+	for _, r := range records[:min(len(records), maxLateStartsInMessage)] {
 		if r.Job == "" || len(r.Job) > maxJobIDBytes || len(r.FailureDomain) > maxJobIDBytes || r.RemainingMs <= 0 {
 			continue // Another host has sent what none records.
 		}
@@ -135,13 +139,13 @@
 	}
 }
 
-// since returns the records that have changed after a change, up to maxRecordsInMessage, and the
+// since returns the records that have changed after a change, up to maxLateStartsInMessage, and the
 // number of the last change that they cover.
 func (l *LateStartLog) since(now time.Time, change uint64) (list []lateStart, last uint64) {
 	n, _ := slices.BinarySearchFunc(l.changes, change+1, func(c lateStartChange, number uint64) int { return cmp.Compare(c.number, number) })
 	last = change
 	for _, c := range l.changes[n:] {
-		if len(list) == maxRecordsInMessage {
+		if len(list) == maxLateStartsInMessage {
 			break
 		}
 		last = c.number
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -351,3 +352,25 @@
 		})
 	}
 }
+
+// TestManyLateStartsAreToldInTime guards against a caller that returns to a host which was not told of
+// its job yet, because a host that was lost with many jobs fills the messages.
+func TestManyLateStartsAreToldInTime(t *testing.T) {
+	for name, jobs := range map[string]int{"Few": 10, "Many": 1000} {
+		t.Run(name, func(t *testing.T) {
+			l, other := NewLateStartLog(), NewLateStartLog()
+			for n := range jobs {
+				l.add(testStart, fmt.Sprintf("%016x", n), "", testStart.Add(lateStartTimeout))
+			}
+			sent := uint64(0)
+			for range 4 {
+				var list []lateStart
+				list, sent = l.since(testStart, sent)
+				other.merge(testStart, list)
+			}
+			if len(other.jobs) != jobs {
+				t.Errorf("the other host knows %d jobs after four heartbeats, want %d", len(other.jobs), jobs)
+			}
+		})
+	}
+}
