--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -124,7 +124,7 @@
 		m.Usual[i].CoreMs = limit(m.Usual[i].CoreMs, maxToldCoreMs)
 	}
 	m.Crashes = m.Crashes[:min(len(m.Crashes), maxRecordsInMessage)]
-	m.LateStarts = m.LateStarts[:min(len(m.LateStarts), maxRecordsInMessage)]
+	m.LateStarts = m.LateStarts[:min(len(m.LateStarts), maxLateStartsInMessage)]
 	m.UnwantedMs = limit(m.UnwantedMs, MaxTime.Milliseconds())
 	m.ExtendMs = limit(m.ExtendMs, MaxTime.Milliseconds())
 	return m, nil
