explain: causes for starts without a reply and for callers past their limit

Operators saw: jobs answered StartUnresolved (since landing 10), CallerTimedOut and RunNumbersUsedUp had no cause, so that their share counted as unknown. Cause: the table has an entry for each reason, and these are new. The four cases of TestCauses failed before as Unknown. docs/COMMANDS.md is generated.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -118,6 +118,10 @@
 			return c.Reason == "QueueFull" && r != nil && r.Saturated != ""
 		},
 	},
+	{
+		"CallerTimedOutWaiting", Refused, "the time for which the caller had said that it waits was over before any task had started",
+		"JobReceived: BudgetMs; the load at that second", func(c Case) bool { return c.Reason == "CallerTimedOut" },
+	},
 	{
 		"OwnerSteppedDown", Refused, "the owner ceased to be one, or took the entry host for lost, before any task had started",
 		"OwnerSteppedDown, FencingTokenRefused, SessionExpired on the owner",
@@ -191,6 +195,18 @@
 		"TaskSuspected", Failed, "a task of the job was on a server that crashed, and could not start alone, or be decided on, in the caller's time",
 		"ServerLost, TaskSuspected by Task; CrashDecided by Server", func(c Case) bool { return c.Reason == "TaskSuspected" },
 	},
+	{
+		"StartUnresolved", Failed, "a start command for a task of the job got no reply and might still be executed, so that no other command could start the task",
+		"StartUnsettled by Task; ServerUnresponsive, LeaseExpired by Server", func(c Case) bool { return c.Reason == "StartUnresolved" },
+	},
+	{
+		"CallerTimedOut", Failed, "the time was over for which the caller had said that it waits, and its connection didn't show whether it had left",
+		"JobReceived: BudgetMs", func(c Case) bool { return c.Reason == "CallerTimedOut" },
+	},
+	{
+		"RunNumbersUsedUp", Failed, "a server refused every run of a task as too old", "who else sends the server commands for that task",
+		func(c Case) bool { return c.Reason == "RunNumbersUsedUp" },
+	},
 	{
 		"FailingServer", Failed, "a task failed too often, on a server that fails more than others", "RunFailed by Server; ServerEjected",
 		func(c Case) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -80,6 +80,11 @@
 	"TaskCrashesServers":  {received, answered("Failed", "TaskCrashesServers")},
 	"TaskSuspected":       {received, answered("Lost", "TaskSuspected")},
 
+	"StartUnresolved":       {received, answered("Lost", "StartUnresolved")},
+	"CallerTimedOut":        {received, answered("Lost", "CallerTimedOut")},
+	"CallerTimedOutWaiting": {received, answered("Refused", "CallerTimedOut")},
+	"RunNumbersUsedUp":      {received, answered("Lost", "RunNumbersUsedUp")},
+
 	"WaitedThenRefused":  {received, ended("Refused", "WaitedTooLong", 390, 50, -1, -1, 0), full(" Saturated=true"), answered("Refused", "QueueFull")},
 	"WaitedTooLong":      {received, ended("Refused", "WaitedTooLong", 390, 50, -1, -1, 0), answered("Refused", "WaitedTooLong")},
 	"QueueSaturated":     {received, full(" Saturated=true"), answered("Refused", "QueueFull")},
