worker: a successor polls silent servers as often as the owner that died

An owner that dies with its caller's entry host leaves no record of its jobs. Its successor stops what a server lists, but it polled a silent server with up to 800 ms between polls, while the owner itself does so each 100 ms once a start had no reply.

Cause: which starts of the earlier owner were answered isn't known to the successor, and it assumed that all were.

Fix: a server that doesn't answer is polled each 100 ms for the 12 s after it was first to be acquired. Servers that answer are polled as before.

Evidence: TestSuccessorPollsSilentServersOften failed before: 800 ms.

--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -35,6 +35,9 @@
 // the server refused, or 0 if it refused none.
 func (p *Pool) acquire(now time.Time, s *server, refused uint64) {
 	p.fleet.serverChanged(s)
+	if s.state == stateNotOwned {
+		s.predecessorUntil = now.Add(maxCommandDelay)
+	}
 	s.state = stateAcquiring
 	s.token = p.cfg.NextToken(now, refused)
 	s.lastSeen, s.startedAtMs, s.clock, s.clockReadAt = 0, 0, 0, time.Time{}
--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -261,7 +261,8 @@
 }
 
 // awaitsLateStart reports whether the server doesn't answer and may have been replaced by an
-// incarnation that executes a late start command until it is acquired.
+// incarnation that executes a late start command until it is acquired. Which commands of an
+// earlier owner were answered isn't known.
 func (s *server) awaitsLateStart(now time.Time) bool {
-	return s.unresponsive && !s.replaced && now.Before(s.lateStartUntil)
+	return s.unresponsive && !s.replaced && (now.Before(s.lateStartUntil) || now.Before(s.predecessorUntil))
 }
--- a/internal/worker/late_start_test.go
+++ b/internal/worker/late_start_test.go
@@ -119,6 +119,34 @@
 	}
 }
 
+// TestSuccessorPollsSilentServersOften guards against a long time in which the next incarnation of
+// a server executes commands of an owner that died, whose successor hasn't reached the server yet.
+func TestSuccessorPollsSilentServersOften(t *testing.T) {
+	p := newPoolTester(t)
+	silent, other := testServer("a", false), testServer("b", false)
+	silent.ID, other.ID = "a", "b"
+	p.pool.SetServers(p.now, []Server{silent, other})
+	p.pool.AssumeOwnership(p.now, nil)
+	p.advanceFor(time.Second, "b")
+	for _, c := range []struct{ until, longest time.Duration }{{maxCommandDelay, lateStartPollInterval}, {2 * maxCommandDelay, maxPollRetryDelay}} {
+		last := p.now
+		for ; p.now.Sub(testStart) < c.until; p.advance(tickInterval, "b") {
+			if at := p.pool.servers["a"].pollSentAt; at.After(last) {
+				if at.Sub(last) > c.longest+tickInterval {
+					t.Errorf("no poll for %v, want at most %v", at.Sub(last), c.longest)
+				}
+				last = at
+			}
+		}
+		if p.now.Sub(last) > c.longest+tickInterval {
+			t.Errorf("no poll for %v, want at most %v", p.now.Sub(last), c.longest)
+		}
+	}
+	if wait := p.pool.servers["b"].nextPoll(p.now).Wait; wait != pollWaitIdle {
+		t.Errorf("a poll of a server that answers waits %v, want %v", wait, pollWaitIdle)
+	}
+}
+
 // TestRepeatedStartTiesTask guards against another run of a task while a copy of its start
 // command is outstanding, and against a lost job once all copies were answered.
 func TestRepeatedStartTiesTask(t *testing.T) {
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -198,6 +198,8 @@
 	replaced bool
 	// lateStartUntil is until when a start command that got no reply may be executed (rule 9).
 	lateStartUntil time.Time
+	// predecessorUntil is until when that may happen to a command of an earlier owner.
+	predecessorUntil time.Time
 	// refusedAt is when it first refused a connection since then, zero if it has not.
 	refusedAt time.Time
 	// silentFirst is set if commands had gone without an answer before, on connections that
