worker: a task that is under suspicion is resumed alone

Cause: only tasks without a suspicion were resumed.

Fix: a task that is to start alone is resumed if its server has no runs and the bound of tasks alone permits it, and gets the server for itself.

Evidence: TestSuspectedTaskIsResumedAlone failed before in OneCrash; the scenario passes. The whole package passes (58 s).

--- a/internal/worker/crash_caution.go
+++ b/internal/worker/crash_caution.go
@@ -272,6 +272,11 @@
 	p.queue.addReady(t.job, t.step, 1)
 	p.addWaiting(t.job, t.job.taskWork[t.step])
 	p.start(now, s, t)
+	p.reserveAlone(s, t)
+}
+
+// reserveAlone keeps other tasks off the server of a task that was just started there alone.
+func (p *Pool) reserveAlone(s *server, t *task) {
 	t.currentRun.alone = true
 	s.reserved = true
 	p.crashes.alone++
--- a/internal/worker/late_start_resume.go
+++ b/internal/worker/late_start_resume.go
@@ -41,7 +41,20 @@
 // server with the same ID at another address doesn't guard against a late copy at the former one.
 func (p *Pool) mayResume(now time.Time, s *server, t *task, u *unsettledStart) bool {
 	return s.accepts(now) && s.Address == u.address && p.trackedRuns[t.name] == 0 && s.startedAtMs != 0 && s.startedAtMs != u.startedAtMs && s.mayRun(t.job, t.step) &&
-		t.job.Steps[t.step].Need.Fits(s.free()) && p.cautionOf(t.name) == cautionNone
+		t.job.Steps[t.step].Need.Fits(s.free()) && p.mayResumeBeside(s, t)
+}
+
+// mayResumeBeside reports whether a task that may have crashed a server can be started on this one,
+// with what runs there (crash.go, rule 3).
+func (p *Pool) mayResumeBeside(s *server, t *task) bool {
+	switch p.cautionOf(t.name) {
+	case cautionNone:
+		return true
+	case cautionAlone:
+		return len(s.runs) == 0 && p.mayStartAlone()
+	case cautionHeld:
+	}
+	return false
 }
 
 // resume starts the unsettled tasks of a job that was admitted. The job is lost if one of them
@@ -54,7 +67,11 @@
 		}
 		delete(p.unsettled, x.task.name)
 		x.task.lastRun = x.start.key.Run - 1
+		alone := p.cautionOf(x.task.name) == cautionAlone
 		p.start(now, x.server, x.task)
+		if alone {
+			p.reserveAlone(x.server, x.task)
+		}
 		r := x.task.currentRun
 		r.copies.sent += x.start.copies.sent
 		r.copies.answered += x.start.copies.answered
--- a/internal/worker/late_start_return_test.go
+++ b/internal/worker/late_start_return_test.go
@@ -374,3 +374,35 @@
 		})
 	}
 }
+
+// TestSuspectedTaskIsResumedAlone guards against a job that is lost for as long as its start may be
+// late, although the server is back, since its task was on that server when it crashed.
+func TestSuspectedTaskIsResumedAlone(t *testing.T) {
+	tests := map[string]struct {
+		crashes   int
+		wantStart bool
+	}{"NoCrash": {0, true}, "OneCrash": {1, true}, "Held": {2, false}}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newTwoServerTester(t)
+			s := p.pool.servers["a"]
+			key := RunKey{taskName("1", 0, 0), 1}
+			p.pool.unsettled[key.Task] = &unsettledStart{
+				key: key, server: "a", address: s.Address, startedAtMs: s.startedAtMs + 1,
+				copies: startCopies{sent: 1, unanswered: 1}, until: p.now.Add(lateStartTimeout),
+			}
+			for n := range c.crashes {
+				server := fmt.Sprint("gone", n)
+				p.pool.crashes.log.add(p.now, key.Task, taskCrash{Server: server, Address: server, StartedAtMs: 1, Alone: true})
+			}
+			p.pool.Submit(p.now, 1, testJob("1"))
+			p.advance(tickInterval, "a", "b")
+			if started := len(p.starts) == 1 && p.starts[0].Command.RunKey == key && p.starts[0].Server.ID == "a"; started != c.wantStart {
+				t.Errorf("the command was repeated: %v, want %v (%+v, %+v)", started, c.wantStart, p.starts, p.answers)
+			}
+			if alone := c.wantStart && c.crashes > 0; s.reserved != alone {
+				t.Errorf("the task has the server for itself: %v, want %v", s.reserved, alone)
+			}
+		})
+	}
+}
