worker: the run of another owner is not resolved while its lease holds

A job that returns to this owner then could have started its task beside the run: the class of TWICE.

Cause: a new owner that lists a run of another one has extended nothing, so that leaseUntil lies in the past, and one unanswered poll made the lease count as over. Rule 6 took the former owner's lease for over; it may hold for the longest lease after its last command.

Fix: a listed orphan raises leaseUntil by the longest lease that a server grants.

--- a/internal/worker/lease.go
+++ b/internal/worker/lease.go
@@ -30,6 +30,14 @@
 	return clock + leaseDuration
 }
 
+// leaseOfAnother raises leaseUntil for a run that another owner has started, or a late command:
+// the server may have granted its longest lease just before it listed the run.
+func (s *server) leaseOfAnother(now time.Time) {
+	if until := now.Add(maxLateLease * 100 / (100 - maxClockDriftPercent)); until.After(s.leaseUntil) {
+		s.leaseUntil = until
+	}
+}
+
 // notDelivered takes back an extension of the lease, 0 for none, because the server has not
 // received the command (rule 6).
 func (s *server) notDelivered(now time.Time, extension uint64) {
--- a/internal/worker/lease_test.go
+++ b/internal/worker/lease_test.go
@@ -157,3 +157,23 @@
 		}
 	}
 }
+
+// TestOrphanIsNotResolvedWhileItsLeaseHolds guards against another run of a task whose run, by an
+// owner that was fenced, goes on at a server that leaves a poll unanswered.
+func TestOrphanIsNotResolvedWhileItsLeaseHolds(t *testing.T) {
+	p := newPoolTester(t)
+	p.running["a"] = []RunKey{{"1.0.0.0", 1}}
+	p.pool.AssumeOwnership(p.now, nil)
+	p.pool.SetServers(p.now, []Server{testServer("a", false)})
+	p.advance(time.Millisecond, "a")
+	if p.pool.trackedRuns["1.0.0.0"] != 1 {
+		t.Fatal("the orphan isn't tracked")
+	}
+	listed := p.now
+	for p.pool.trackedRuns["1.0.0.0"] > 0 && p.now.Sub(listed) < 5*time.Second {
+		p.advance(tickInterval)
+	}
+	if took := p.now.Sub(listed); took < maxLateLease {
+		t.Errorf("the run was resolved %v after it was listed, want at least %v", took, maxLateLease)
+	}
+}
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -96,6 +96,7 @@
 		// than that end, and an unknown run is no orphan.
 		r = &run{RunKey: k, confirmed: true, sent: sent, token: s.token, startedAtMs: s.startedAtMs}
 		s.addRun(r)
+		s.leaseOfAnother(now)
 		p.fleet.serverChanged(s)
 		p.trackedRuns[k.Task]++
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("StartedAtMs", s.startedAtMs).Uint64("FencingToken", s.token).
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -25,8 +25,8 @@
 //  6. Every command that extends the lease raises leaseUntil. This is the time, by
 //     this host's clock, at which the lease has certainly expired unless another
 //     command extends it. The server's clock may run slow by
-//     maxClockDriftPercent. What an earlier owner extended is over by then, too: its last
-//     command was executed before this owner acquired the server. A command whose connection was refused has extended
+//     maxClockDriftPercent. A run of another owner raises it by the longest lease when
+//     it is listed: that owner's last command was executed before. A command whose connection was refused has extended
 //     nothing, and a run whose start it was doesn't exist.
 //  7. A reply comes from another incarnation of the server if its start time
 //     differs, or if its clock is behind the known one by more than a late reply
