worker: the failure of a run whose job was lost with its lease ends no process

Fix: a failure counts only for a run whose job has not ended.

Evidence: TestEndOfLostJobIsListedLater panicked before.

--- a/internal/worker/late_start_test.go
+++ b/internal/worker/late_start_test.go
@@ -187,3 +187,28 @@
 		})
 	}
 }
+
+// TestEndOfLostJobIsListedLater guards against an owner whose process ends when a server lists the
+// failure of a run whose job was lost together with the lease, for the start of another task.
+func TestEndOfLostJobIsListedLater(t *testing.T) {
+	p := newPoolTester(t)
+	p.pool.AssumeOwnership(p.now, nil)
+	p.pool.SetServers(p.now, []Server{testServer("a", false)})
+	p.advance(time.Millisecond, "a")
+	job := testJob("1")
+	job.Steps[0].Count, job.Steps[0].Need.CPUMilli = 2, 10000
+	p.loseStarts = 1
+	p.pool.Submit(p.now, 1, job)
+	p.advance(time.Millisecond, "a")
+	for len(p.answers) == 0 && p.now.Sub(testStart) < 3*time.Second {
+		p.advance(tickInterval)
+	}
+	if len(p.answers) != 1 || p.answers[0].Outcome != Lost {
+		t.Fatalf("the answers are %+v, want one that the job is lost", p.answers)
+	}
+	p.endRun("a", RunFailed)
+	p.advanceFor(time.Second, "a")
+	if !p.pool.servers["server"].usable() {
+		t.Error("the server isn't usable again")
+	}
+}
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -43,7 +43,7 @@
 		if r := s.runs[e.RunKey]; r != nil {
 			r.copies.listed = true
 			p.runEnded(now, s, r, e.Outcome)
-		} else if r := s.expired[e.RunKey]; r != nil && e.Outcome == RunFailed {
+		} else if r := s.expired[e.RunKey]; r != nil && r.task != nil && e.Outcome == RunFailed {
 			p.expiredRunFailed(now, s, r)
 		}
 		delete(s.expired, e.RunKey)
