--- a/internal/worker/cancel_test.go
+++ b/internal/worker/cancel_test.go
@@ -14,7 +14,7 @@
 			left := s.Submit(lanesJob("1"), func(Result) {})
 			s.runUntilIdle()
 			left()
-			*now = now.Add(late)
+			advanceClock(now, late)
 		},
 		"OtherHost": func(s *Service, now *time.Time) {
 			receive, _ := s.acceptSession(discardStream())
@@ -23,7 +23,7 @@
 			receive(encode(t, message{Submit: &j}))
 			s.runUntilIdle()
 			receive(encode(t, message{Cancel: "1"}))
-			*now = now.Add(late)
+			advanceClock(now, late)
 		},
 		"OtherHostIsLate": func(s *Service, now *time.Time) {
 			receive, _ := s.acceptSession(discardStream())
@@ -32,7 +32,7 @@
 			receive(encode(t, message{Submit: &j}))
 			s.runUntilIdle()
 			left := *now
-			*now = now.Add(late)
+			advanceClock(now, late)
 			receive(encode(t, newCancel(*now, "1", left)))
 		},
 	}
--- a/internal/worker/lanes_test.go
+++ b/internal/worker/lanes_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,7 +24,7 @@
 	s := New(Config{
 		Self: Candidate{Incarnation: "self", Address: "self:1", FailureDomain: "domain0"},
 		Log:  event.New(io.Discard, "error"), Metrics: metrics.NewRegistry(),
-		Now: func() time.Time { return *now }, Wall: func() time.Time { return *now },
+		Now: func() time.Time { return readClock(now) }, Wall: func() time.Time { return readClock(now) },
 		Commands: Commands{
 			Start: func(context.Context, Server, StartCommand) Reply { return unanswered() },
 			Stop:  func(context.Context, Server, StopCommand) Reply { return unanswered() },
@@ -42,6 +43,22 @@
 	return s
 }
 
+// clockMu guards the times of services without a network, which commands read on goroutines of
+// their own.
+var clockMu sync.Mutex
+
+func readClock(now *time.Time) time.Time {
+	clockMu.Lock()
+	defer clockMu.Unlock()
+	return *now
+}
+
+func advanceClock(now *time.Time, d time.Duration) {
+	clockMu.Lock()
+	defer clockMu.Unlock()
+	*now = now.Add(d)
+}
+
 // discardStream returns a stream that discards what is sent on it.
 func discardStream() *peer.Stream {
 	return peer.NewStream("peer", func([]byte) bool { return true }, func() {})
--- a/internal/worker/stall_test.go
+++ b/internal/worker/stall_test.go
@@ -33,7 +33,7 @@
 			if len(server.runs) != 1 {
 				t.Fatalf("%d runs, want one", len(server.runs))
 			}
-			now = now.Add(time.Second)
+			advanceClock(&now, time.Second)
 			list.EndedRuns = []EndedRun{{Number: 1, RunKey: server.sortedRuns()[0].RunKey, Outcome: RunStopped}}
 			j := s.host.pool.jobs["1"]
 			if c.left {
@@ -58,7 +58,7 @@
 		t.Fatal("the submission was not taken")
 	}
 	left()
-	now = now.Add(time.Second)
+	advanceClock(&now, time.Second)
 	s.handleNext(true, nil, e, l)
 	s.runUntilIdle()
 	if n := s.host.pool.Jobs() + s.host.entry.Jobs(); n != 0 {
