--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of the cases start.
+set -eu
+cd "$(dirname "$0")/.."
+go build -o target/review-rig ./review/_rig
