--- a/review/_rig/balancer.go
+++ b/review/_rig/balancer.go
@@ -67,11 +67,14 @@
 // attempt of that client. The second and later attempts of a request come from address(client, 1)
 // and so on.
 func (b *balancer) address(client string, attempt int) (string, *daemon, error) {
+	return b.addressOf(b.choose(client, attempt))
+}
+
+func (b *balancer) addressOf(d *daemon) (string, *daemon, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", nil, err
 	}
-	d := b.choose(client, attempt)
 	go func() {
 		defer l.Close()
 		c, err := l.Accept()
--- a/review/_rig/executor.go
+++ b/review/_rig/executor.go
@@ -83,7 +83,7 @@
 
 func newExecutor(rec *record, st *store, id, zone, service string, cpu int, labels ...string) (*executor, error) {
 	e := &executor{id: id, zone: zone, service: service, store: st, rec: rec, cpu: cpu, labels: labels, state: "ready"}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return nil, err
 	}
@@ -221,16 +221,19 @@
 	return n
 }
 
+// order is the body of a call.
+type order struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	DeadlineMs int64  `json:"deadline-ms"`
+	Token      uint64 `json:"fencing-token"`
+	LastSeen   int    `json:"last-seen"`
+	WaitMs     int64  `json:"wait-ms"`
+}
+
 func (e *executor) serve(w http.ResponseWriter, r *http.Request) {
-	var b struct {
-		Task       string `json:"task"`
-		Run        int    `json:"run"`
-		Spec       string `json:"spec"`
-		DeadlineMs int64  `json:"deadline-ms"`
-		Token      uint64 `json:"fencing-token"`
-		LastSeen   int    `json:"last-seen"`
-		WaitMs     int64  `json:"wait-ms"`
-	}
+	var b order
 	if r.URL.Path == "/health" {
 		w.WriteHeader(200)
 		return
--- a/review/_rig/rig.go
+++ b/review/_rig/rig.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/big"
 	"net"
 	"net/http"
 	"os"
@@ -50,8 +51,23 @@
 	exited             chan struct{}
 }
 
+// listen opens a listener on a free port below those that the system gives to outgoing connections,
+// so that no client takes the port while a process is down.
+func listen() (net.Listener, error) {
+	for range 200 {
+		n, err := rand.Int(rand.Reader, big.NewInt(12000))
+		if err != nil {
+			return nil, err
+		}
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 18000+n.Int64())); err == nil {
+			return l, nil
+		}
+	}
+	return nil, errors.New("no free port")
+}
+
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return "", err
 	}
@@ -206,9 +222,14 @@
 
 // call makes a request of a client on a connection of its own.
 func call(method, address, id string, budget time.Duration, body []byte) (int, string, error) {
+	return callBudget(method, address, id, budget, budget, body)
+}
+
+// callBudget makes a request whose client leaves after limit.
+func callBudget(method, address, id string, budget, limit time.Duration, body []byte) (int, string, error) {
 	t := &http.Transport{DisableKeepAlives: true}
 	defer t.CloseIdleConnections()
-	c := http.Client{Timeout: budget, Transport: t}
+	c := http.Client{Timeout: limit, Transport: t}
 	r, err := http.NewRequest(method, "http://"+address+queuePrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return 0, "", err
@@ -267,6 +288,9 @@
 	defer g.end()
 	g.printf("case %s, disruption %v", os.Args[1], g.trouble)
 	code, err := play(g)
+	if os.Getenv("KEEP") == "broken" && code == exitHeld {
+		os.RemoveAll(dir)
+	}
 	if err != nil {
 		g.printf("the case could not run: %v", err)
 		return exitCannotRun, err
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -41,7 +40,7 @@
 
 func newStore() (*store, error) {
 	s := &store{items: map[string]storeItem{}, leases: map[uint64]*storeLease{}, changed: make(chan struct{}), rev: 1}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return nil, err
 	}
