--- a/review/_rig/cancel.go
+++ b/review/_rig/cancel.go
@@ -46,20 +46,15 @@
 	b := newBalancer(g)
 	time.Sleep(4 * time.Second)
 
-	type outcome struct {
-		id      string
-		acked   time.Time
-		problem error
-	}
-	results := make(chan outcome)
+	results := make(chan cancelled)
 	for _, client := range b.clientsOf(g.daemons[0], cancelJobs) {
 		go func() {
 			id := newID()
-			acked, err := b.submitAndCancel(client, id)
-			results <- outcome{id, acked, err}
+			acked, err := b.submitAndCancel(client, id, g.trouble)
+			results <- cancelled{id, acked, err}
 		}()
 	}
-	var all []outcome
+	var all []cancelled
 	for range cancelJobs {
 		o := <-results
 		if o.problem != nil {
@@ -81,9 +76,17 @@
 	return code, nil
 }
 
+// cancelled is a job whose cancelling was acknowledged.
+type cancelled struct {
+	id      string
+	acked   time.Time
+	problem error
+}
+
 // submitAndCancel submits a job, cancels it and returns when the cancelling was acknowledged. It
-// returns after the answer to the submission.
-func (b *balancer) submitAndCancel(client, id string) (time.Time, error) {
+// returns after the answer to the submission. If reset is set, the first connection of the DELETE
+// is reset.
+func (b *balancer) submitAndCancel(client, id string, reset bool) (time.Time, error) {
 	var steps []step
 	for i := range cancelSteps {
 		st := step{Count: 1, CPU: 6800, MemMB: 64, EstimateMs: stepMs}
@@ -104,7 +107,7 @@
 		close(answered)
 	}()
 	time.Sleep(cancelAfter)
-	if b.g.trouble {
+	if reset {
 		b.resetNext(d)
 	}
 	var acked time.Time
