review: the start calls of a dead owner run in the next life of an executor

Cause: which starts got no answer is known only in memory; a job whose entry host and owner were one process is known to nobody, and the next owner starts its tasks at once elsewhere.

--- a/review/_rig/executor.go
+++ b/review/_rig/executor.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sort"
@@ -37,9 +39,8 @@
 	task     string
 	run      int
 	spec     string
-	// used and capacity are those of the executor right after the start.
-	used, capacity int
-	token          uint64
+	// labels are those of the executor's present life.
+	labels []string
 }
 
 // executor is a stand-in of a backend server. The spec of a task is "MS CPU".
@@ -70,6 +71,18 @@
 	// intervals holds all runs that have ended.
 	intervals []interval
 	stopBeat  chan struct{}
+	// delayStarts makes the path to the executor hold back start calls. delayed has them.
+	delayStarts bool
+	delayed     []delayedCall
+	// orders is the number of calls that have come.
+	orders int
+}
+
+// delayedCall is a call that the path to an executor holds back.
+type delayedCall struct {
+	task   string
+	header http.Header
+	body   []byte
 }
 
 // interval is the time during which a run was in progress.
@@ -109,7 +122,7 @@
 	e.stopBeat = make(chan struct{})
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	srv, stop := e.server, e.stopBeat
-	e.rec.printf("executor %s boots: life %d, born %d, capacity %d", e.id, e.life, e.born.UnixMilli(), e.cpu)
+	e.rec.printf("executor %s boots: life %d, born %d, labels %v", e.id, e.life, e.born.UnixMilli(), e.labels)
 	e.mu.Unlock()
 	e.report()
 	go func() { _ = srv.Serve(l) }()
@@ -157,13 +170,13 @@
 }
 
 // restart starts a new life under the same id and address.
-func (e *executor) restart(cpu int) error {
+func (e *executor) restart(labels ...string) error {
 	l, err := net.Listen("tcp", e.address)
 	if err != nil {
 		return err
 	}
 	e.mu.Lock()
-	e.cpu = cpu
+	e.labels = labels
 	e.mu.Unlock()
 	e.boot(l)
 	return nil
@@ -233,15 +246,29 @@
 }
 
 func (e *executor) serve(w http.ResponseWriter, r *http.Request) {
-	var b order
 	if r.URL.Path == "/health" {
 		w.WriteHeader(200)
 		return
 	}
-	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var b order
+	if err := json.Unmarshal(body, &b); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	e.mu.Lock()
+	e.orders++
+	if e.delayStarts && r.URL.Path == "/guavayoke/run-start" {
+		e.delayed = append(e.delayed, delayedCall{b.Task, r.Header.Clone(), body})
+		e.rec.printf("the start of %s run %d on %s gets no answer", b.Task, b.Run, e.id)
+		e.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
+	e.mu.Unlock()
 	if id := r.Header.Get("X-Guavayoke-Expect-Instance"); id != "" && id != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -278,7 +305,7 @@
 			}
 			ms, cpu := parseSpec(b.Spec)
 			e.runs[b.Task] = &executorRun{task: b.Task, run: b.Run, cpu: cpu, started: now, ends: now.Add(time.Duration(ms) * time.Millisecond)}
-			e.starts = append(e.starts, start{now, e.id, e.life, b.Task, b.Run, b.Spec, e.used(), e.cpu, b.Token})
+			e.starts = append(e.starts, start{now, e.id, e.life, b.Task, b.Run, b.Spec, e.labels})
 			e.rec.printf("executor %s starts %s run %d; %d of %d in use", e.id, b.Task, b.Run, e.used(), e.cpu)
 		}
 		c := e.clock(now).Milliseconds()
@@ -347,6 +374,35 @@
 	return ms, cpu
 }
 
+// deliver delivers the first delayed call of each task to whatever listens at the executor's address.
+// It returns the number of calls that were delayed.
+func (e *executor) deliver() int {
+	e.mu.Lock()
+	list := e.delayed
+	e.delayed = nil
+	e.mu.Unlock()
+	seen := map[string]bool{}
+	for _, d := range list {
+		if seen[d.task] {
+			continue
+		}
+		seen[d.task] = true
+		r, err := http.NewRequest("POST", "http://"+e.address+"/guavayoke/run-start", bytes.NewReader(d.body))
+		if err != nil {
+			continue
+		}
+		r.Header = d.header
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			e.rec.printf("late start of %s on %s: %v", d.task, e.id, err)
+			continue
+		}
+		res.Body.Close()
+		e.rec.printf("late start of %s on %s: %d", d.task, e.id, res.StatusCode)
+	}
+	return len(list)
+}
+
 // started returns the starts so far.
 func (e *executor) started() []start {
 	e.mu.Lock()
--- a/review/_rig/freeze.go
+++ b/review/_rig/freeze.go
@@ -7,13 +7,14 @@
 	"time"
 )
 
-// The case "freeze": a daemon freezes. Clients whose connections go there submit a job each and
-// cancel it while the daemon still stands.
+// The case "freeze": each daemon in turn freezes once. Clients whose connections go there submit a
+// job each and cancel it while the daemon still stands.
 
 const (
 	stableMs   = 3000 * time.Millisecond // stable-ms
 	freezeTime = 1500 * time.Millisecond
 	freezeJobs = 12
+	freezeGap  = 4 * time.Second
 )
 
 func init() { cases["freeze"] = playFreeze }
@@ -43,12 +44,27 @@
 	b := newBalancer(g)
 	time.Sleep(4 * time.Second)
 
-	d := g.daemons[2]
+	code := exitHeld
+	for _, d := range g.daemons {
+		broken, err := playFreezeOf(g, b, d, executors)
+		if err != nil {
+			return 0, err
+		}
+		if broken {
+			code = exitBroken
+		}
+		time.Sleep(freezeGap)
+	}
+	return code, nil
+}
+
+// playFreezeOf freezes one daemon and reports whether a cancelled job went on.
+func playFreezeOf(g *rig, b *balancer, d *daemon, executors []*executor) (bool, error) {
 	thawed := make(chan time.Time, 1)
 	if g.trouble {
 		g.printf("%s freezes", d.name)
 		if err := d.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-			return 0, err
+			return false, err
 		}
 		time.AfterFunc(freezeTime, func() {
 			at := time.Now()
@@ -71,22 +87,22 @@
 	for range freezeJobs {
 		c := <-results
 		if c.problem != nil {
-			return 0, c.problem
+			return false, c.problem
 		}
 		all = append(all, c)
 	}
 	awake := <-thawed
-	code := exitHeld
+	broken := false
 	for _, c := range all {
 		for _, e := range executors {
 			for _, s := range e.started() {
 				// All machines are in touch again stableMs after the freeze.
 				if strings.HasPrefix(s.task, c.id+".") && s.at.Sub(c.acked) > cancelMs && s.at.Sub(awake) > stableMs {
 					g.printf("UNASKED: %v began %v after the cancelling of its job was acknowledged", s, s.at.Sub(c.acked).Round(time.Millisecond))
-					code = exitBroken
+					broken = true
 				}
 			}
 		}
 	}
-	return code, nil
+	return broken, nil
 }
--- a/review/_rig/smaller.go
+++ b/review/_rig/kind.go
@@ -2,27 +2,27 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
 
-// The case "smaller": executors crash and start again under their id with half of the capacity.
-// Each reports it to the store as it starts.
+// The case "kind": executors of kind a crash and start again under their id as kind b. Each reports
+// it to the store before it accepts a connection.
 
 const (
-	fullCPU, smallCPU = 16000, 8000
-	taskCPU, taskMs   = 6800, 400
-	smallerCrashes    = 6
-	crashDown         = 600 * time.Millisecond
-	crashGap          = 4 * time.Second
+	kindCPU, kindTaskMs = 6800, 400
+	kindCrashes         = 6
+	crashDown           = 600 * time.Millisecond
+	crashGap            = 4 * time.Second
 )
 
-func init() { cases["smaller"] = playSmaller }
+func init() { cases["kind"] = playKind }
 
-func playSmaller(g *rig) (int, error) {
+func playKind(g *rig) (int, error) {
 	var executors []*executor
 	for i := range 8 {
-		e, err := newExecutor(g.record, g.store, fmt.Sprintf("i-%04d", i), "zone-a", "resa-api", fullCPU, "a", "r1-1")
+		e, err := newExecutor(g.record, g.store, fmt.Sprintf("i-%04d", i), "zone-a", "resa-api", 16000, "a", "r1-1")
 		if err != nil {
 			return 0, err
 		}
@@ -62,7 +62,7 @@
 				if err != nil {
 					continue
 				}
-				body := jobBody(fmt.Sprintf("%d %d", taskMs, taskCPU), step{Count: 1, CPU: taskCPU, MemMB: 64, EstimateMs: taskMs})
+				body := jobBody(fmt.Sprintf("%d %d", kindTaskMs, kindCPU), step{Count: 1, CPU: kindCPU, MemMB: 64, EstimateMs: kindTaskMs, Requires: "a"})
 				status, text, err := call("POST", address, id, 4*time.Second, body)
 				g.printf("%s: POST %s answered %d %s %v", client, id, status, text, err)
 				if status != 200 {
@@ -72,11 +72,11 @@
 		}()
 	}
 	time.Sleep(3 * time.Second)
-	for n := range smallerCrashes {
+	for n := range kindCrashes {
 		if g.trouble {
 			executors[n].crash()
 			time.Sleep(crashDown)
-			if err := executors[n].restart(smallCPU); err != nil {
+			if err := executors[n].restart("b", "r1-1"); err != nil {
 				return 0, err
 			}
 		}
@@ -87,8 +87,8 @@
 	code := exitHeld
 	for _, e := range executors {
 		for _, s := range e.started() {
-			if s.used > s.capacity {
-				g.printf("LIMIT: %v brings the executor to %d of %d", s, s.used, s.capacity)
+			if !slices.Contains(s.labels, "a") {
+				g.printf("ROUTE: %v requires a, and the executor has %v", s, s.labels)
 				code = exitBroken
 			}
 		}
