worker: a second process knows of each job before its first start

What callers saw: a task that ran twice at the same time (TWICE). An owner is killed that is the entry host of the job, too.

Cause: what the owner knew of its start commands died with it. Entry hosts logged the jobs that they lost with an owner, but only once a server had been seen to start again under its ID, and nobody did for the owner's own callers. The class: a process acts on less than another one knew of a job.

Change: an owner admits a job of its own callers once another host, the witness, has acknowledged it (witness.go). Whoever loses an owner adds its jobs to the late-start log, always. So that callers who return aren't answered as lost without need: - heartbeats say which jobs are settled (each task done or its run confirmed); those are not logged, and an owner announces it before it starts a task of such a job again; - records name the owner; one that goes on revokes what others say of it.

Tried first: every job that is lost with an owner is logged.

Evidence: the simulation has owners that are killed soon after a late start, whose server starts again just before it executes the command (OwnersDie).

The invariant Unresolved counts from the loss of an owner, as its text says, also where the simulation could not see that before (a killed host that is owner and entry host, a refused attach), and from a second after a caller has given up, for which hosts remember the job. TestSilentPathsKeepInvariants waits for that time.

--- a/internal/worker/crash_caution.go
+++ b/internal/worker/crash_caution.go
@@ -67,7 +67,7 @@
 		p.cfg.Log.Info().Str("Task", t.name).Bool("Held", t.caution == cautionHeld).Float64("Blame", p.jobBlame(t.name)).Msg("TaskSuspected")
 		return
 	}
-	if p.crashes.causesOf[t.name] != nil && p.mayStartAlone() && p.trackedRuns[t.name] == 0 && !p.awaitsServerList(now) && !p.startsForbidden(now) {
+	if p.crashes.causesOf[t.name] != nil && p.mayStartAlone() && p.trackedRuns[t.name] == 0 && !p.awaitsServerList(now) && !p.startsForbidden(now) && p.mayStart(t.job) {
 		if s := p.emptyServer(now, t); s != nil {
 			p.startAlone(now, s, t)
 			return
@@ -242,7 +242,7 @@
 		if p.jobs[t.job.ID] != t.job {
 			continue
 		}
-		if s := p.emptyServer(now, t); s != nil && t.caution == cautionAlone && p.trackedRuns[t.name] == 0 && p.mayStartAlone() {
+		if s := p.emptyServer(now, t); s != nil && t.caution == cautionAlone && p.trackedRuns[t.name] == 0 && p.mayStartAlone() && p.mayStart(t.job) {
 			p.startAlone(now, s, t)
 			continue
 		}
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -180,6 +180,8 @@
 	returned bool
 	// resumes is set if the job has an unsettled start, so that no other owner may start it.
 	resumes bool
+	// settled is set while no start command for the job may be executed (witness.go, rule 6).
+	settled bool
 	// lastOffer is the latest offer; usableOwners is the number of owners that were
 	// known when an owner was last looked for. They are logged with the answer.
 	lastOffer    offer
@@ -251,8 +253,11 @@
 	localLoadAt   time.Time
 	// localStartable and localSent are as in ownerView, for this host's own pool.
 	localStartable, localSent int
-	usual                     usualDemand
-	actions                   []EntryAction
+	// remembered has the jobs that owners may start, besides those that callers wait for
+	// (witness.go), by owner.
+	remembered map[string]startableJobs
+	usual      usualDemand
+	actions    []EntryAction
 }
 
 // NewEntry returns an Entry that knows no other host.
@@ -261,12 +266,12 @@
 		c.Crashes = NewCrashLog()
 	}
 	if c.LateStarts == nil {
-		c.LateStarts = NewLateStartLog()
+		c.LateStarts = NewLateStartLog(c.Self.Incarnation)
 	}
 	return &Entry{
 		cfg: c, views: map[string]*ownerView{}, draining: map[string]*ownerView{}, backoffUntil: map[string]time.Time{},
 		leavingHosts: map[string]bool{}, usual: usualDemand{}, jobs: map[string]*entryJob{},
-		waiters: map[WaiterID]string{}, candidates: []Candidate{c.Self}, domains: []string{c.Self.FailureDomain},
+		waiters: map[WaiterID]string{}, remembered: map[string]startableJobs{}, candidates: []Candidate{c.Self}, domains: []string{c.Self.FailureDomain},
 	}
 }
 
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -90,6 +90,7 @@
 	sessions     Sessions
 	crashes      *CrashLog
 	lateStarts   *LateStartLog
+	witnesses    witnesses
 	leaving      bool
 	leavingSince time.Time
 	actions      []HostAction
@@ -99,12 +100,12 @@
 
 // NewHost returns a Host that knows no other host.
 func NewHost(c HostConfig) *Host {
-	crashes, lateStarts := NewCrashLog(), NewLateStartLog()
+	crashes, lateStarts := NewCrashLog(), NewLateStartLog(c.Self.Incarnation)
 	return &Host{
 		cfg:     c,
 		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, Crashes: crashes, LateStarts: lateStarts}),
 		entry:   NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now, Crashes: crashes, LateStarts: lateStarts}),
-		crashes: crashes, lateStarts: lateStarts,
+		crashes: crashes, lateStarts: lateStarts, witnesses: witnesses{silent: map[SessionID]bool{}, known: map[string]time.Time{}},
 	}
 }
 
@@ -134,6 +135,8 @@
 		event(h, now)
 	}
 	h.dispatchActions(now)
+	h.requestWitness(now)
+	h.dispatchActions(now)
 	actions := h.actions
 	h.actions, h.submitting = nil, ""
 	return actions
@@ -143,6 +146,7 @@
 func (h *Host) Tick(now time.Time) {
 	h.entry.Tick(now)
 	h.pool.Tick(now)
+	h.forgetWitnessed(now)
 	h.entry.SetLoad(now, h.pool.Load(), h.pool.shares.Closed(now), h.pool.startableTasks(now))
 }
 
@@ -178,7 +182,7 @@
 func (h *Host) SubmitQueued(now time.Time, path SessionID, j Job, submission uint64, crashes []crashRecord) {
 	h.crashes.merge(now, crashes)
 	if path == localSession {
-		h.pool.Submit(now, localSession, j)
+		h.submitOwn(now, j)
 		return
 	}
 	if id, ok := h.sessions.idOf(path); ok {
@@ -189,7 +193,9 @@
 
 // HasJob reports whether this host has a job that has not ended, as an owner or for its
 // own callers.
-func (h *Host) HasJob(id string) bool { return h.pool.jobs[id] != nil || h.entry.jobs[id] != nil }
+func (h *Host) HasJob(id string) bool {
+	return h.pool.jobs[id] != nil || h.entry.jobs[id] != nil || h.unwitnessed(id) != nil
+}
 
 // tickSessions sends the heartbeats that are due, and abandons the jobs of sessions
 // whose lease has expired.
@@ -219,7 +225,8 @@
 		m := h.sessions.heartbeatMessage(id, &hb)
 		m.Message.Closed, m.Message.Startable = closed, startable
 		m.Message.Crashes = h.sessions.newCrashes(id, h.crashes)
-		m.Message.LateStarts, m.Message.ServerIDsKept = h.sessions.newLateStarts(now, id, h.lateStarts), h.lateStarts.idsKept
+		m.Message.setLateStarts(h.sessions.newLateStarts(now, id, h.lateStarts))
+		m.Message.EndedJobs, m.Message.SettledJobs = h.takeForgettable(id), h.pool.takeSettled(id)
 		h.actions = append(h.actions, HostAction{Reply: m})
 	}
 }
@@ -253,13 +260,20 @@
 		h.actions = append(h.actions, HostAction{SendTo: a.Send})
 	case a.Local != nil && a.Local.Submit != nil && a.Local.Submit.ID == h.submitting:
 		// The job has already waited in the mailbox, as its caller's.
-		h.pool.Submit(now, localSession, *a.Local.Submit)
+		h.submitOwn(now, *a.Local.Submit)
 	case a.Local != nil && a.Local.Submit != nil:
 		h.actions = append(h.actions, HostAction{Enqueue: a.Local.Submit})
 	case a.Local != nil && a.Local.Extend != "":
+		if j := h.unwitnessed(a.Local.Extend); j != nil {
+			j.Budget = 0
+			if a.Local.ExtendMs > 0 {
+				j.Budget = j.Age + time.Duration(a.Local.ExtendMs)*time.Millisecond
+			}
+		}
 		h.pool.extendJob(now, localSession, *a.Local)
 	case a.Local != nil:
 		h.actions = append(h.actions, HostAction{Withdraw: a.Local.Cancel})
+		h.withdrawUnwitnessed(a.Local.Cancel)
 		h.pool.Cancel(now, localSession, a.Local.Cancel, a.Local.unwantedSince(now))
 	case a.Answer != nil:
 		h.actions = append(h.actions, HostAction{Answer: a.Answer})
@@ -284,10 +298,13 @@
 	case a.Poll != nil:
 		h.actions = append(h.actions, HostAction{Poll: a.Poll})
 	case a.Answer != nil && a.Answer.Session == localSession:
+		h.noteOwnResult(now, a.Answer.Result)
 		h.entry.HandleResult(now, h.cfg.Self.Incarnation, 0, a.Answer.Result)
 	case a.Answer != nil:
 		id := a.Answer.Session
 		h.replyResult(id, h.sessions.takeSubmission(id, a.Answer.Result.ID), a.Answer.Result)
+	case a.Announce != nil:
+		h.announce(now, *a.Announce)
 	case a.Fenced:
 		h.entry.Fenced(now)
 	}
@@ -299,6 +316,8 @@
 	case m.Heartbeat != nil:
 		h.crashes.merge(now, m.Crashes)
 		h.mergeLateStarts(now, m)
+		h.entry.forgetStartable(owner, m.EndedJobs)
+		h.entry.noteSettled(owner, m.SettledJobs)
 		h.entry.handleClosedQueues(owner, m.Closed)
 		h.entry.handleStartable(owner, m.Startable)
 		h.entry.handleSessionHeartbeat(now, owner, m)
@@ -306,13 +325,14 @@
 		h.entry.HandleResult(now, owner, m.Submission, *m.Result)
 	case m.Attached != nil:
 		h.entry.handleAttached(now, owner, *m.Attached)
+	case m.Witness != nil:
+		h.entry.handleWitnessRequest(now, owner, *m.Witness)
 	}
 }
 
 // mergeLateStarts adds the records of a message to the late-start log.
 func (h *Host) mergeLateStarts(now time.Time, m message) {
-	h.lateStarts.idsKept = h.lateStarts.idsKept || m.ServerIDsKept
-	h.lateStarts.merge(now, m.LateStarts)
+	h.lateStarts.merge(now, lateStartsMessage{m.LateStarts, m.LateStartOwners})
 	h.pool.loseTold(now, m.LateStarts)
 }
 
@@ -328,12 +348,15 @@
 		h.handleAttach(now, path, *m.Attach, m.Submissions)
 	case m.Ack != 0:
 		h.sessions.Ack(id, m.Ack)
+		h.sessions.noteWitness(id, m.Witnessing)
 		h.mergeLateStarts(now, m)
 		if len(m.Usual) > 0 {
 			h.pool.LearnUsual(now, id, m.Usual)
 		}
 	case m.Extend != "":
 		h.pool.extendJob(now, id, m)
+	case m.Witnessed != 0:
+		h.handleWitnessed(now, id, m.Witnessed)
 	case m.Submit != nil:
 		h.crashes.merge(now, m.Crashes)
 		h.sessions.noteSubmission(id, m.Submit.ID, m.Submission)
--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -182,6 +182,16 @@
 	return u != nil && p.reviewUnsettled(now, u)
 }
 
+// losesReturned reports whether a job that is submitted again is answered as lost at once.
+func (p *Pool) losesReturned(now time.Time, in Job) bool {
+	if !p.cfg.LateStarts.contains(now, in.ID) && len(p.unsettled) == 0 || in.Validate() != nil {
+		return false
+	}
+	j := p.newJob(now, localSession, in)
+	_, resumes := p.resumables(now, j)
+	return p.hasUnsettled(now, j) && !resumes
+}
+
 // hasUnsettled reports whether a start command for a task of the job, by this owner or another
 // one, may still be executed.
 func (p *Pool) hasUnsettled(now time.Time, j *job) bool {
@@ -232,19 +242,32 @@
 	for _, task := range over {
 		p.reviewUnsettled(now, p.unsettled[task])
 	}
+	p.revokeDisputed(now)
 	p.cfg.LateStarts.forget(now)
 }
 
-// compareUnsettled notes that a server that was just acquired has started again under its ID, if an
-// unsettled start was sent to another incarnation of it. The server may have been given up since.
-func (p *Pool) compareUnsettled(s *server, startedAtMs int64) {
-	if p.cfg.LateStarts.idsKept {
+// revokeDisputed revokes what other hosts say of start commands of this owner that can't be
+// executed any more (late_start_log.go, rule 5).
+func (p *Pool) revokeDisputed(now time.Time) {
+	l := p.cfg.LateStarts
+	if len(l.disputed) == 0 {
 		return
 	}
-	for _, u := range p.unsettled {
-		if u.server == s.ID && u.address == s.Address && u.startedAtMs != 0 && u.startedAtMs != startedAtMs {
-			p.cfg.LateStarts.idsKept = true
-			return
+	mayStart := map[string]bool{}
+	for _, s := range p.orderedServers {
+		for k, r := range s.runs {
+			if r.copies.outstanding() > 0 {
+				mayStart[jobOfTask(k.Task)] = true
+			}
+		}
+	}
+	for task := range p.unsettled {
+		mayStart[jobOfTask(task)] = true
+	}
+	for _, id := range slices.Sorted(maps.Keys(l.disputed)) {
+		if !mayStart[id] && p.jobs[id] == nil {
+			p.cfg.Log.Info().Str("Job", id).Msg("LateStartRevoked")
+			l.revoke(now, id)
 		}
 	}
 }
--- a/internal/worker/late_start_log.go
+++ b/internal/worker/late_start_log.go
@@ -5,9 +5,9 @@
 // the late command. The rules are:
 //
 //  1. An owner adds a job when a start command for one of its tasks got no reply and no job needs
-//     its run any more, or the run is not tracked any more. Where servers start again under their
-//     IDs, an entry host adds the jobs that are lost with their owner: which of its commands were
-//     answered isn't known.
+//     its run any more, or the run is not tracked any more. An entry host adds the jobs that are
+//     lost with their owner, and a witness those of the owner's own callers (witness.go): which of
+//     its commands were answered isn't known.
 //  2. Hosts exchange their logs on all sessions: owners with heartbeats, entry hosts with the
 //     acknowledgments. A record is sent once on each path. So a caller that turns to another
 //     host after its retry delay finds the job there, unless that host is partitioned from all
@@ -18,6 +18,11 @@
 //  4. An owner removes its record of a job once the starts of all tasks for which it added the
 //     job have been settled. It keeps one of another host, whose starts it doesn't know.
 //
+//  5. Hosts that lose their session with an owner add jobs that it may have started, although it
+//     may go on. The owner knows better which of its commands were answered: it ignores such
+//     a record, and once it has no run of the job that may start late, it revokes the record at
+//     all hosts.
+//
 // Records are soft state. They are forgotten at the end of their time.
 
 import (
@@ -27,14 +32,18 @@
 )
 
 const (
-	// maxLateStartJobs bounds the log, to less than 1 MB.
-	maxLateStartJobs = 4096
+	// maxLateStartJobs bounds the log, to less than 4 MB: the jobs that an owner of the planned size
+	// has started at a time.
+	maxLateStartJobs = 16384
 	// maxLateStartsInMessage bounds what one message carries, to some 20 KB. An entry host that
 	// loses an owner may add a thousand jobs, whose callers return after 1,300 ms; the records
 	// take two messages by then, 100 ms apart.
 	maxLateStartsInMessage = 512
 	// lateStartMargin exceeds the time that a record takes from host to host.
 	lateStartMargin = time.Second
+	// renewalMargin is by how much the record of a start command outlasts the revocation of an
+	// earlier one, so that no host takes it for an outdated one.
+	renewalMargin = lateStartMargin + 10*time.Millisecond
 	// maxJobIDBytes bounds the names in records of other hosts.
 	maxJobIDBytes = 128
 )
@@ -43,20 +52,33 @@
 type lateStart struct {
 	_   struct{} `cbor:",toarray"`
 	Job string
-	// RemainingMs is the time in milliseconds for which the job is answered as lost.
+	// RemainingMs is the time in milliseconds for which the job is answered as lost. It is negative
+	// if the record is revoked (rule 5): the time for which that holds. Hosts of earlier versions
+	// ignore such a record.
 	RemainingMs int64
 	// FailureDomain is that of the server, whose owner may resume the job; empty if that is not
 	// known.
 	FailureDomain string
 }
 
+// lateStartsMessage is what one message carries: records, and the owner that each is about, empty
+// if that is not known. Hosts of earlier versions send no owners.
+type lateStartsMessage struct {
+	records []lateStart
+	owners  []string
+}
+
 // lateStartJob is a job in the log. change is the number of its last change. told is set if the
 // record doesn't stand for the tasks of this owner alone (rule 4).
+// owner is the incarnation that sent the start commands, empty for several ones or if it isn't known.
 type lateStartJob struct {
 	domain string
+	owner  string
 	until  time.Time
 	change uint64
 	told   bool
+	// revoked is set if the job isn't answered as lost any more (rule 5).
+	revoked bool
 }
 
 // lateStartChange is the change of a job's record. It is outdated if the job has a later one.
@@ -67,42 +89,87 @@
 
 // LateStartLog is the late-start log of a host. It is not safe for concurrent use.
 type LateStartLog struct {
+	// self is the incarnation of the host.
+	self string
 	jobs map[string]lateStartJob
+	// disputed has the jobs that this owner may have started, as others say, and until when.
+	disputed map[string]time.Time
 	// tasks has the tasks for which this owner added a job.
 	tasks      map[string][]string
 	changes    []lateStartChange
 	lastChange uint64
-	// idsKept is set once a server was seen to start again under its ID.
-	idsKept bool
 }
 
-// NewLateStartLog returns an empty log.
-func NewLateStartLog() *LateStartLog {
-	return &LateStartLog{jobs: map[string]lateStartJob{}, tasks: map[string][]string{}}
+// NewLateStartLog returns an empty log of a host with an incarnation.
+func NewLateStartLog(self string) *LateStartLog {
+	return &LateStartLog{self: self, jobs: map[string]lateStartJob{}, disputed: map[string]time.Time{}, tasks: map[string][]string{}}
 }
 
-// add adds a job up to a time that is not known by its tasks. domain is that of lateStart.
-func (l *LateStartLog) add(now time.Time, job, domain string, until time.Time) {
-	l.put(now, job, domain, until.Add(lateStartMargin), true)
+// add adds a job of an owner up to a time that is not known by its tasks. domain is that of
+// lateStart.
+func (l *LateStartLog) add(now time.Time, job, domain, owner string, until time.Time) {
+	l.renew(now, job, lateStartJob{domain: domain, owner: owner, until: until.Add(lateStartMargin), told: true})
 }
 
 // addTask adds the job of a task of this owner.
 func (l *LateStartLog) addTask(now time.Time, task, domain string, until time.Time) {
 	job := jobOfTask(task)
-	l.put(now, job, domain, until.Add(lateStartMargin), false)
+	l.renew(now, job, lateStartJob{domain: domain, owner: l.self, until: until.Add(lateStartMargin)})
 	if _, ok := l.jobs[job]; ok && !slices.Contains(l.tasks[job], task) {
 		l.tasks[job] = append(l.tasks[job], task)
 	}
 }
 
+// renew puts the record of a start command that this host knows of, also if an earlier one was
+// revoked.
+func (l *LateStartLog) renew(now time.Time, job string, j lateStartJob) {
+	if known := l.jobs[job]; known.revoked {
+		if until := known.until.Add(renewalMargin); until.After(j.until) {
+			j.until = until
+		}
+	}
+	l.put(now, job, j)
+}
+
+// revoke revokes the records of a job of this owner that others may have (rule 5).
+func (l *LateStartLog) revoke(now time.Time, job string) {
+	until := l.disputed[job]
+	delete(l.disputed, job)
+	l.putRevoked(now, job, l.self, until)
+}
+
+// putRevoked notes up to a time that the record of a job of an owner is revoked.
+func (l *LateStartLog) putRevoked(now time.Time, job, owner string, until time.Time) {
+	known, ok := l.jobs[job]
+	renewed := ok && !known.revoked && (known.owner != owner || known.until.Sub(until) >= lateStartMargin)
+	outdated := known.revoked && known.owner == owner
+	if !until.After(now) || renewed || outdated || !ok && len(l.jobs) >= maxLateStartJobs {
+		return
+	}
+	if known.until.After(until) {
+		until = known.until
+	}
+	l.lastChange++
+	l.jobs[job] = lateStartJob{domain: known.domain, owner: owner, until: until, change: l.lastChange, told: true, revoked: true}
+	l.changes = append(l.changes, lateStartChange{l.lastChange, job})
+}
+
 // put adds or prolongs the record of a job (rule 3).
-func (l *LateStartLog) put(now time.Time, job, domain string, until time.Time, told bool) {
+func (l *LateStartLog) put(now time.Time, job string, j lateStartJob) {
 	known, ok := l.jobs[job]
-	if !until.After(now) || ok && until.Sub(known.until) < lateStartMargin || !ok && len(l.jobs) >= maxLateStartJobs {
+	if ok && known.owner != j.owner && !known.revoked {
+		j.owner = ""
+	}
+	outdated := ok && j.until.Sub(known.until) < lateStartMargin && j.owner == known.owner
+	if !j.until.After(now) || outdated || !ok && len(l.jobs) >= maxLateStartJobs {
 		return
 	}
+	if known.until.After(j.until) && !known.revoked {
+		j.until = known.until
+	}
 	l.lastChange++
-	l.jobs[job] = lateStartJob{domain, until, l.lastChange, told || known.told}
+	j.change, j.told = l.lastChange, j.told || known.told
+	l.jobs[job] = j
 	l.changes = append(l.changes, lateStartChange{l.lastChange, job})
 }
 
@@ -125,35 +192,70 @@
 
 // contains reports whether a start command for the job may still be executed.
 func (l *LateStartLog) contains(now time.Time, job string) bool {
-	return now.Before(l.jobs[job].until)
+	j := l.jobs[job]
+	return now.Before(j.until) && !j.revoked
 }
 
-// merge adds what another host has sent.
-func (l *LateStartLog) merge(now time.Time, records []lateStart) {
-	for _, r := range records[:min(len(records), maxLateStartsInMessage)] {
-		if r.Job == "" || len(r.Job) > maxJobIDBytes || len(r.FailureDomain) > maxJobIDBytes || r.RemainingMs <= 0 {
+// merge adds what another host has sent (rule 5).
+func (l *LateStartLog) merge(now time.Time, m lateStartsMessage) {
+	for i, r := range m.records[:min(len(m.records), maxLateStartsInMessage)] {
+		owner := ""
+		if i < len(m.owners) && len(m.owners[i]) <= maxJobIDBytes {
+			owner = m.owners[i]
+		}
+		longest := (lateStartTimeout + lateStartMargin).Milliseconds()
+		if l.jobs[r.Job].revoked {
+			longest += renewalMargin.Milliseconds()
+		}
+		if r.Job == "" || len(r.Job) > maxJobIDBytes || len(r.FailureDomain) > maxJobIDBytes || r.RemainingMs == 0 {
 			continue // Another host has sent what none records.
 		}
-		remaining := time.Duration(min(r.RemainingMs, (lateStartTimeout+lateStartMargin).Milliseconds())) * time.Millisecond
-		l.put(now, r.Job, r.FailureDomain, now.Add(remaining), true)
+		remaining := time.Duration(min(max(r.RemainingMs, -longest), longest)) * time.Millisecond
+		switch {
+		case owner != "" && owner == l.self:
+			if until := now.Add(remaining); until.After(l.disputed[r.Job]) && len(l.disputed) < maxLateStartJobs {
+				l.dispute(now, r.Job, until)
+			}
+			continue
+		case remaining < 0:
+			if owner != "" {
+				l.putRevoked(now, r.Job, owner, now.Add(-remaining))
+			}
+			continue
+		}
+		l.put(now, r.Job, lateStartJob{domain: r.FailureDomain, owner: owner, until: now.Add(remaining), told: true})
+	}
+}
+
+// dispute notes a record of another host about this owner's start commands, unless it is revoked
+// or this owner has one itself.
+func (l *LateStartLog) dispute(now time.Time, job string, until time.Time) {
+	if known, ok := l.jobs[job]; ok && known.owner == l.self && until.Sub(known.until) < lateStartMargin || !until.After(now) {
+		return
 	}
+	l.disputed[job] = until
 }
 
 // since returns the records that have changed after a change, up to maxLateStartsInMessage, and the
 // number of the last change that they cover.
-func (l *LateStartLog) since(now time.Time, change uint64) (list []lateStart, last uint64) {
+func (l *LateStartLog) since(now time.Time, change uint64) (m lateStartsMessage, last uint64) {
 	n, _ := slices.BinarySearchFunc(l.changes, change+1, func(c lateStartChange, number uint64) int { return cmp.Compare(c.number, number) })
 	last = change
 	for _, c := range l.changes[n:] {
-		if len(list) == maxLateStartsInMessage {
+		if len(m.records) == maxLateStartsInMessage {
 			break
 		}
 		last = c.number
 		if j := l.jobs[c.job]; j.change == c.number && now.Before(j.until) {
-			list = append(list, lateStart{Job: c.job, RemainingMs: j.until.Sub(now).Milliseconds(), FailureDomain: j.domain})
+			remaining := j.until.Sub(now).Milliseconds()
+			if j.revoked {
+				remaining = -remaining
+			}
+			m.records = append(m.records, lateStart{Job: c.job, RemainingMs: remaining, FailureDomain: j.domain})
+			m.owners = append(m.owners, j.owner)
 		}
 	}
-	return list, last
+	return m, last
 }
 
 // forget removes the records whose time is over.
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -8,8 +8,8 @@
 )
 
 // message is one message on a session between an entry host and an owner. Exactly
-// one field is set, besides those that accompany others: the owner sends Heartbeat, Result and
-// Attached, the entry host the others. A host ignores fields that it doesn't know.
+// one field is set, besides those that accompany others: the owner sends Heartbeat, Result, Attached
+// and Witness, the entry host the others. A host ignores fields that it doesn't know.
 type message struct {
 	Heartbeat *heartbeat `cbor:"1,keyasint,omitempty"`
 	Ack       uint64     `cbor:"2,keyasint,omitempty"`
@@ -42,13 +42,26 @@
 	// in milliseconds.
 	UnwantedMs int64 `cbor:"17,keyasint,omitempty"`
 	// LateStarts and ServerIDsKept accompany a Heartbeat or an Ack: new records of the
-	// late-start log, and whether a server was seen to start again under its ID.
+	// late-start log, and true, without which hosts of earlier versions don't log the jobs that
+	// they lose with an owner.
 	LateStarts    []lateStart `cbor:"18,keyasint,omitempty"`
 	ServerIDsKept bool        `cbor:"19,keyasint,omitempty"`
 	// Extend names a job for which another caller waits, ExtendMs is how long it does, in
 	// milliseconds; 0 if that is unknown. Hosts of earlier versions ignore both.
 	Extend   string `cbor:"20,keyasint,omitempty"`
 	ExtendMs int64  `cbor:"21,keyasint,omitempty"`
+	// Witness is sent by the owner, Witnessed acknowledges it with its number. Witnessing
+	// accompanies an Ack: the entry host can be a witness. EndedJobs accompanies a Heartbeat: jobs
+	// that the witness need not remember (witness.go). Hosts of earlier versions ignore all four.
+	Witness    *witnessRequest `cbor:"22,keyasint,omitempty"`
+	Witnessed  uint64          `cbor:"23,keyasint,omitempty"`
+	Witnessing bool            `cbor:"24,keyasint,omitempty"`
+	EndedJobs  []string        `cbor:"25,keyasint,omitempty"`
+	// SettledJobs accompanies a Heartbeat: jobs of the entry host of which no start command may
+	// still be executed.
+	SettledJobs []string `cbor:"27,keyasint,omitempty"`
+	// LateStartOwners accompanies LateStarts: the owner that each record is about.
+	LateStartOwners []string `cbor:"26,keyasint,omitempty"`
 }
 
 // unwantedSince returns since when nobody waits for the job that m cancels. m was read at
@@ -79,6 +92,11 @@
 	Load            Load
 }
 
+// setLateStarts adds records of the late-start log to a message.
+func (m *message) setLateStarts(l lateStartsMessage) {
+	m.LateStarts, m.LateStartOwners, m.ServerIDsKept = l.records, l.owners, true
+}
+
 // job returns the submitted job with what accompanies it.
 func (m *message) job() Job {
 	j := *m.Submit
@@ -125,6 +143,12 @@
 	}
 	m.Crashes = m.Crashes[:min(len(m.Crashes), maxRecordsInMessage)]
 	m.LateStarts = m.LateStarts[:min(len(m.LateStarts), maxLateStartsInMessage)]
+	if m.Witness != nil {
+		m.Witness.Jobs = m.Witness.Jobs[:min(len(m.Witness.Jobs), maxWitnessedJobs)]
+	}
+	m.EndedJobs = m.EndedJobs[:min(len(m.EndedJobs), maxWitnessedJobs)]
+	m.SettledJobs = m.SettledJobs[:min(len(m.SettledJobs), maxWitnessedJobs)]
+	m.LateStartOwners = m.LateStartOwners[:min(len(m.LateStartOwners), maxLateStartsInMessage)]
 	m.UnwantedMs = limit(m.UnwantedMs, MaxTime.Milliseconds())
 	m.ExtendMs = limit(m.ExtendMs, MaxTime.Milliseconds())
 	return m, nil
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -107,7 +107,7 @@
 // submitTo sends a job to an owner.
 func (e *Entry) submitTo(now time.Time, owner string, j *entryJob, startOrReturn bool) {
 	e.lastSubmission++
-	j.submission = e.lastSubmission
+	j.submission, j.settled = e.lastSubmission, false
 	job := j.job
 	job.Age, job.StartOrReturn, job.Submission = now.Sub(j.submittedAt), startOrReturn, j.submission
 	job.Budget = 0
@@ -178,6 +178,7 @@
 	delete(e.jobs, j.job.ID)
 	e.cfg.Log.Info().Str("Job", j.job.ID).Str("Queue", j.job.Queue).Int64("AgeMs", now.Sub(j.submittedAt).Milliseconds()).Msg("CallerDisconnected")
 	if j.owner != "" {
+		e.keepStartable(now, j)
 		e.send(j.owner, newCancel(now, j.job.ID, since))
 	}
 }
@@ -186,6 +187,7 @@
 // answers all its callers. It does nothing if no owner has the job.
 func (e *Entry) CancelJob(now time.Time, id string) {
 	if j := e.jobs[id]; j != nil && j.owner != "" {
+		e.keepStartable(now, j)
 		e.send(j.owner, message{Cancel: id})
 		e.answer(now, j, Result{ID: id, Outcome: Lost, Reason: "Cancelled"})
 	}
@@ -231,6 +233,9 @@
 		e.offerJob(now, j, otherwise)
 		return
 	}
+	if r.Outcome == Lost && (r.Reason != reasonStartUnresolved || !e.cfg.LateStarts.contains(now, r.ID)) {
+		e.keepStartable(now, j)
+	}
 	e.answer(now, j, r)
 }
 
@@ -255,12 +260,14 @@
 	return j.lastOffer.at.Sub(j.submittedAt).Milliseconds()
 }
 
-// loseJobs answers Lost to the callers of all jobs that an owner had.
-func (e *Entry) loseJobs(now time.Time, owner, reason string) {
+// loseJobs answers Lost to the callers of all jobs that an owner of a failure domain had, and logs
+// all jobs that it may have started.
+func (e *Entry) loseJobs(now time.Time, domain, owner, reason string) {
+	e.logStartable(now, domain, owner)
 	for _, j := range e.sortedJobs() {
 		if j.owner == owner {
-			if e.cfg.LateStarts.idsKept {
-				e.cfg.LateStarts.add(now, j.job.ID, "", now.Add(lateStartTimeout))
+			if !j.settled {
+				e.cfg.LateStarts.add(now, j.job.ID, domain, owner, now.Add(lateStartTimeout))
 			}
 			e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reason})
 		}
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -26,6 +26,7 @@
 	}
 	e.tickDraining(now)
 	e.endTimedOutJobs(now)
+	e.tickStartable(now)
 	e.offerWaitingJobs(now)
 }
 
@@ -41,7 +42,7 @@
 		e.tickPath(now, v)
 		// This host may become the owner later and must not acquire these servers
 		// then.
-		needed := !e.leaving && v.domain == e.cfg.Self.FailureDomain && len(v.heartbeat.RetainedServers) > 0
+		needed := len(e.remembered[id]) > 0 || !e.leaving && v.domain == e.cfg.Self.FailureDomain && len(v.heartbeat.RetainedServers) > 0
 		for _, j := range e.jobs {
 			needed = needed || j.owner == id
 		}
@@ -57,7 +58,7 @@
 	v := e.draining[id]
 	delete(e.draining, id)
 	e.actions = append(e.actions, EntryAction{Close: id})
-	e.loseJobs(now, id, reason)
+	e.loseJobs(now, v.domain, id, reason)
 	if e.isOwner && v.domain == e.cfg.Self.FailureDomain {
 		e.assumeOwnership()
 	}
@@ -212,7 +213,7 @@
 		e.draining[v.candidate.Incarnation] = &old
 	case v.candidate.Incarnation != "":
 		e.actions = append(e.actions, EntryAction{Close: v.candidate.Incarnation})
-		e.loseJobs(now, v.candidate.Incarnation, "OwnerChanged")
+		e.loseJobs(now, v.domain, v.candidate.Incarnation, "OwnerChanged")
 	}
 	if next.Incarnation == e.cfg.Self.Incarnation {
 		*v = ownerView{domain: v.domain}
@@ -260,7 +261,7 @@
 	if e.draining[incarnation] != nil {
 		e.dropDraining(now, incarnation, reason)
 	}
-	e.loseJobs(now, incarnation, reason)
+	e.loseJobs(now, e.domainOf(incarnation), incarnation, reason)
 	e.Tick(now)
 }
 
@@ -274,14 +275,16 @@
 	e.peerConsulted = e.peerConsulted || v.domain == e.cfg.Self.FailureDomain
 	e.actions = append(e.actions, EntryAction{Close: lost})
 	*v = ownerView{domain: v.domain}
-	e.loseJobs(now, lost, reason)
+	e.loseJobs(now, v.domain, lost, reason)
 }
 
 // newAck returns the acknowledgment of a heartbeat, with the new records of the late-start log.
 func (e *Entry) newAck(now time.Time, v *ownerView, number uint64) message {
 	l := e.cfg.LateStarts
-	m := message{Ack: number, ServerIDsKept: l.idsKept}
-	m.LateStarts, v.path.lateStartsSent = l.since(now, v.path.lateStartsSent)
+	m := message{Ack: number, Witnessing: true}
+	var records lateStartsMessage
+	records, v.path.lateStartsSent = l.since(now, v.path.lateStartsSent)
+	m.setLateStarts(records)
 	return m
 }
 
--- a/internal/worker/place.go
+++ b/internal/worker/place.go
@@ -71,10 +71,11 @@
 		d, starts := w.demand, w.job.starts
 		// The jobs of a demand that have started come before the others.
 		closed := w.job.share.crashClosed && !w.job.started
-		placed := !closed && p.placeStep(now, w.job, w.step)
+		held := !closed && !p.mayStart(w.job)
+		placed := !closed && !held && p.placeStep(now, w.job, w.step)
 		next, ok := d.steps.Next(w)
 		othersMayFit := w.job.Steps[w.step].MaxPerServer > 0 || len(p.fleet.rooms(w.job.Service)) > 1
-		if !ok || closed || !placed && (!othersMayFit || !p.fitsSomewhere(now, d)) {
+		if !ok || closed || !placed && !held && (!othersMayFit || !p.fitsSomewhere(now, d)) {
 			heap.Pop(&first)
 		} else {
 			first[0] = next
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -48,6 +48,8 @@
 	Stop   *ServerStop
 	Poll   *ServerPoll
 	Answer *Answer
+	// Announce tells a session that tasks of a settled job are started again.
+	Announce *JobAnnouncement
 	// Fenced reports that a server refused this owner's token, since another owner
 	// has acquired the server.
 	Fenced bool
@@ -127,6 +129,10 @@
 	// started reports whether a start command was sent for any task (rule 3), resumes whether
 	// one for an earlier submission may still be executed (server.go, rule 9).
 	started, resumes bool
+	// settled is set once the session settledTo was told that the job is settled (witness.go, rule
+	// 6), announcing from when it is to be told that tasks are started again.
+	settled, announcing bool
+	settledTo           SessionID
 	// unwantedSince is since when nobody waits for the job, if this host noticed it late; else
 	// zero.
 	unwantedSince time.Time
@@ -223,7 +229,7 @@
 // NewPool returns a pool that owns no server.
 func NewPool(c PoolConfig) *Pool {
 	if c.LateStarts == nil {
-		c.LateStarts = NewLateStartLog()
+		c.LateStarts = NewLateStartLog("")
 	}
 	return &Pool{
 		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), fleet: newFleet(), trackedRuns: map[string]int{},
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -10,7 +10,6 @@
 func (p *Pool) applyRunLists(now time.Time, s *server, sent time.Time, reply Reply) {
 	if reply.StartedAtMs != 0 && s.incarnation != 0 && reply.StartedAtMs != s.incarnation {
 		p.noteServerLost(now, s, true)
-		p.cfg.LateStarts.idsKept = true
 	}
 	if reply.StartedAtMs != 0 {
 		s.incarnation = reply.StartedAtMs
@@ -22,9 +21,6 @@
 		return
 	}
 	if reply.StartedAtMs != 0 {
-		if s.startedAtMs == 0 {
-			p.compareUnsettled(s, reply.StartedAtMs)
-		}
 		s.startedAtMs = reply.StartedAtMs
 	}
 	if s.unresponsive {
--- a/internal/worker/session.go
+++ b/internal/worker/session.go
@@ -40,6 +40,10 @@
 	sent            [maxUnackedHeartbeats]time.Time
 	confirmedAt     time.Time
 	nextHeartbeatAt time.Time
+	// witness is set if the entry host can be a witness (witness.go).
+	witness bool
+	// announcements has what the entry host was told of jobs and has not acknowledged.
+	announcements []JobAnnouncement
 	attachState
 }
 
@@ -144,3 +148,10 @@
 	o, _ := s.find(id)
 	return o != nil
 }
+
+// noteWitness notes whether the entry host of a session can be a witness.
+func (s *Sessions) noteWitness(id SessionID, witness bool) {
+	if o, _ := s.find(id); o != nil {
+		o.witness = witness
+	}
+}
--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -167,11 +167,11 @@
 }
 
 // newLateStarts returns the records of the late-start log that were not sent on the session's path.
-func (s *Sessions) newLateStarts(now time.Time, id SessionID, l *LateStartLog) []lateStart {
+func (s *Sessions) newLateStarts(now time.Time, id SessionID, l *LateStartLog) lateStartsMessage {
 	o, _ := s.find(id)
-	var list []lateStart
-	list, o.lateStartsSent = l.since(now, o.lateStartsSent)
-	return list
+	var m lateStartsMessage
+	m, o.lateStartsSent = l.since(now, o.lateStartsSent)
+	return m
 }
 
 // takeKept removes the kept results of a session and returns those of the given jobs.
@@ -230,6 +230,7 @@
 	h.cfg.Log.Info().Uint64("Session", uint64(a.Session)).Uint64("Attach", a.Number).Int("Jobs", len(a.Jobs)).
 		Int("Missing", len(reply.Missing)).Int("Resent", len(answered)).Msg("PathReplaced")
 	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{path, message{Attached: &reply}}})
+	h.witnessPathReplaced(o)
 	for _, r := range answered {
 		h.replyResult(o.id, r.submission, r.result)
 	}
--- a/internal/worker/session_path.go
+++ b/internal/worker/session_path.go
@@ -212,7 +212,7 @@
 		}
 		v.path, v.heartbeat, v.lastContact = sessionPath{}, heartbeat{}, now
 		e.actions = append(e.actions, EntryAction{Adopt: &PathDial{v.candidate, a.Number}})
-		e.loseJobs(now, owner, "SessionExpired")
+		e.loseJobs(now, v.domain, owner, "SessionExpired")
 		return
 	}
 	v.lastContact, v.path.acked, v.path.acksTimely, v.path.adopted, v.path.lateStartsSent = now, v.heartbeat.Number, false, a.Number, 0
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -145,6 +145,7 @@
 	case a.Adopt != nil:
 		h.adoptPath(*a.Adopt)
 	case a.CloseTo != "":
+		w.ownerLost(h, a.CloseTo)
 		h.closeNewPaths(a.CloseTo)
 		if st := h.streams[a.CloseTo]; st != nil {
 			delete(h.streams, a.CloseTo)
@@ -267,6 +268,7 @@
 	delay := w.delay()
 	if late {
 		delay = w.lateness()
+		w.dieAfterLateStart(h, s, delay)
 	}
 	var expectedStart time.Time
 	if s != nil {
--- a/internal/worker/simulation_late_runs_test.go
+++ b/internal/worker/simulation_late_runs_test.go
@@ -22,7 +22,8 @@
 	"Resets": {simCase{faults: simFaults{
 		IDAlone: true, Lost: 0.02, Late: 0.03, LatePolls: 0.03, Stalls: 0.003, Resets: 1,
 	}, rate: 18, settle: 20 * time.Second}, []uint64{0, 1, 2, 3}},
-	"All": {simCase{faults: lateAll, rate: 20, meanRunTime: time.Second, settle: 40 * time.Second}, []uint64{0, 1, 2, 1025, 1049}},
+	"OwnersDie": {simCase{faults: simFaults{IDAlone: true, Late: 0.05, LateDeaths: 0.3}, rate: 6, servers: 12, meanRunTime: 3 * time.Second, settle: 40 * time.Second}, []uint64{0, 1012, 1056, 1084, 1175}},
+	"All":       {simCase{faults: lateAll, rate: 20, meanRunTime: time.Second, settle: 40 * time.Second}, []uint64{0, 1, 2, 1025, 1049}},
 }
 
 var lateAll = func() simFaults {
--- a/internal/worker/simulation_late_test.go
+++ b/internal/worker/simulation_late_test.go
@@ -24,6 +24,19 @@
 	return s != nil && !s.removed && !now.Before(s.downUntil) && !now.Before(s.cutUntil[host]) && !now.Before(s.refusedUntil[host])
 }
 
+// dieAfterLateStart kills the host of a late start and crashes its server, which starts again
+// just before the command arrives.
+func (w *simulation) dieAfterLateStart(h *simHost, s *simServer, delay time.Duration) {
+	if s == nil || w.faults.LateDeaths == 0 || w.rand.Float64() >= w.faults.LateDeaths {
+		return
+	}
+	arrival := w.now.Add(delay - time.Millisecond)
+	w.after(time.Duration(w.rand.IntN(60))*time.Millisecond, func() {
+		w.kill(h, 300*time.Millisecond+time.Duration(w.rand.IntN(2000))*time.Millisecond)
+		w.crashUntil(s, arrival)
+	})
+}
+
 // latePoll decides whether a poll is late. If so, it gets no reply and is executed later.
 func (w *simulation) latePoll(s *simServer, poll *worker.ServerPoll) bool {
 	if s == nil || w.faults.LatePolls == 0 || w.rand.Float64() >= w.faults.LatePolls {
--- a/internal/worker/simulation_path_test.go
+++ b/internal/worker/simulation_path_test.go
@@ -107,6 +107,7 @@
 }
 
 func (h *simHost) adoptPath(d worker.PathDial) {
+	h.w.ownerLost(h, d.Candidate.Incarnation) // The owner may have refused the attach.
 	st, former := h.newPaths[d], h.streams[d.Candidate.Incarnation]
 	delete(h.newPaths, d)
 	if h.loop != nil && (st == nil || st.broken) {
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -87,6 +87,9 @@
 	// IDAlone makes a server that has crashed start again with a random clock, and execute
 	// late commands that were meant for its former incarnation.
 	IDAlone bool
+	// LateDeaths is the share of late starts soon after which their host is killed and their server
+	// crashes, which starts again just before it executes the command.
+	LateDeaths float64
 	// LatePolls is the share of polls that are late as Late says, Stalls that of the
 	// commands before which their host stands still for up to 1.5 s.
 	LatePolls, Stalls float64
@@ -119,6 +122,9 @@
 	// notices the timeout, which may take it maxStandstill longer, and from when another host
 	// reads the record, which may take that host as long.
 	maxUnresolved = 13*time.Second*100/98 + 2*time.Second
+	// maxRemembered is how long a job that was lost or given up may be followed by the loss of its
+	// owner, whose start command may be late all the same.
+	maxRemembered = time.Second
 	// maxStandstill is the longest time for which a host stands still.
 	maxStandstill = 4 * time.Second
 	// commandTimeout is how long a host waits for the reply to a start or a stop,
--- a/internal/worker/time_limit.go
+++ b/internal/worker/time_limit.go
@@ -44,6 +44,7 @@
 			e.answer(now, j, Result{ID: j.job.ID, Outcome: Refused, Reason: reasonCallerTimedOut, RetryAfter: noOwnerRetry})
 			continue
 		}
+		e.keepStartable(now, j)
 		e.send(j.owner, newCancel(now, j.job.ID, j.neededUntil))
 		e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reasonCallerTimedOut})
 	}
