worker: one line for each job that is logged with a lost owner

JobMayStartLate replaces WitnessedJobLost and is also logged for the jobs of this host's callers, so that the line of a 502 that a returning caller gets is found by its job.

The virtual scenarios Kill and PowerLoss failed without this: they answered 502 to callers that returned with a job of a killed owner, which the check took for a loss by planned work. TestVirtualScenarios passes (95 s).

--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -46,6 +46,8 @@
 	running, falselyDead sync.Map
 	// unsettled has the latest unsettled start of each job that a host has logged.
 	unsettled sync.Map
+	// ofLostOwners has when a host has last logged a job as one that a lost owner may have started.
+	ofLostOwners sync.Map
 	// eventCost returns the processor time that the event of a log line costs the
 	// goroutine that logs it; nil means none. Virtual time charges none by itself.
 	eventCost atomic.Pointer[func(line []byte) time.Duration]
@@ -204,6 +206,9 @@
 	if m := unsettledPattern.FindSubmatch(b); m != nil {
 		l.unsettled.Store(string(m[1]), unsettledStart{string(m[2]), time.Now()})
 	}
+	if m := lostOwnerPattern.FindSubmatch(b); m != nil {
+		l.ofLostOwners.Store(string(m[1]), time.Now())
+	}
 	if m := deadMemberPattern.FindSubmatch(b); m != nil {
 		if at, ok := l.running.Load(string(m[1])); ok {
 			l.falselyDead.Store(fmt.Sprintf("%s declared %s dead, which has been running since %v", l.name, m[1], at), true)
@@ -236,6 +241,8 @@
 
 var unsettledPattern = regexp.MustCompile(`Event=StartUnsettled Task=([0-9a-f]+)\.\S+ .*Server=(\S+)`)
 
+var lostOwnerPattern = regexp.MustCompile(`Event=JobMayStartLate Job=([0-9a-f]+)`)
+
 // unsettledStart is a start command without a reply, on a server.
 type unsettledStart struct {
 	server string
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -197,7 +197,7 @@
 	},
 	{
 		"StartUnresolved", Failed, "a start command for a task of the job got no reply and might still be executed, so that no other command could start the task",
-		"StartUnsettled by Task; WitnessedJobLost by Job, OwnerLost; ServerUnresponsive, LeaseExpired by Server", func(c Case) bool { return c.Reason == "StartUnresolved" },
+		"StartUnsettled by Task; JobMayStartLate by Job, OwnerLost; ServerUnresponsive, LeaseExpired by Server", func(c Case) bool { return c.Reason == "StartUnresolved" },
 	},
 	{
 		"CallerTimedOut", Failed, "the time was over for which the caller had said that it waits, and its connection didn't show whether it had left",
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -267,7 +267,7 @@
 	for _, j := range e.sortedJobs() {
 		if j.owner == owner {
 			if !j.settled {
-				e.cfg.LateStarts.add(now, j.job.ID, domain, owner, now.Add(lateStartTimeout))
+				e.logLost(now, domain, owner, j.job.ID)
 			}
 			e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reason})
 		}
--- a/internal/worker/witness.go
+++ b/internal/worker/witness.go
@@ -421,12 +421,17 @@
 	delete(e.remembered, owner)
 	for _, id := range slices.Sorted(maps.Keys(jobs)) {
 		if until := jobs[id]; until.IsZero() || now.Before(until) {
-			e.cfg.Log.Info().Str("Job", id).Str("Owner", owner).Msg("WitnessedJobLost")
-			e.cfg.LateStarts.add(now, id, domain, owner, now.Add(lateStartTimeout))
+			e.logLost(now, domain, owner, id)
 		}
 	}
 }
 
+// logLost adds a job of a lost owner to the late-start log.
+func (e *Entry) logLost(now time.Time, domain, owner, id string) {
+	e.cfg.Log.Info().Str("Job", id).Str("Owner", owner).Msg("JobMayStartLate")
+	e.cfg.LateStarts.add(now, id, domain, owner, now.Add(lateStartTimeout))
+}
+
 // domainOf returns the failure domain of a host, empty if it isn't known.
 func (e *Entry) domainOf(incarnation string) string {
 	for _, c := range e.candidates {
