--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -105,7 +105,7 @@
 		cfg:     c,
 		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, Crashes: crashes, LateStarts: lateStarts}),
 		entry:   NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now, Crashes: crashes, LateStarts: lateStarts}),
-		crashes: crashes, lateStarts: lateStarts, witnesses: witnesses{silent: map[SessionID]bool{}, known: map[string]time.Time{}},
+		crashes: crashes, lateStarts: lateStarts, witnesses: newWitnesses(),
 	}
 }
 
@@ -147,6 +147,7 @@
 	h.entry.Tick(now)
 	h.pool.Tick(now)
 	h.forgetWitnessed(now)
+	h.revokeDisputed(now)
 	h.entry.SetLoad(now, h.pool.Load(), h.pool.shares.Closed(now), h.pool.startableTasks(now))
 }
 
@@ -226,7 +227,8 @@
 		m.Message.Closed, m.Message.Startable = closed, startable
 		m.Message.Crashes = h.sessions.newCrashes(id, h.crashes)
 		m.Message.setLateStarts(h.sessions.newLateStarts(now, id, h.lateStarts))
-		m.Message.EndedJobs, m.Message.SettledJobs = h.takeForgettable(id), h.pool.takeSettled(id)
+		m.Message.EndedJobs = h.takeForgettable(id)
+		m.Message.SettledJobs, m.Message.SettledSubmissions = h.settledJobs(id)
 		h.actions = append(h.actions, HostAction{Reply: m})
 	}
 }
@@ -302,7 +304,7 @@
 		h.entry.HandleResult(now, h.cfg.Self.Incarnation, 0, a.Answer.Result)
 	case a.Answer != nil:
 		id := a.Answer.Session
-		h.replyResult(id, h.sessions.takeSubmission(id, a.Answer.Result.ID), a.Answer.Result)
+		h.replyResult(now, id, h.sessions.takeSubmission(id, a.Answer.Result.ID), a.Answer.Result)
 	case a.Announce != nil:
 		h.announce(now, *a.Announce)
 	case a.Fenced:
@@ -317,11 +319,12 @@
 		h.crashes.merge(now, m.Crashes)
 		h.mergeLateStarts(now, m)
 		h.entry.forgetStartable(owner, m.EndedJobs)
-		h.entry.noteSettled(owner, m.SettledJobs)
+		h.entry.noteSettled(owner, m.SettledJobs, m.SettledSubmissions)
 		h.entry.handleClosedQueues(owner, m.Closed)
 		h.entry.handleStartable(owner, m.Startable)
 		h.entry.handleSessionHeartbeat(now, owner, m)
 	case m.Result != nil:
+		h.mergeLateStarts(now, m)
 		h.entry.HandleResult(now, owner, m.Submission, *m.Result)
 	case m.Attached != nil:
 		h.entry.handleAttached(now, owner, *m.Attached)
--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -242,34 +242,39 @@
 	for _, task := range over {
 		p.reviewUnsettled(now, p.unsettled[task])
 	}
-	p.revokeDisputed(now)
 	p.cfg.LateStarts.forget(now)
 }
 
 // revokeDisputed revokes what other hosts say of start commands of this owner that can't be
-// executed any more (late_start_log.go, rule 5).
-func (p *Pool) revokeDisputed(now time.Time) {
-	l := p.cfg.LateStarts
+// executed any more (late_start_log.go, rule 5). The revocation must outlast the records.
+func (h *Host) revokeDisputed(now time.Time) {
+	l := h.lateStarts
 	if len(l.disputed) == 0 {
 		return
 	}
-	mayStart := map[string]bool{}
+	mayStart := h.pool.outstandingJobs()
+	for _, id := range slices.Sorted(maps.Keys(l.disputed)) {
+		if !mayStart[id] && !h.HasJob(id) && !now.Add(lateStartTimeout).Before(l.disputed[id]) {
+			h.cfg.Log.Info().Str("Job", id).Msg("LateStartRevoked")
+			l.revoke(now, id)
+		}
+	}
+}
+
+// outstandingJobs returns the jobs of which a start command may still be executed.
+func (p *Pool) outstandingJobs() map[string]bool {
+	jobs := map[string]bool{}
 	for _, s := range p.orderedServers {
 		for k, r := range s.runs {
 			if r.copies.outstanding() > 0 {
-				mayStart[jobOfTask(k.Task)] = true
+				jobs[jobOfTask(k.Task)] = true
 			}
 		}
 	}
 	for task := range p.unsettled {
-		mayStart[jobOfTask(task)] = true
-	}
-	for _, id := range slices.Sorted(maps.Keys(l.disputed)) {
-		if !mayStart[id] && p.jobs[id] == nil {
-			p.cfg.Log.Info().Str("Job", id).Msg("LateStartRevoked")
-			l.revoke(now, id)
-		}
+		jobs[jobOfTask(task)] = true
 	}
+	return jobs
 }
 
 // settleReplaced forgets the unsettled starts on a server once another ID has taken its address,
--- a/internal/worker/late_start_log.go
+++ b/internal/worker/late_start_log.go
@@ -27,6 +27,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -35,17 +36,14 @@
 	// maxLateStartJobs bounds the log, to less than 4 MB: the jobs that an owner of the planned size
 	// has started at a time.
 	maxLateStartJobs = 16384
-	// maxLateStartsInMessage bounds what one message carries, to some 20 KB. An entry host that
-	// loses an owner may add a thousand jobs, whose callers return after 1,300 ms; the records
-	// take two messages by then, 100 ms apart.
-	maxLateStartsInMessage = 512
+	// maxLateStartsInMessage bounds what one message carries, to some 150 KB. An entry host that
+	// loses an owner may add thousands of jobs, whose callers return after 1,300 ms; the records
+	// of a full log take eight messages, 100 ms apart.
+	maxLateStartsInMessage = 2048
 	// lateStartMargin exceeds the time that a record takes from host to host.
 	lateStartMargin = time.Second
-	// renewalMargin is by how much the record of a start command outlasts the revocation of an
-	// earlier one, so that no host takes it for an outdated one.
-	renewalMargin = lateStartMargin + 10*time.Millisecond
 	// maxJobIDBytes bounds the names in records of other hosts.
-	maxJobIDBytes = 128
+	maxJobIDBytes = maxJobTextBytes
 )
 
 // lateStart is the record of a job in a message.
@@ -108,46 +106,34 @@
 // add adds a job of an owner up to a time that is not known by its tasks. domain is that of
 // lateStart.
 func (l *LateStartLog) add(now time.Time, job, domain, owner string, until time.Time) {
-	l.renew(now, job, lateStartJob{domain: domain, owner: owner, until: until.Add(lateStartMargin), told: true})
+	l.put(now, job, lateStartJob{domain: domain, owner: owner, until: until.Add(lateStartMargin), told: true})
 }
 
 // addTask adds the job of a task of this owner.
 func (l *LateStartLog) addTask(now time.Time, task, domain string, until time.Time) {
 	job := jobOfTask(task)
-	l.renew(now, job, lateStartJob{domain: domain, owner: l.self, until: until.Add(lateStartMargin)})
+	l.put(now, job, lateStartJob{domain: domain, owner: l.self, until: until.Add(lateStartMargin)})
 	if _, ok := l.jobs[job]; ok && !slices.Contains(l.tasks[job], task) {
 		l.tasks[job] = append(l.tasks[job], task)
 	}
 }
 
-// renew puts the record of a start command that this host knows of, also if an earlier one was
-// revoked.
-func (l *LateStartLog) renew(now time.Time, job string, j lateStartJob) {
-	if known := l.jobs[job]; known.revoked {
-		if until := known.until.Add(renewalMargin); until.After(j.until) {
-			j.until = until
-		}
-	}
-	l.put(now, job, j)
-}
-
-// revoke revokes the records of a job of this owner that others may have (rule 5).
+// revoke revokes the record of a job that others have of this owner (rule 5). Times in messages
+// are cut to milliseconds.
 func (l *LateStartLog) revoke(now time.Time, job string) {
-	until := l.disputed[job]
 	delete(l.disputed, job)
-	l.putRevoked(now, job, l.self, until)
+	l.putRevoked(now, job, l.self, now.Add(lateStartTimeout+lateStartMargin/10))
 }
 
-// putRevoked notes up to a time that the record of a job of an owner is revoked.
+// putRevoked revokes the record of a job of an owner. It outlasts no record of a start command that
+// the owner sends after the revocation.
 func (l *LateStartLog) putRevoked(now time.Time, job, owner string, until time.Time) {
 	known, ok := l.jobs[job]
-	renewed := ok && !known.revoked && (known.owner != owner || known.until.Sub(until) >= lateStartMargin)
-	outdated := known.revoked && known.owner == owner
-	if !until.After(now) || renewed || outdated || !ok && len(l.jobs) >= maxLateStartJobs {
+	if ok && (known.owner != owner && !known.revoked || known.owner == owner && known.until.After(until)) || !until.After(now) || !ok && len(l.jobs) >= maxLateStartJobs {
 		return
 	}
-	if known.until.After(until) {
-		until = known.until
+	if known.revoked && known.owner == owner && until.Sub(known.until) < lateStartMargin {
+		return
 	}
 	l.lastChange++
 	l.jobs[job] = lateStartJob{domain: known.domain, owner: owner, until: until, change: l.lastChange, told: true, revoked: true}
@@ -157,10 +143,16 @@
 // put adds or prolongs the record of a job (rule 3).
 func (l *LateStartLog) put(now time.Time, job string, j lateStartJob) {
 	known, ok := l.jobs[job]
-	if ok && known.owner != j.owner && !known.revoked {
-		j.owner = ""
+	outdated := ok && j.until.Sub(known.until) < lateStartMargin
+	switch {
+	case ok && known.revoked && known.owner == j.owner:
+		outdated = !j.until.After(known.until)
+	case ok && known.revoked:
+		outdated = false
+	case ok && known.owner != j.owner:
+		outdated = outdated && known.owner == ""
+		j.owner, j.domain = "", ""
 	}
-	outdated := ok && j.until.Sub(known.until) < lateStartMargin && j.owner == known.owner
 	if !j.until.After(now) || outdated || !ok && len(l.jobs) >= maxLateStartJobs {
 		return
 	}
@@ -168,7 +160,7 @@
 		j.until = known.until
 	}
 	l.lastChange++
-	j.change, j.told = l.lastChange, j.told || known.told
+	j.change, j.told = l.lastChange, j.told || known.told && !known.revoked
 	l.jobs[job] = j
 	l.changes = append(l.changes, lateStartChange{l.lastChange, job})
 }
@@ -204,9 +196,6 @@
 			owner = m.owners[i]
 		}
 		longest := (lateStartTimeout + lateStartMargin).Milliseconds()
-		if l.jobs[r.Job].revoked {
-			longest += renewalMargin.Milliseconds()
-		}
 		if r.Job == "" || len(r.Job) > maxJobIDBytes || len(r.FailureDomain) > maxJobIDBytes || r.RemainingMs == 0 {
 			continue // Another host has sent what none records.
 		}
@@ -227,15 +216,32 @@
 	}
 }
 
-// dispute notes a record of another host about this owner's start commands, unless it is revoked
-// or this owner has one itself.
+// dispute notes a record of another host about this owner's start commands, unless it is revoked.
 func (l *LateStartLog) dispute(now time.Time, job string, until time.Time) {
-	if known, ok := l.jobs[job]; ok && known.owner == l.self && until.Sub(known.until) < lateStartMargin || !until.After(now) {
+	if known := l.jobs[job]; known.revoked && known.owner == l.self && !until.After(known.until) || !until.After(now) {
 		return
 	}
 	l.disputed[job] = until
 }
 
+// ofJob returns the record of a job, if there is one.
+func (l *LateStartLog) ofJob(now time.Time, job string) (m lateStartsMessage) {
+	if l.contains(now, job) {
+		l.appendRecord(now, &m, job)
+	}
+	return m
+}
+
+func (l *LateStartLog) appendRecord(now time.Time, m *lateStartsMessage, job string) {
+	j := l.jobs[job]
+	remaining := j.until.Sub(now).Milliseconds()
+	if j.revoked {
+		remaining = -remaining
+	}
+	m.records = append(m.records, lateStart{Job: job, RemainingMs: remaining, FailureDomain: j.domain})
+	m.owners = append(m.owners, j.owner)
+}
+
 // since returns the records that have changed after a change, up to maxLateStartsInMessage, and the
 // number of the last change that they cover.
 func (l *LateStartLog) since(now time.Time, change uint64) (m lateStartsMessage, last uint64) {
@@ -247,12 +253,7 @@
 		}
 		last = c.number
 		if j := l.jobs[c.job]; j.change == c.number && now.Before(j.until) {
-			remaining := j.until.Sub(now).Milliseconds()
-			if j.revoked {
-				remaining = -remaining
-			}
-			m.records = append(m.records, lateStart{Job: c.job, RemainingMs: remaining, FailureDomain: j.domain})
-			m.owners = append(m.owners, j.owner)
+			l.appendRecord(now, &m, c.job)
 		}
 	}
 	return m, last
@@ -260,6 +261,7 @@
 
 // forget removes the records whose time is over.
 func (l *LateStartLog) forget(now time.Time) {
+	maps.DeleteFunc(l.disputed, func(_ string, until time.Time) bool { return !now.Before(until) })
 	n := 0
 	for ; n < len(l.changes); n++ {
 		c := l.changes[n]
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -41,9 +42,9 @@
 	// UnwantedMs accompanies a Cancel: how long nobody had waited for the job when it was sent,
 	// in milliseconds.
 	UnwantedMs int64 `cbor:"17,keyasint,omitempty"`
-	// LateStarts and ServerIDsKept accompany a Heartbeat or an Ack: new records of the
-	// late-start log, and true, without which hosts of earlier versions don't log the jobs that
-	// they lose with an owner.
+	// LateStarts and ServerIDsKept accompany a Heartbeat or an Ack, with new records of the
+	// late-start log, and a Result, with that of a lost job. ServerIDsKept is true; without it hosts
+	// of earlier versions don't log the jobs that they lose with an owner.
 	LateStarts    []lateStart `cbor:"18,keyasint,omitempty"`
 	ServerIDsKept bool        `cbor:"19,keyasint,omitempty"`
 	// Extend names a job for which another caller waits, ExtendMs is how long it does, in
@@ -60,6 +61,8 @@
 	// SettledJobs accompanies a Heartbeat: jobs of the entry host of which no start command may
 	// still be executed.
 	SettledJobs []string `cbor:"27,keyasint,omitempty"`
+	// SettledSubmissions accompanies SettledJobs: the numbers of their submissions.
+	SettledSubmissions []uint64 `cbor:"28,keyasint,omitempty"`
 	// LateStartOwners accompanies LateStarts: the owner that each record is about.
 	LateStartOwners []string `cbor:"26,keyasint,omitempty"`
 }
@@ -115,6 +118,8 @@
 	maxToldCoreMs = 1_000_000 * int64(MaxTime/time.Millisecond)
 )
 
+var errTooManyJobs = errors.New("the witness request names too many jobs")
+
 // decodeMessage decodes a message of another host. It limits its numbers to their bounds and its
 // lists to the lengths that hosts send; a job is checked by Validate. An earlier or a later
 // version of a host may not do that.
@@ -143,11 +148,13 @@
 	}
 	m.Crashes = m.Crashes[:min(len(m.Crashes), maxRecordsInMessage)]
 	m.LateStarts = m.LateStarts[:min(len(m.LateStarts), maxLateStartsInMessage)]
-	if m.Witness != nil {
-		m.Witness.Jobs = m.Witness.Jobs[:min(len(m.Witness.Jobs), maxWitnessedJobs)]
+	if m.Witness != nil && len(m.Witness.Jobs) > maxNamedJobs {
+		// A part of it must not be acknowledged for the whole.
+		return message{}, errTooManyJobs
 	}
-	m.EndedJobs = m.EndedJobs[:min(len(m.EndedJobs), maxWitnessedJobs)]
-	m.SettledJobs = m.SettledJobs[:min(len(m.SettledJobs), maxWitnessedJobs)]
+	m.EndedJobs = m.EndedJobs[:min(len(m.EndedJobs), maxNamedJobs)]
+	m.SettledJobs = m.SettledJobs[:min(len(m.SettledJobs), maxNamedJobs)]
+	m.SettledSubmissions = m.SettledSubmissions[:min(len(m.SettledSubmissions), maxNamedJobs)]
 	m.LateStartOwners = m.LateStartOwners[:min(len(m.LateStartOwners), maxLateStartsInMessage)]
 	m.UnwantedMs = limit(m.UnwantedMs, MaxTime.Milliseconds())
 	m.ExtendMs = limit(m.ExtendMs, MaxTime.Milliseconds())
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -42,13 +42,15 @@
 // offerToResume sends a job with an unsettled start to the owner that may resume it
 // (server.go, rule 9), or answers it as lost.
 func (e *Entry) offerToResume(now time.Time, j *entryJob) {
-	domain, owner := e.cfg.LateStarts.jobs[j.job.ID].domain, ""
+	record, owner := e.cfg.LateStarts.jobs[j.job.ID], ""
+	domain := record.domain
 	if v := e.views[domain]; e.isOwner && domain == e.cfg.Self.FailureDomain {
 		owner = e.cfg.Self.Incarnation
 	} else if v != nil && v.usable() && !v.path.suspect() {
 		owner = v.candidate.Incarnation
 	}
-	if owner == "" {
+	if owner == "" || record.owner != "" && record.owner != owner {
+		// A successor may not have the record yet.
 		e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reasonStartUnresolved})
 		return
 	}
@@ -233,7 +235,7 @@
 		e.offerJob(now, j, otherwise)
 		return
 	}
-	if r.Outcome == Lost && (r.Reason != reasonStartUnresolved || !e.cfg.LateStarts.contains(now, r.ID)) {
+	if r.Outcome == Lost && r.Reason != reasonStartUnresolved {
 		e.keepStartable(now, j)
 	}
 	e.answer(now, j, r)
--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -232,7 +232,7 @@
 	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{path, message{Attached: &reply}}})
 	h.witnessPathReplaced(o)
 	for _, r := range answered {
-		h.replyResult(o.id, r.submission, r.result)
+		h.replyResult(now, o.id, r.submission, r.result)
 	}
 	for _, id := range accepted {
 		if !slices.Contains(a.Jobs, id) {
@@ -242,9 +242,14 @@
 }
 
 // replyResult sends a result on a session and keeps it until its arrival is known.
-func (h *Host) replyResult(id SessionID, submission uint64, r Result) {
+func (h *Host) replyResult(now time.Time, id SessionID, submission uint64, r Result) {
 	h.sessions.keepResult(id, submission, r)
-	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{h.sessions.pathOf(id), message{Result: &r, Submission: submission}}})
+	m := message{Result: &r, Submission: submission}
+	if r.Outcome == Lost {
+		// The owner may end before its next heartbeat.
+		m.setLateStarts(h.lateStarts.ofJob(now, r.ID))
+	}
+	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{h.sessions.pathOf(id), m}})
 }
 
 // sessionJobs returns the IDs of the jobs that a session waits for, in order of arrival.
--- a/internal/worker/witness.go
+++ b/internal/worker/witness.go
@@ -1,23 +1,26 @@
 package worker
 
-// A witness is another host that knows which jobs an owner starts for its own callers. Their
+// A witness is another host that knows which jobs an owner may start for its own callers. Their
 // entry host and their owner are one process: if it ends, nobody else could tell that a start
 // command for them may still be executed (late_start_log.go). The rules are:
 //
-//  1. The owner admits a job of its own callers once a witness has acknowledged the job, so no
-//     start command leaves before that. A host that has no session with another one that
-//     serves as a witness admits its jobs at once, since nobody could submit them elsewhere.
-//  2. At most one request is in progress. The jobs that arrive meanwhile go with the next one.
+//  1. The owner admits a job of its own callers once a witness has acknowledged it, so no start
+//     command for the job leaves before that. While no host with a session can be a witness, jobs
+//     are admitted at once, since a host that is cut off serves what it can; the next witness is
+//     told of them.
+//  2. At most one request to the witness is in progress. The jobs that arrive meanwhile go with
+//     the next one.
 //  3. If the witness doesn't answer in time, or its session ends, another host takes its
 //     place and is told of all jobs, those that have started too. So is the same host when
-//     the path of its session was replaced, since messages may be lost with a path.
+//     the path of its session was replaced, since messages may be lost with a path. A former
+//     witness is released once the next one has answered.
 //  4. The witness forgets a job when a heartbeat of the owner says so.
 //  5. A witness that loses the owner adds the jobs to the late-start log, as an entry host
 //     adds those that it has submitted.
 //  6. Once each task of a job is done or its run is confirmed, a heartbeat says that the job is
-//     settled, to its entry host or to the witness. Its loss leaves no start command behind, so
-//     its caller may return at once. Before the owner starts a task of it again, it
-//     announces that, and waits for the acknowledgment.
+//     settled, to the witness or to the entry host that waits for it alone. It isn't logged from
+//     then on. Before the owner starts a task of it again, it announces that and waits for the
+//     acknowledgment, unless another host waits for the job by then, which was not told so.
 //  7. A job that was lost or cancelled is remembered for outcomeDelay more, here and by its entry
 //     host. Within this time the owner learns what became of the start commands and tells
 //     other hosts.
@@ -32,15 +35,19 @@
 	// witnessTimeout is how long the owner waits for a witness before it turns to another one:
 	// several round trips within a failure domain.
 	witnessTimeout = 20 * time.Millisecond
-	// outcomeDelay exceeds the time from a start command to the heartbeat that tells of it as
-	// unanswered: the time in the command queue and on the way, and heartbeatInterval.
-	outcomeDelay = time.Second
-	// maxWitnessedJobs bounds the jobs that one message names and that a host remembers of one
-	// owner.
-	maxWitnessedJobs = 4096
+	// outcomeDelay exceeds the time from the decision to cancel a job to the heartbeat that tells of
+	// an unanswered start command for it: while its path is replaced the cancellation may be held
+	// for sessionLease, and then come the time in the command queue, commandTimeout of the adapter
+	// and heartbeatInterval.
+	outcomeDelay = sessionLease + time.Second
+	// maxOwnJobs bounds the jobs of own callers that an owner has and that are not settled.
+	maxOwnJobs = 4096
+	// maxNamedJobs bounds the jobs that one request or heartbeat names: those, and settled ones
+	// that start again.
+	maxNamedJobs = 4 * maxOwnJobs
 )
 
-// witnessRequest asks an entry host to remember jobs that the owner may start for its own callers.
+// witnessRequest asks an entry host to remember jobs that the owner may start.
 type witnessRequest struct {
 	_ struct{} `cbor:",toarray"`
 	// Number is higher than that of all earlier requests of the owner.
@@ -73,95 +80,129 @@
 // witnesses is what an owner knows of its witness.
 type witnesses struct {
 	// session is the session with the witness, 0 if there is none; told is set once the witness
-	// was told of all jobs.
+	// was told of all jobs. former has the sessions of hosts that are to be released.
 	session SessionID
 	told    bool
+	former  map[SessionID]bool
 	// lastRequest is the number of the last request of this host, pending that of the last one
 	// to the witness, and sentAt when that was sent; inProgress is set until it is acknowledged.
 	lastRequest, pending uint64
 	sentAt               time.Time
 	inProgress           bool
 	// silent has the sessions whose hosts didn't answer in time.
-	silent  map[SessionID]bool
-	waiting []unwitnessedJob
-	// known has the jobs that were named in a request, with the time from which the witness may
-	// forget them, zero if it isn't known. ended has those of which the witness is to be told.
+	silent map[SessionID]bool
+	// waiting has the jobs that wait in the order in which they came, byID by their IDs.
+	waiting []*unwitnessedJob
+	byID    map[string]*unwitnessedJob
+	// known has the jobs that the witness is to know, with the time from which it may
+	// forget them, zero if it isn't known. ended has those of which it is to be told that it may.
 	known map[string]time.Time
-	ended []string
+	ended map[string]bool
+}
+
+func newWitnesses() witnesses {
+	return witnesses{
+		told: true, former: map[SessionID]bool{}, silent: map[SessionID]bool{}, byID: map[string]*unwitnessedJob{},
+		known: map[string]time.Time{}, ended: map[string]bool{},
+	}
+}
+
+// wait makes a job wait for the witness.
+func (w *witnesses) wait(j *unwitnessedJob) {
+	w.waiting = append(w.waiting, j)
+	w.byID[j.job.ID] = j
 }
 
 // submitOwn submits a job of this host's callers to its own pool once it may (rule 1).
 func (h *Host) submitOwn(now time.Time, j Job) {
 	w := &h.witnesses
-	if h.pool.jobs[j.ID] != nil || !h.pool.owner || h.pool.draining || h.pool.losesReturned(now, j) || !h.chooseWitness() {
+	_, known := w.known[j.ID]
+	switch {
+	case !h.pool.owner || h.pool.draining || known && h.pool.jobs[j.ID] != nil || h.pool.losesReturned(now, j):
 		h.pool.Submit(now, localSession, j)
-		return
-	}
-	if len(w.known)+len(w.waiting) >= maxWitnessedJobs {
+	case len(w.known)+len(w.waiting) >= maxOwnJobs:
 		h.entry.HandleResult(now, h.cfg.Self.Incarnation, 0, Result{ID: j.ID, Outcome: Refused, Reason: "HostBusy", RetryAfter: minRetryAfter})
-		return
+	case h.chooseWitness():
+		w.wait(&unwitnessedJob{job: j, since: now})
+	default:
+		h.submitUnwitnessed(now, j)
 	}
-	w.waiting = append(w.waiting, unwitnessedJob{job: j, since: now})
+}
+
+// submitUnwitnessed submits a job to the pool of which the next witness is told.
+func (h *Host) submitUnwitnessed(now time.Time, j Job) {
+	h.witnesses.known[j.ID], h.witnesses.told = time.Time{}, false
+	h.pool.Submit(now, localSession, j)
 }
 
 // chooseWitness chooses a witness unless there is one and reports whether there is one then.
 func (h *Host) chooseWitness() bool {
-	w := &h.witnesses
-	if !h.sessions.Has(w.session) {
-		h.replaceWitness(h.nextWitness())
+	if w := &h.witnesses; !h.sessions.Has(w.session) {
+		w.session = 0
+		if next := h.nextWitness(); next != 0 {
+			h.replaceWitness(next)
+		}
 	}
-	return w.session != 0
+	return h.witnesses.session != 0
 }
 
-// replaceWitness makes the host of a session the witness, 0 for none.
+// replaceWitness makes the host of a session the witness, which is to be told of all jobs.
 func (h *Host) replaceWitness(id SessionID) {
 	w := &h.witnesses
-	if w.session != id && id != 0 {
+	if w.session != id {
 		h.cfg.Log.Info().Uint64("Session", uint64(id)).Uint64("Previous", uint64(w.session)).Int("Jobs", len(w.known)+len(w.waiting)).Msg("WitnessChosen")
+		if w.session != 0 {
+			w.former[w.session] = true
+		}
+	}
+	delete(w.former, id)
+	w.session, w.told, w.inProgress = id, false, false
+	for _, j := range w.waiting {
+		j.request = 0
 	}
-	w.session, w.told, w.inProgress = id, len(w.known) == 0, false
 }
 
-// nextWitness returns the session of the host that is to be the next witness, 0 if there is none
-// that isn't silent. Hosts of the same failure domain come first, as they are the nearest.
+// nextWitness returns the session of the host that is to be the next witness, 0 if there is none.
+// Hosts that aren't silent come first, then those of the same failure domain, as they are the nearest.
 func (h *Host) nextWitness() SessionID {
-	w := &h.witnesses
-	var first SessionID
+	var best SessionID
+	bestRank := 0
 	for _, s := range h.sessions.list {
-		if !s.witness || w.silent[s.id] {
+		if !s.witness {
 			continue
 		}
+		rank := 1
 		if h.entry.domainOf(s.peer) == h.cfg.Self.FailureDomain {
-			return s.id
+			rank++
+		}
+		if !h.witnesses.silent[s.id] {
+			rank += 2
 		}
-		if first == 0 {
-			first = s.id
+		if rank > bestRank {
+			best, bestRank = s.id, rank
 		}
 	}
-	return first
+	return best
 }
 
-// requestWitness replaces a silent witness, sends the next request if one is due, and admits
-// the jobs that wait if no host can be a witness any more.
+// requestWitness replaces a silent witness if another host can be one, sends the next request if
+// one is due, and admits the jobs that wait if no host can be a witness.
 func (h *Host) requestWitness(now time.Time) {
 	w := &h.witnesses
-	if len(w.waiting) == 0 && len(w.known) == 0 {
+	if len(w.waiting) == 0 && w.told && (len(w.known) == 0 || h.sessions.Has(w.session)) {
 		return
 	}
-	if silence := now.Sub(w.sentAt); w.inProgress && silence > witnessTimeout {
-		if silence > heartbeatInterval {
-			clear(w.silent) // Others may answer by now.
+	if w.inProgress && now.Sub(w.sentAt) > witnessTimeout {
+		if !w.silent[w.session] {
+			h.cfg.Log.Warn().Uint64("Session", uint64(w.session)).Uint64("Request", w.pending).Int("Jobs", len(w.waiting)).Msg("WitnessSilent")
 		}
 		w.silent[w.session] = true
-		if next := h.nextWitness(); next != 0 {
+		if next := h.nextWitness(); next != 0 && !w.silent[next] {
 			h.replaceWitness(next)
 		}
 	}
 	if !h.chooseWitness() {
-		clear(w.silent)
-		clear(w.known)
-		w.ended = nil
-		h.admitWitnessed(now, func(unwitnessedJob) bool { return true })
+		h.admitWitnessed(now, func(*unwitnessedJob) bool { return true })
 		return
 	}
 	if !w.inProgress {
@@ -172,15 +213,13 @@
 // sendWitnessRequest names the jobs to the witness that it was not told of, if there are any.
 func (h *Host) sendWitnessRequest(now time.Time) {
 	w := &h.witnesses
-	w.lastRequest++
-	r := witnessRequest{Number: w.lastRequest, Own: true, All: !w.told}
+	r := witnessRequest{Number: w.lastRequest + 1, Own: true, All: !w.told}
 	if r.All {
-		w.ended = nil
+		clear(w.ended)
 		r.Jobs = slices.Sorted(maps.Keys(w.known))
 	}
-	for i := range w.waiting {
-		j := &w.waiting[i]
-		if !r.All && j.request != 0 {
+	for _, j := range w.waiting {
+		if j.request != 0 || len(r.Jobs) >= maxNamedJobs {
 			continue
 		}
 		j.request = r.Number
@@ -188,13 +227,18 @@
 			r.Jobs = append(r.Jobs, j.job.ID)
 		}
 		w.known[j.job.ID] = time.Time{}
-		w.ended = slices.DeleteFunc(w.ended, func(id string) bool { return id == j.job.ID })
+		delete(w.ended, j.job.ID)
 	}
 	if len(r.Jobs) == 0 && !r.All {
 		return
 	}
+	w.lastRequest = r.Number
 	w.pending, w.sentAt, w.inProgress, w.told = r.Number, now, true, true
-	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{h.sessions.pathOf(w.session), message{Witness: &r}}})
+	h.replyWitnessRequest(h.sessions.pathOf(w.session), r)
+}
+
+func (h *Host) replyWitnessRequest(path SessionID, r witnessRequest) {
+	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{path, message{Witness: &r}}})
 }
 
 // handleWitnessed handles the acknowledgment of a request by the host of a session.
@@ -203,16 +247,29 @@
 	for _, a := range h.sessions.takeAnnouncements(id, request) {
 		h.pool.announced(now, a.Job)
 	}
-	if id != w.session || request != w.pending {
+	if id != w.session || request != w.pending || !w.inProgress {
 		return
 	}
 	w.inProgress = false
-	delete(w.silent, id)
-	h.admitWitnessed(now, func(j unwitnessedJob) bool { return j.request != 0 && j.request <= request })
+	clear(w.silent)
+	h.releaseFormer()
+	h.admitWitnessed(now, func(j *unwitnessedJob) bool { return j.request != 0 && j.request <= request })
 }
 
-// admitWitnessed submits the waiting jobs that match to the pool.
-func (h *Host) admitWitnessed(now time.Time, match func(unwitnessedJob) bool) {
+// releaseFormer tells former witnesses that they need not remember any job (rule 3).
+func (h *Host) releaseFormer() {
+	w := &h.witnesses
+	for _, id := range slices.Sorted(maps.Keys(w.former)) {
+		if h.sessions.Has(id) {
+			w.lastRequest++
+			h.replyWitnessRequest(h.sessions.pathOf(id), witnessRequest{Number: w.lastRequest, Own: true, All: true})
+		}
+	}
+	clear(w.former)
+}
+
+// admitWitnessed submits the waiting jobs that match to the pool, or lets it start their tasks again.
+func (h *Host) admitWitnessed(now time.Time, match func(*unwitnessedJob) bool) {
 	w := &h.witnesses
 	waiting := w.waiting
 	w.waiting = nil
@@ -221,7 +278,11 @@
 			w.waiting = append(w.waiting, j)
 			continue
 		}
+		delete(w.byID, j.job.ID)
 		h.cfg.Log.Info().Str("Job", j.job.ID).Int64("WaitMs", now.Sub(j.since).Milliseconds()).Uint64("Session", uint64(w.session)).Msg("JobWitnessed")
+		if w.session == 0 {
+			w.known[j.job.ID], w.told = time.Time{}, false
+		}
 		if j.settled {
 			h.pool.announced(now, j.job.ID)
 			continue
@@ -231,39 +292,40 @@
 	}
 }
 
-// witnessPathReplaced makes the next request name all jobs to the host of a session, if it is the
-// witness (rule 3).
+// witnessPathReplaced repeats what may have been lost with the former path of a session (rule 3).
 func (h *Host) witnessPathReplaced(o *session) {
 	if o.id == h.witnesses.session {
 		h.replaceWitness(o.id)
 	}
 	for _, a := range o.announcements {
-		h.sendAnnouncement(o, a)
+		h.replyWitnessRequest(o.path, witnessRequest{Number: a.request, Jobs: []string{a.Job}})
 	}
 }
 
-// announce tells the session of a settled job that tasks of it are started again (rule 6).
+// announce tells the session of a settled job that tasks of it are started again (rule 6). A host
+// of an earlier version takes no job for settled.
 func (h *Host) announce(now time.Time, a JobAnnouncement) {
 	w := &h.witnesses
-	switch o, _ := h.sessions.find(a.Session); {
+	o, _ := h.sessions.find(a.Session)
+	switch {
+	case a.Session == localSession && len(w.known)+len(w.waiting) >= maxNamedJobs:
+		h.pool.announceLater(a.Job)
 	case a.Session == localSession && h.chooseWitness():
-		w.waiting = append(w.waiting, unwitnessedJob{job: Job{ID: a.Job}, settled: true, since: now})
-	case o == nil:
+		w.wait(&unwitnessedJob{job: Job{ID: a.Job}, settled: true, since: now})
+	case a.Session == localSession:
+		w.known[a.Job], w.told = time.Time{}, false
+		h.pool.announced(now, a.Job)
+	case o == nil || !o.witness:
 		h.pool.announced(now, a.Job)
 	default:
 		w.lastRequest++
 		a.request = w.lastRequest
 		h.cfg.Log.Info().Str("Job", a.Job).Uint64("Session", uint64(a.Session)).Msg("JobAnnounced")
 		o.announcements = append(o.announcements, a)
-		h.sendAnnouncement(o, a)
+		h.replyWitnessRequest(o.path, witnessRequest{Number: a.request, Jobs: []string{a.Job}})
 	}
 }
 
-func (h *Host) sendAnnouncement(o *session, a JobAnnouncement) {
-	r := &witnessRequest{Number: a.request, Jobs: []string{a.Job}}
-	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{o.path, message{Witness: r}}})
-}
-
 // takeAnnouncements removes and returns the announcements of a request.
 func (s *Sessions) takeAnnouncements(id SessionID, request uint64) (list []JobAnnouncement) {
 	o, _ := s.find(id)
@@ -279,24 +341,25 @@
 	return list
 }
 
-// withdrawUnwitnessed removes a job that waits for a witness.
+// withdrawUnwitnessed removes a submission that waits for a witness.
 func (h *Host) withdrawUnwitnessed(id string) {
 	w := &h.witnesses
-	w.waiting = slices.DeleteFunc(w.waiting, func(j unwitnessedJob) bool { return j.job.ID == id })
+	if j := w.byID[id]; j != nil && !j.settled {
+		delete(w.byID, id)
+		w.waiting = slices.DeleteFunc(w.waiting, func(o *unwitnessedJob) bool { return o == j })
+	}
 }
 
-// unwitnessed returns the job that waits for a witness, or nil.
+// unwitnessed returns the job of a submission that waits for a witness, or nil.
 func (h *Host) unwitnessed(id string) *Job {
-	for i := range h.witnesses.waiting {
-		if j := &h.witnesses.waiting[i].job; j.ID == id {
-			return j
-		}
+	if j := h.witnesses.byID[id]; j != nil && !j.settled {
+		return &j.job
 	}
 	return nil
 }
 
-// noteOwnResult notes how a job of this host's callers has ended. Unless it was lost, no start
-// command for it may be executed that matters.
+// noteOwnResult notes how a job of this host's callers has ended. Unless it was lost, its callers
+// don't submit it again because of this answer.
 func (h *Host) noteOwnResult(now time.Time, r Result) {
 	if _, ok := h.witnesses.known[r.ID]; ok && r.Outcome != Lost {
 		h.witnesses.known[r.ID] = now
@@ -308,16 +371,18 @@
 	w := &h.witnesses
 	for id, until := range w.known {
 		switch {
-		case h.pool.jobs[id] != nil || h.unwitnessed(id) != nil:
+		case h.pool.jobs[id] != nil || w.byID[id] != nil:
 			w.known[id] = time.Time{}
 		case until.IsZero():
 			w.known[id] = now.Add(outcomeDelay)
 		case !now.Before(until):
 			delete(w.known, id)
-			w.ended = append(w.ended, id)
+			w.ended[id] = true
 		}
 	}
-	slices.Sort(w.ended)
+	if w.session == 0 {
+		clear(w.ended)
+	}
 }
 
 // takeForgettable returns the jobs of this host's callers that the host of a session need not
@@ -329,13 +394,29 @@
 	}
 	for _, job := range h.pool.takeSettled(localSession) {
 		delete(w.known, job)
-		w.ended = append(w.ended, job)
+		w.ended[job] = true
+	}
+	list := slices.Sorted(maps.Keys(w.ended))
+	list = list[:min(len(list), maxNamedJobs)]
+	for _, job := range list {
+		delete(w.ended, job)
 	}
-	list := w.ended[:min(len(w.ended), maxWitnessedJobs)]
-	w.ended = slices.Clone(w.ended[len(list):])
 	return list
 }
 
+// settledJobs returns the jobs of a session that are settled, with the numbers of their submissions
+// (rule 6).
+func (h *Host) settledJobs(id SessionID) (jobs []string, submissions []uint64) {
+	o, _ := h.sessions.find(id)
+	if o == nil || !o.witness {
+		return nil, nil
+	}
+	for _, job := range h.pool.takeSettled(id) {
+		jobs, submissions = append(jobs, job), append(submissions, o.submissions[job])
+	}
+	return jobs, submissions
+}
+
 // startableJobs are the jobs that an owner may have started, as another host remembers them,
 // each with the time up to which it counts; the zero time if the owner says when.
 type startableJobs map[string]time.Time
@@ -348,7 +429,7 @@
 	return e.remembered[owner]
 }
 
-// handleWitnessRequest remembers jobs that an owner may start for its own callers.
+// handleWitnessRequest remembers jobs that an owner may start.
 func (e *Entry) handleWitnessRequest(now time.Time, owner string, r witnessRequest) {
 	if v := e.viewOf(owner); v == nil || !v.open {
 		return
@@ -361,17 +442,22 @@
 			}
 		}
 	}
+	malformed := func(id string) bool { return id == "" || len(id) > maxJobIDBytes }
+	if len(jobs)+len(r.Jobs) > 2*maxNamedJobs || slices.ContainsFunc(r.Jobs, malformed) {
+		e.cfg.Log.Warn().Str("Owner", owner).Uint64("Request", r.Number).Int("Jobs", len(jobs)).Msg("WitnessRequestRefused")
+		return // The owner turns to another host, if there is one.
+	}
 	for _, id := range r.Jobs {
-		if j := e.jobs[id]; j != nil && j.owner == owner {
+		until, ok := jobs[id]
+		j := e.jobs[id]
+		waits := j != nil && j.owner == owner
+		if waits {
 			j.settled = false
-			continue
-		}
-		if id == "" || len(id) > maxJobIDBytes || len(jobs) >= 2*maxWitnessedJobs {
-			e.cfg.Log.Warn().Str("Owner", owner).Uint64("Request", r.Number).Int("Jobs", len(jobs)).Msg("WitnessRequestRefused")
-			return // The owner turns to another host.
 		}
-		jobs[id] = time.Time{}
-		if !r.Own {
+		switch {
+		case r.Own:
+			jobs[id] = time.Time{}
+		case !waits && (!ok || !until.IsZero()):
 			jobs[id] = now.Add(outcomeDelay) // Its caller has left.
 		}
 	}
@@ -384,15 +470,20 @@
 	if j.owner == e.cfg.Self.Incarnation || j.settled {
 		return
 	}
-	if jobs := e.startableOf(j.owner); len(jobs) < maxWitnessedJobs {
+	jobs := e.startableOf(j.owner)
+	if until, ok := jobs[j.job.ID]; len(jobs) < maxNamedJobs && (!ok || !until.IsZero()) {
 		jobs[j.job.ID] = now.Add(outcomeDelay)
 	}
 }
 
-// noteSettled notes the settled jobs that an owner has named (rule 6).
-func (e *Entry) noteSettled(owner string, settled []string) {
-	for _, id := range settled {
-		if j := e.jobs[id]; j != nil && j.owner == owner {
+// noteSettled notes the settled jobs that an owner has named, with the submissions that they belong
+// to (rule 6).
+func (e *Entry) noteSettled(owner string, settled []string, submissions []uint64) {
+	if len(submissions) != len(settled) {
+		return
+	}
+	for i, id := range settled {
+		if j := e.jobs[id]; j != nil && j.owner == owner && j.submission == submissions[i] {
 			j.settled = true
 		}
 	}
@@ -445,12 +536,13 @@
 // takeSettled returns the jobs that a session waits for alone and that have become settled (rule 6).
 func (p *Pool) takeSettled(id SessionID) []string {
 	var list []string
-	for _, j := range p.queue.ofSession(id) {
-		if !j.settled && len(j.waiters) == 1 && len(list) < maxWitnessedJobs && p.isSettled(j) {
+	for j := range p.queue.bySession[id] {
+		if !j.settled && len(j.waiters) == 1 && len(list) < maxNamedJobs && p.isSettled(j) {
 			j.settled, j.settledTo = true, id
 			list = append(list, j.ID)
 		}
 	}
+	slices.Sort(list)
 	return list
 }
 
@@ -468,13 +560,20 @@
 }
 
 // mayStart reports whether tasks of a job may be started. Before those of a settled job may, its
-// session is told (rule 6).
+// session is told, unless others wait for the job by now (rule 6).
 func (p *Pool) mayStart(j *job) bool {
-	if j.settled && !j.announcing {
+	if !j.settled {
+		return true
+	}
+	if len(j.waiters) != 1 || j.waiters[0] != j.settledTo {
+		j.settled, j.announcing = false, false
+		return true
+	}
+	if !j.announcing {
 		j.announcing = true
 		p.actions = append(p.actions, Action{Announce: &JobAnnouncement{Job: j.ID, Session: j.settledTo}})
 	}
-	return !j.settled
+	return false
 }
 
 // announced handles the acknowledgment that tasks of a settled job are started again.
@@ -484,3 +583,10 @@
 		p.place(now)
 	}
 }
+
+// announceLater makes the pool announce a settled job once more.
+func (p *Pool) announceLater(id string) {
+	if j := p.jobs[id]; j != nil {
+		j.announcing = false
+	}
+}
