--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -114,7 +114,7 @@
 // Run runs the command line args, without the name of the program, and returns the exit
 // code. Results go to out, errors and the help texts of single commands to errOut.
 func Run(args []string, out, errOut io.Writer) int {
-	if len(args) == 0 || args[0] == "help" || args[0] == "-help" || args[0] == "-h" {
+	if len(args) == 0 || args[0] == "help" || args[0] == "-help" || args[0] == "--help" || args[0] == "-h" {
 		printHelp(out)
 		return ExitOK
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -135,7 +135,9 @@
 		"NoDaemon":       {[]string{"status"}, ExitUnreachable},
 		"WrongOutput":    {[]string{"history", "-output", "xml"}, ExitUsage},
 		"UnknownReport":  {[]string{"report", "cost"}, ExitUsage},
-		"Help":           {[]string{"accept", "-help"}, ExitOK},
+		"Help":           {[]string{"-help"}, ExitOK},
+		"HelpTwoDashes":  {[]string{"--help"}, ExitOK},
+		"HelpOfCommand":  {[]string{"accept", "-help"}, ExitOK},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) { o.expectExit(t, tc.want, "anna", tc.args...) })
--- a/pkg/document/reference.go
+++ b/pkg/document/reference.go
@@ -48,7 +48,11 @@
 	kind := f.Type.Kind()
 	var words []string
 	for _, tag := range strings.Split(f.Tag.Get("validate"), ",") {
-		if tag == "" {
+		switch tag {
+		case "":
+			continue
+		case "omitempty":
+			words = append(words, "may be left out")
 			continue
 		}
 		if tag == "dive" {
