worker: a server gets no start before the entry of its incarnation was read

Cause: the owner learnt of the new incarnation from a poll reply, and kept labels and capacity until the next read of the list of servers. The start time in entries was not decoded, so an entry could not be matched with the incarnation that answers. Change: entries carry the start time through kvstore.Host and worker.Server. A server whose entry is of another incarnation than the one that answers is not usable; the owner then reads the list once more, 250 ms after the last read at the earliest, and polls if the entry is the newer one. ServerEntryAwaited and ServerEntryRead say so in the log. Ruled out: forgetting the entry when another incarnation answers, as a list read before may arrive after it.

--- a/internal/explain/surroundings.go
+++ b/internal/explain/surroundings.go
@@ -14,7 +14,7 @@
 var noteEvents = map[string]string{
 	"DaemonStarted": "Name", "DaemonStopped": "Name", "HostLeaving": "Jobs", "OwnerLost": "FailureDomain", "OwnershipAssumed": "FailureDomain",
 	"OwnerSteppedDown": "FailureDomain", "SessionExpired": "Session", "ServerUnresponsive": "Server", "ServerLeaving": "Server",
-	"ServerEjected": "Server", "ServerRestarted": "Server", "LeaseExpired": "Server", "PlatformUnreachable": "Error",
+	"ServerEjected": "Server", "ServerRestarted": "Server", "ServerEntryAwaited": "Server", "ServerEntryRead": "Server", "LeaseExpired": "Server", "PlatformUnreachable": "Error",
 	"FencingTokenRefused": "Server", "LogDropped": "Count", "ShutdownTimedOut": "ID",
 }
 
--- a/internal/kvstore/hostbounds.go
+++ b/internal/kvstore/hostbounds.go
@@ -26,6 +26,8 @@
 	MaxCPUMilli = 10_000_000
 	MaxMemoryMB = 1_000_000_000
 	MaxGPUs     = 10_000
+	// MaxUnixMs is the last Unix millisecond of the year 9999.
+	MaxUnixMs = 253402300799999
 	// maxAddressBytes is the length of the longest host name in the DNS, and a port.
 	maxAddressBytes = 253 + len(":65535")
 )
@@ -59,6 +61,9 @@
 			return &BoundsError{"Labels"}
 		}
 	}
+	if h.StartedAtMs < 0 || h.StartedAtMs > MaxUnixMs {
+		return &BoundsError{"StartedAtMs"}
+	}
 	return cmp.Or(
 		checkText("Service", h.Service), checkText("FailureDomain", h.FailureDomain), checkText("Region", h.Region),
 		checkAddress(h.Address), checkAmount("CPUMilli", h.CPUMilli, MaxCPUMilli), checkAmount("MemoryMB", h.MemoryMB, MaxMemoryMB),
--- a/internal/kvstore/hosts.go
+++ b/internal/kvstore/hosts.go
@@ -9,6 +9,10 @@
 	"time"
 )
 
+// rereadInterval is the time from one read of the list of hosts to the next one that RereadHosts
+// causes. It bounds what many servers that restart cost.
+const rereadInterval = 250 * time.Millisecond
+
 // OnHosts registers a function that is called with the list of hosts, if it is
 // known, and with each list that differs from the one before.
 func (s *Service) OnHosts(f func([]Host)) { s.hosts.Listen(f) }
@@ -41,12 +45,14 @@
 	// After a long call both channels may be ready, and select may choose the
 	// ticker although ctx has ended.
 	for ctx.Err() == nil {
+		started := time.Now()
 		s.readHosts(ctx)
 		select {
+		case <-s.rereadHosts:
+			s.awaitReread(ctx, started)
+			t.Reset(s.hostsWait(interval))
 		case <-t.C:
-			if interval != s.cfg.HostsInterval {
-				t.Reset(s.hostsWait(interval))
-			}
+			t.Reset(s.hostsWait(interval))
 		case need := <-s.needHosts:
 			interval = s.cfg.IdleHostsInterval
 			if need || interval == 0 {
@@ -58,6 +64,19 @@
 	}
 }
 
+// awaitReread waits until the list may be read again after a read that began at started.
+func (s *Service) awaitReread(ctx context.Context, started time.Time) {
+	select {
+	case <-time.After(time.Until(started.Add(min(rereadInterval, s.cfg.HostsInterval)))):
+	case <-ctx.Done():
+	}
+	// Calls up to now are met by the read that follows.
+	select {
+	case <-s.rereadHosts:
+	default:
+	}
+}
+
 // hostsWait returns the time until the next read of the list of hosts. It varies around
 // IdleHostsInterval, so that hosts that began together don't read together.
 func (s *Service) hostsWait(interval time.Duration) time.Duration {
@@ -78,6 +97,14 @@
 	s.needHosts <- need
 }
 
+// RereadHosts reads the list of hosts soon, at most every rereadInterval.
+func (s *Service) RereadHosts() {
+	select {
+	case s.rereadHosts <- struct{}{}:
+	default: // The read that is due begins after this call.
+	}
+}
+
 // readHosts reads the list of hosts and passes the outcome to the listeners.
 func (s *Service) readHosts(ctx context.Context) {
 	started := time.Now()
--- a/internal/kvstore/service.go
+++ b/internal/kvstore/service.go
@@ -88,6 +88,8 @@
 	membersChanged, announcer atomic.Bool
 	// needHosts delivers the argument of the last call of SetHostsNeeded.
 	needHosts chan bool
+	// rereadHosts delivers the calls of RereadHosts.
+	rereadHosts chan struct{}
 
 	// applied is the configuration in force, which passOn takes from the syncer.
 	applied latest.Value[*AppliedConfiguration]
@@ -115,7 +117,7 @@
 	}
 	return &Service{
 		syncer:    ConfigurationSyncer{Timings: c.Sync},
-		needHosts: make(chan bool, 1),
+		needHosts: make(chan bool, 1), rereadHosts: make(chan struct{}, 1),
 
 		cfg:        c,
 		claimQueue: ring.New[func(time.Time) []ClaimAction](claimQueueSize),
--- a/internal/kvstore/store.go
+++ b/internal/kvstore/store.go
@@ -113,6 +113,9 @@
 	GPUs     int `json:",omitempty"`
 	// Labels hold the kind and the rack of a backend server.
 	Labels []string `json:",omitempty"`
+	// StartedAtMs is the Unix time in milliseconds at which the incarnation of the backend
+	// server that wrote the entry started, 0 if the entry doesn't say so.
+	StartedAtMs int64 `json:",omitempty"`
 }
 
 // Equal reports whether h and o are equal. Nil and empty labels are equal.
--- a/internal/worker/late_start.go
+++ b/internal/worker/late_start.go
@@ -82,7 +82,7 @@
 		p.requestStop(now, s, r)
 	case s.Leaving || r.sends >= maxStartCopies || !r.need.Fits(s.Capacity.Sub(s.used).Add(r.need)):
 		p.abandon(now, r.task.job, reasonStartUnresolved)
-	case s.state == stateReady && r.token == s.token && s.mayRenewLease(now):
+	case s.state == stateReady && r.token == s.token && s.mayRenewLease(now) && !s.awaitsEntry():
 		r.deadline = s.deadline(now)
 		r.extension = s.lastExtension
 		p.sendStart(now, s, r)
--- a/internal/worker/ownership.go
+++ b/internal/worker/ownership.go
@@ -52,6 +52,7 @@
 		s.Server, s.listed = info, true
 		s.largestCPUMilli = max(s.largestCPUMilli, info.Capacity.CPUMilli)
 		p.fleet.serverChanged(s)
+		p.compareIncarnations(now, s)
 	}
 	for _, s := range p.orderedServers {
 		s.listed = listed[s.ID] && p.servers[s.ID] == s
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -185,6 +185,8 @@
 	// serverListReadAt and serverListFailedAt are the starts of the newest reads of the
 	// list of servers that succeeded and that failed.
 	serverListReadAt, serverListFailedAt time.Time
+	// serverListRereadDue is set until the service reads the list again (server.go, rule 11).
+	serverListRereadDue bool
 	// excluded contains the IDs of the servers that leaving owners of the domain
 	// still use. The pool does not acquire them.
 	excluded map[string]bool
--- a/internal/worker/pool_test.go
+++ b/internal/worker/pool_test.go
@@ -29,6 +29,8 @@
 	// restarted and replaced hold the addresses at which another incarnation with the same
 	// ID and with another ID answers.
 	restarted, replaced map[string]bool
+	// onTick, if not nil, is called after each tick.
+	onTick func()
 }
 
 func newPoolTester(t *testing.T) *poolTester {
@@ -51,6 +53,9 @@
 			p.perform(a, answering)
 		}
 	}
+	if p.onTick != nil {
+		p.onTick()
+	}
 	p.now = p.now.Add(d)
 }
 
--- a/internal/worker/run_lists.go
+++ b/internal/worker/run_lists.go
@@ -14,6 +14,7 @@
 	if reply.StartedAtMs != 0 {
 		s.incarnation = reply.StartedAtMs
 		p.incarnationSeen(now, s.ID, s.Address, reply.StartedAtMs)
+		p.compareIncarnations(now, s)
 	}
 	if s.startedAtMs != 0 && reply.StartedAtMs != 0 && reply.StartedAtMs != s.startedAtMs {
 		p.cfg.Log.Warn().Str("Server", s.ID).Int64("StartedAtMs", reply.StartedAtMs).Msg("ServerRestarted")
--- a/internal/worker/server.go
+++ b/internal/worker/server.go
@@ -48,6 +48,9 @@
 //  10. A server whose entry can't be used, because another program has written it, gets
 //     no start, and what runs there goes on. A server without an entry stays in use
 //     while it answers.
+//  11. The labels and the capacity of a server are those of the incarnation that wrote its
+//     entry. A server gets no start while another incarnation answers; the owner then reads
+//     the list of servers at once (entry_incarnation.go).
 
 import "time"
 
@@ -219,6 +222,10 @@
 	listed bool
 	// invalid is set while the entry of the server can't be used (rule 10).
 	invalid bool
+	// entryAwaitedSince is since when the entry has been of another incarnation, zero if it
+	// isn't, and entryAwaitedOf the incarnation for which the list was read again (rule 11).
+	entryAwaitedSince time.Time
+	entryAwaitedOf    int64
 	// lastRunEndedAt is when a tracked run last ended.
 	lastRunEndedAt time.Time
 	// heldBack is set while the server is not used yet after an evacuation.
@@ -241,7 +248,7 @@
 // usable reports whether the server's state permits starting tasks, regardless of
 // its health and its free resources.
 func (s *server) usable() bool {
-	return s.state == stateReady && !s.Leaving && !s.unresponsive && !s.heldBack && !s.invalid
+	return s.state == stateReady && !s.Leaving && !s.unresponsive && !s.heldBack && !s.invalid && !s.awaitsEntry()
 }
 
 // setUnresponsive notes that the server didn't answer a command.
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -314,6 +314,7 @@
 			list = append(list, Server{
 				ID: h.Name, Address: h.Address, Service: h.Service, FailureDomain: h.FailureDomain, Labels: h.Labels,
 				Capacity: Resources{CPUMilli: h.CPUMilli, MemoryMB: h.MemoryMB, GPUs: h.GPUs}, Leaving: h.Leaving,
+				StartedAtMs: h.StartedAtMs,
 			})
 		}
 	}
--- a/internal/worker/service_loop.go
+++ b/internal/worker/service_loop.go
@@ -191,6 +191,9 @@
 	if s.host.pool.TakeEvacuationsReread() {
 		s.kvstore.RereadEvacuations()
 	}
+	if s.host.pool.TakeServerListReread() {
+		s.kvstore.RereadHosts()
+	}
 	ended := s.cfg.Now()
 	if l == laneSubmissions {
 		s.queuesMu.Lock()
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -73,7 +73,7 @@
 	for _, s := range h.w.servers {
 		if s.Info.FailureDomain == h.domain && !s.removed {
 			info := s.Info
-			info.Leaving = s.leaving
+			info.Leaving, info.StartedAtMs = s.leaving, s.StartedAt().UnixMilli()
 			list = append(list, info)
 		}
 	}
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -134,6 +134,9 @@
 	// Labels name the kind of the server and its rack.
 	Labels   []string
 	Capacity Resources
+	// StartedAtMs is the Unix time in milliseconds at which the incarnation that the entry
+	// describes started, 0 if that isn't known.
+	StartedAtMs int64
 	// Leaving is true while the server drains.
 	Leaving bool
 	// Invalid is true if the entry of the server can't be used. Only ID is set then.
