--- a/internal/worker/commands.go
+++ b/internal/worker/commands.go
@@ -197,6 +197,16 @@
 			return
 		}
 		p.resolveRun(now, s, r, "ConnectionRefused")
+	case NotSent:
+		// The next poll shows which incarnation answers.
+		s.setUnresponsive(now)
+		if r.copies.sent == 1 {
+			s.notDelivered(now, r.extension)
+		}
+		if outstanding {
+			return
+		}
+		p.resolveRun(now, s, r, "StartNotSent")
 	case RefusedToken:
 		p.handleFenced(now, s)
 	case RefusedOldRun:
--- a/internal/worker/entry_incarnation_test.go
+++ b/internal/worker/entry_incarnation_test.go
@@ -102,3 +102,26 @@
 		})
 	}
 }
+
+// TestStartNotSent checks that a start command that was not sent, as its connection leads to another
+// incarnation, ties its task to nothing, and that the server gets none before it answers a poll.
+func TestStartNotSent(t *testing.T) {
+	e := entryTester{newPoolTester(t)}
+	e.pool.AssumeOwnership(e.now, nil)
+	e.list(1, "a")
+	e.pool.Submit(e.now, 1, testJob("1"))
+	var starts []ServerStart
+	for _, a := range e.pool.TakeActions() {
+		if a.Start != nil {
+			starts = append(starts, *a.Start)
+			e.pool.HandleStartReply(e.now, a.Start.Server.ID, a.Start.Command.Token, a.Start.Command.RunKey, Reply{Verdict: NotSent})
+		}
+	}
+	if len(starts) != 1 || len(e.pool.unsettled) != 0 || e.pool.servers["server"].usable() {
+		t.Fatalf("%d starts, %d unsettled, usable %v", len(starts), len(e.pool.unsettled), e.pool.servers["server"].usable())
+	}
+	e.advanceFor(300*time.Millisecond, "a")
+	if len(e.starts) != 1 || e.starts[0].Command.Run <= starts[0].Command.Run {
+		t.Errorf("starts after the next poll: %+v, want a later run", e.starts)
+	}
+}
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -204,9 +204,12 @@
 	// ConnectionClosed means that the server closed the connection without a response. It may
 	// have executed the command.
 	ConnectionClosed
+	// NotSent means that a start command was not sent, because the server didn't show on its
+	// connection that the known incarnation answers.
+	NotSent
 )
 
-var verdictNames = [...]string{"Unknown", "Accepted", "Fence", "Old", "Late", "Room", "Other", "WrongServer", "ConnectionRefused", "ConnectionClosed"}
+var verdictNames = [...]string{"Unknown", "Accepted", "Fence", "Old", "Late", "Room", "Other", "WrongServer", "ConnectionRefused", "ConnectionClosed", "NotSent"}
 
 // String returns the name that logs use.
 func (v Verdict) String() string { return verdictNames[min(int(v), len(verdictNames)-1)] }
