worker: a cancellation reaches the owner by the job's ID from any host

Callers saw their DELETE answered with 410 by a host that didn't hold their POST, for instance after their connection had been reset.

Cause: Service.CancelJob looked only among the jobs that callers of this host wait for, and the frontend answered 410 whatever came of it.

The host that is asked now asks the owners of all failure domains to end the job by its ID, whoever waits for it. Owners of earlier versions ignore the question, don't announce that they answer it, and count as before. An ended job is answered as lost, since a refusal would be offered to another owner.

--- a/internal/explain/collector.go
+++ b/internal/explain/collector.go
@@ -122,7 +122,9 @@
 	if id == c.cfg.ID && len(c.lines) < maxFacts {
 		c.lines = append(c.lines, hostLine{l, host})
 	}
-	c.addFact(id, newFact(&l, host, c.intern))
+	if l.Event != "CancelAnswered" { // The host that was asked may not have the request.
+		c.addFact(id, newFact(&l, host, c.intern))
+	}
 }
 
 // intern returns a string equal to s that earlier calls have returned. It gives up
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -211,7 +211,8 @@
 // jobOf returns the request that a line is about, or an empty string.
 func jobOf(l *Line) string {
 	switch {
-	case slices.Contains(entryEvents, l.Event), l.Event == "JobRefused", l.Event == "JobReturned", l.Event == "JobEnded":
+	case slices.Contains(entryEvents, l.Event), l.Event == "JobRefused", l.Event == "JobReturned", l.Event == "JobEnded",
+		l.Event == "CancelAnswered":
 		return l.Value("Job")
 	case l.Event == "RunFailed", l.Event == "StartRefused", l.Event == "OrphanedRunFound":
 		job, _, _ := strings.Cut(l.Value("Task"), ".")
--- a/internal/explain/way.go
+++ b/internal/explain/way.go
@@ -14,6 +14,7 @@
 	"JobEnded":           "ended at the owner",
 	"JobAnswered":        "answered to the caller, after the last of its offers, made by an owner's load LoadAgeMs old",
 	"CallerDisconnected": "cancelled, as every caller has closed its connection",
+	"CancelAnswered":     "cancelled by its ID on behalf of a caller; owners were asked",
 	"RequestRefused":     "refused before it became a job",
 	"RunFailed":          "a run failed; the task is started again, or the job fails",
 	"StartRefused":       "a server refused a start",
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -112,10 +112,12 @@
 	Dial, Adopt *PathDial
 	// Send sends a message on the session with an incarnation.
 	Send *OwnerMessage
-	// Local submits a job to this host's own pool, or cancels it there.
+	// Local submits a job to this host's own pool, or cancels it there or in the whole host.
 	Local *message
 	// Answer delivers a result to a caller.
 	Answer *CallerAnswer
+	// CancelAnswer delivers the outcome of a cancellation.
+	CancelAnswer *CancelAnswer
 	// AssumeOwnership makes this host the owner of its domain, or updates the servers
 	// that it must not acquire.
 	AssumeOwnership *Ownership
@@ -154,6 +156,8 @@
 	// that it said could start, sent the number of tasks that this host has sent since.
 	closed          []closedQueue
 	startable, sent int
+	// answersCancels is set if the owner answers questions to end a job (cancel.go).
+	answersCancels bool
 }
 
 // usable reports whether new jobs may be sent to the owner.
@@ -257,6 +261,10 @@
 	// (witness.go), by owner.
 	remembered map[string]startableJobs
 	usual      usualDemand
+	// cancels has the cancellations that wait for answers (cancel.go), in order of their numbers;
+	// lastCancel is the last number.
+	cancels    []*pendingCancel
+	lastCancel uint64
 	actions    []EntryAction
 }
 
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -35,6 +35,8 @@
 	CloseSession SessionID
 	// Answer delivers a result to a caller.
 	Answer *CallerAnswer
+	// CancelAnswer delivers the outcome of a cancellation.
+	CancelAnswer *CancelAnswer
 	// Enqueue offers a job to this host's own mailbox, as a submission of localSession;
 	// Withdraw removes the submission of that job that this host itself has enqueued.
 	Enqueue  *Job
@@ -224,7 +226,7 @@
 			hb.RetainedServers = h.pool.RetainedServers()
 		}
 		m := h.sessions.heartbeatMessage(id, &hb)
-		m.Message.Closed, m.Message.Startable = closed, startable
+		m.Message.Closed, m.Message.Startable, m.Message.AnswersCancels = closed, startable, true
 		m.Message.Crashes = h.sessions.newCrashes(id, h.crashes)
 		m.Message.setLateStarts(h.sessions.newLateStarts(now, id, h.lateStarts))
 		m.Message.EndedJobs = h.takeForgettable(id)
@@ -273,12 +275,17 @@
 			}
 		}
 		h.pool.extendJob(now, localSession, *a.Local)
+	case a.Local != nil && a.Local.CancelJob != "":
+		found := h.endCancelledJob(now, a.Local.CancelJob, now, false)
+		h.entry.handleCancelReply(now, h.cfg.Self.Incarnation, a.Local.CancelNumber, found)
 	case a.Local != nil:
 		h.actions = append(h.actions, HostAction{Withdraw: a.Local.Cancel})
 		h.withdrawUnwitnessed(a.Local.Cancel)
 		h.pool.Cancel(now, localSession, a.Local.Cancel, a.Local.unwantedSince(now))
 	case a.Answer != nil:
 		h.actions = append(h.actions, HostAction{Answer: a.Answer})
+	case a.CancelAnswer != nil:
+		h.actions = append(h.actions, HostAction{CancelAnswer: a.CancelAnswer})
 	case a.AssumeOwnership != nil:
 		e := h.cfg.Log.Info().Str("FailureDomain", h.cfg.Self.FailureDomain).Int("ExcludedServers", len(a.AssumeOwnership.ExcludedServers))
 		if age, ok := h.pool.ServerListAge(now); ok {
@@ -328,6 +335,8 @@
 		h.entry.HandleResult(now, owner, m.Submission, *m.Result)
 	case m.Attached != nil:
 		h.entry.handleAttached(now, owner, *m.Attached)
+	case m.CancelReply != 0:
+		h.entry.handleCancelReply(now, owner, m.CancelReply, jobFound(m.JobFound))
 	case m.Witness != nil:
 		h.entry.handleWitnessRequest(now, owner, *m.Witness)
 	}
@@ -366,6 +375,8 @@
 		h.pool.Submit(now, id, m.job())
 	case m.Cancel != "":
 		h.cancelJob(now, path, m, now)
+	case m.CancelJob != "":
+		h.handleCancelQuestion(now, path, m, now, false)
 	}
 }
 
--- a/internal/worker/lanes_test.go
+++ b/internal/worker/lanes_test.go
@@ -180,7 +180,7 @@
 	left()
 	var cancelled Result
 	s.Submit(lanesJob("cancelled"), func(r Result) { cancelled = r })
-	s.CancelJob("cancelled")
+	s.CancelJob("cancelled", func(CancelOutcome) {})
 	s.runUntilIdle()
 	if cancelled.Outcome != Refused {
 		t.Errorf("the caller of the cancelled job was answered %+v", cancelled)
--- a/internal/worker/mailbox.go
+++ b/internal/worker/mailbox.go
@@ -172,6 +172,11 @@
 	return m.remove(func(s *Submission) bool { return s.Session == session && s.Job.ID == job })
 }
 
+// Waits reports whether a submission of a job waits.
+func (m *Mailbox) Waits(job string) bool {
+	return slices.ContainsFunc(m.waiting, func(s Submission) bool { return s.Job.ID == job })
+}
+
 // DropSession removes the submissions of a session that has ended.
 func (m *Mailbox) DropSession(session SessionID) {
 	m.remove(func(s *Submission) bool { return s.Session == session })
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -9,8 +9,8 @@
 )
 
 // message is one message on a session between an entry host and an owner. Exactly
-// one field is set, besides those that accompany others: the owner sends Heartbeat, Result, Attached
-// and Witness, the entry host the others. A host ignores fields that it doesn't know.
+// one field is set, besides those that accompany others: the owner sends Heartbeat, Result, Attached,
+// Witness and CancelReply, the entry host the others. A host ignores fields that it doesn't know.
 type message struct {
 	Heartbeat *heartbeat `cbor:"1,keyasint,omitempty"`
 	Ack       uint64     `cbor:"2,keyasint,omitempty"`
@@ -65,6 +65,14 @@
 	SettledSubmissions []uint64 `cbor:"28,keyasint,omitempty"`
 	// LateStartOwners accompanies LateStarts: the owner that each record is about.
 	LateStartOwners []string `cbor:"26,keyasint,omitempty"`
+	// CancelJob asks an owner to end a job, whoever waits for it, with CancelNumber. CancelReply
+	// answers with that number, JobFound says what the owner knew of the job. AnswersCancels
+	// accompanies a Heartbeat (cancel.go). Hosts of earlier versions ignore all five.
+	CancelJob      string `cbor:"30,keyasint,omitempty"`
+	CancelNumber   uint64 `cbor:"31,keyasint,omitempty"`
+	CancelReply    uint64 `cbor:"32,keyasint,omitempty"`
+	JobFound       uint8  `cbor:"33,keyasint,omitempty"`
+	AnswersCancels bool   `cbor:"35,keyasint,omitempty"`
 }
 
 // unwantedSince returns since when nobody waits for the job that m cancels. m was read at
@@ -156,6 +164,10 @@
 	m.SettledJobs = m.SettledJobs[:min(len(m.SettledJobs), maxNamedJobs)]
 	m.SettledSubmissions = m.SettledSubmissions[:min(len(m.SettledSubmissions), maxNamedJobs)]
 	m.LateStartOwners = m.LateStartOwners[:min(len(m.LateStartOwners), maxLateStartsInMessage)]
+	if len(m.CancelJob) > maxJobIDBytes {
+		return message{}, errors.New("decode message: the ID of the job to cancel is too long")
+	}
+	m.JobFound = min(m.JobFound, uint8(foundAndEnded))
 	m.UnwantedMs = limit(m.UnwantedMs, MaxTime.Milliseconds())
 	m.ExtendMs = limit(m.ExtendMs, MaxTime.Milliseconds())
 	return m, nil
--- a/internal/worker/message_test.go
+++ b/internal/worker/message_test.go
@@ -50,6 +50,25 @@
 	}
 }
 
+// TestCancelOutOfBounds checks that a message that cancels no possible job is rejected.
+func TestCancelOutOfBounds(t *testing.T) {
+	for name, c := range map[string]struct {
+		m  message
+		ok bool
+	}{
+		"Usual":    {message{CancelJob: strings.Repeat("0", 16), CancelNumber: 1}, true},
+		"LongJob":  {message{CancelJob: strings.Repeat("0", maxJobIDBytes+1), CancelNumber: 1}, false},
+		"JobFound": {message{CancelReply: 1, JobFound: 255}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, err := decodeMessage(encode(t, c.m))
+			if (err == nil) != c.ok || m.JobFound > uint8(foundAndEnded) {
+				t.Errorf("decoded %+v, %v", m, err)
+			}
+		})
+	}
+}
+
 // TestCrashRecordOutOfBounds checks which records of another host the crash log keeps.
 func TestCrashRecordOutOfBounds(t *testing.T) {
 	long := strings.Repeat("x", 10_000)
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -185,16 +185,6 @@
 	}
 }
 
-// CancelJob cancels a job of this host's callers at the owner that has it and
-// answers all its callers. It does nothing if no owner has the job.
-func (e *Entry) CancelJob(now time.Time, id string) {
-	if j := e.jobs[id]; j != nil && j.owner != "" {
-		e.keepStartable(now, j)
-		e.send(j.owner, message{Cancel: id})
-		e.answer(now, j, Result{ID: id, Outcome: Lost, Reason: "Cancelled"})
-	}
-}
-
 // HasUsableOwner reports whether some owner accepts new jobs and has servers to run
 // them.
 func (e *Entry) HasUsableOwner() bool {
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -28,6 +28,7 @@
 	e.endTimedOutJobs(now)
 	e.tickStartable(now)
 	e.offerWaitingJobs(now)
+	e.tickCancels(now)
 }
 
 // tickDraining ends the sessions with leaving owners that are unresponsive or no
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -105,7 +105,9 @@
 	// newPaths has the streams on which an attach was sent.
 	newPaths map[pathKey]*peer.Stream
 	waiters  map[WaiterID]func(Result)
-	meter    *loopMeter
+	// cancels has those who wait for the outcome of a cancellation, by its number.
+	cancels map[uint64]func(CancelOutcome)
+	meter   *loopMeter
 	// followUps are events that follow from actions of the last one.
 	followUps []queuedEvent
 	// hostsNeeded is whether this host last told the platform that it needs the list
@@ -125,7 +127,8 @@
 	s := &Service{
 		cfg: c, liveness: ring.New[queuedEvent](livenessLaneLen), work: ring.New[queuedEvent](workLaneLen),
 		wake: make(chan struct{}, 1), mailbox: NewMailbox(), ownerStreams: map[string]*peer.Stream{},
-		sessionStreams: map[SessionID]*peer.Stream{}, newPaths: map[pathKey]*peer.Stream{}, waiters: map[WaiterID]func(Result){}, meter: newLoopMeter(c.Log, c.Metrics),
+		sessionStreams: map[SessionID]*peer.Stream{}, newPaths: map[pathKey]*peer.Stream{}, waiters: map[WaiterID]func(Result){},
+		cancels: map[uint64]func(CancelOutcome){}, meter: newLoopMeter(c.Log, c.Metrics),
 		submitted:      metrics.GetOrRegisterCounter("Worker.Submitted", c.Metrics),
 		answered:       metrics.GetOrRegisterCounter("Worker.Answered", c.Metrics),
 		mailboxRefused: metrics.GetOrRegisterCounter("Worker.MailboxRefused", c.Metrics),
@@ -257,6 +260,11 @@
 			delete(s.waiters, a.Answer.Waiter)
 			f(a.Answer.Result)
 		}
+	case a.CancelAnswer != nil:
+		if f := s.cancels[a.CancelAnswer.Number]; f != nil {
+			delete(s.cancels, a.CancelAnswer.Number)
+			f(a.CancelAnswer.Outcome)
+		}
 	case a.Enqueue != nil:
 		sub := Submission{Session: localSession, Job: *a.Enqueue, Run: func(h *Host, now time.Time, j Job) { h.SubmitQueued(now, localSession, j, 0, nil) }}
 		if r, ok := s.offer(sub); !ok {
--- a/internal/worker/service_streams.go
+++ b/internal/worker/service_streams.go
@@ -144,6 +144,12 @@
 	case m.Cancel != "" && id != 0:
 		readAt := s.cfg.Now()
 		s.withdraw(id, 0, m.Cancel, func(h *Host, now time.Time) { h.cancelJob(now, id, m, readAt) })
+	case m.CancelJob != "" && id != 0:
+		readAt := s.cfg.Now()
+		s.queuesMu.Lock()
+		queued := s.mailbox.Waits(m.CancelJob)
+		s.queuesMu.Unlock()
+		s.enqueueControl(func(h *Host, now time.Time) { h.handleCancelQuestion(now, id, m, readAt, queued) })
 	default:
 		// An attach is the first message on its stream. This lane keeps the order, so the
 		// loop opens the session before.
--- a/internal/worker/service_submit.go
+++ b/internal/worker/service_submit.go
@@ -46,16 +46,19 @@
 	}
 }
 
-// CancelJob cancels a job that callers of this host wait for, at the owner that has
-// it, and answers all of them.
-func (s *Service) CancelJob(id string) {
+// CancelJob cancels a job wherever it is and calls answer with the outcome from the loop, so answer
+// must not block.
+func (s *Service) CancelJob(id string, answer func(CancelOutcome)) {
 	s.queuesMu.Lock()
 	withdrawn := s.mailbox.WithdrawAll(localSession, id)
+	queued := s.mailbox.Waits(id)
 	s.queuesMu.Unlock()
 	for _, sub := range withdrawn {
 		if sub.Cancelled != nil {
 			sub.Cancelled()
 		}
 	}
-	s.enqueueControl(func(h *Host, now time.Time) { h.entry.CancelJob(now, id) })
+	s.enqueueControl(func(h *Host, now time.Time) {
+		s.cancels[h.entry.CancelJob(now, id, queued || len(withdrawn) > 0)] = answer
+	})
 }
--- a/internal/worker/session_path.go
+++ b/internal/worker/session_path.go
@@ -108,6 +108,7 @@
 // an owner.
 func (e *Entry) handleSessionHeartbeat(now time.Time, owner string, m message) {
 	if v := e.viewOf(owner); v != nil && v.open {
+		v.answersCancels = m.AnswersCancels
 		v.path.session, v.path.acked = m.Session, m.Acked
 		v.path.acksTimely = v.path.acksTimely || m.Heartbeat.Number == m.Acked+1
 		if v.path.suspect() && v.path.sent == 0 && !v.path.ackMissing(m.Heartbeat.Number) {
--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -35,6 +35,7 @@
 func (w *simulation) submitTo(h *simHost, j *simJob) {
 	at := &simAttempt{job: j, host: h, hostGeneration: h.generation, at: w.now}
 	j.attempts++
+	w.cancelLater(at)
 	w.tracef("job %s is submitted at host%d", j.job.ID, h.index)
 	in := j.job
 	if w.faults.SilentCallers > 0 && w.rand.Float64() < w.faults.SilentCallers {
@@ -67,6 +68,9 @@
 	}
 	at.finished = true
 	j := at.job
+	if !j.cancelledAt.IsZero() {
+		return
+	}
 	w.answers++
 	j.lastOutcome = r.Outcome
 	if j.answered != nil {
@@ -96,7 +100,14 @@
 		if since := at.at.Sub(j.unresolvedFrom); r.Reason == "StartUnresolved" && since > w.longestUnresolved() {
 			w.failf("Unresolved: job %s is lost for an unresolved start %v after it", j.job.ID, since)
 		}
-		w.after(resubmitDelay, func() { w.submit(j) })
+		w.after(resubmitDelay, func() { w.submitAgain(j) })
+	}
+}
+
+// submitAgain submits a job again unless it was cancelled.
+func (w *simulation) submitAgain(j *simJob) {
+	if j.cancelledAt.IsZero() {
+		w.submit(j)
 	}
 }
 
@@ -110,13 +121,13 @@
 
 // retryLater makes the caller of an attempt submit its job again, as it got no response.
 func (w *simulation) retryLater(at *simAttempt) {
-	if at.finished {
+	if at.finished || !at.job.cancelledAt.IsZero() {
 		return
 	}
 	at.finished = true
 	at.job.onlyRefused = false
 	at.job.unresolvedFrom = w.now.Add(maxRemembered)
-	w.after(resubmitDelay, func() { w.submit(at.job) })
+	w.after(resubmitDelay, func() { w.submitAgain(at.job) })
 }
 
 // ownerLost notes that a host has lost its session with the owner of an incarnation, of which it
@@ -262,6 +273,13 @@
 				Need: worker.Resources{CPUMilli: need/2 + w.rand.IntN(need), MemoryMB: 10},
 			}},
 		}
+		for n := range cancelledSteps {
+			if w.faults.Cancels > 0 {
+				st := j.job.Steps[0]
+				st.After = []int{n}
+				j.job.Steps = append(j.job.Steps, st)
+			}
+		}
 		if w.faults.CrashingJobs > 0 && w.rand.Float64() < w.faults.CrashingJobs {
 			j.crashingTask = fmt.Sprintf("%s.0.0.%d", j.job.ID, w.rand.IntN(j.job.Steps[0].Count))
 		}
--- a/internal/worker/simulation_host_test.go
+++ b/internal/worker/simulation_host_test.go
@@ -15,7 +15,7 @@
 	w := h.w
 	h.generation++
 	h.alive = true
-	h.leavingSince = time.Time{}
+	h.leavingSince, h.bootedAt, h.cancels = time.Time{}, w.now, map[uint64]func(worker.CancelOutcome){}
 	h.incarnation = fmt.Sprintf("%014d-%03d", w.now.UnixMicro()-simStartUnix*1_000_000, h.index)
 	h.streams, h.sessions, h.waiting = map[string]*simStream{}, map[worker.SessionID]*simStream{}, map[worker.WaiterID]*simAttempt{}
 	h.newPaths = map[worker.PathDial]*simStream{}
@@ -114,6 +114,7 @@
 	case a.Start != nil:
 		cmd := a.Start
 		w.jobOf(cmd.Command.RunKey).unresolvedFrom = w.now
+		w.checkCancelled(h, w.jobOf(cmd.Command.RunKey), cmd.Command.RunKey)
 		h.sendCommand(cmd.Server.ID, func(s *simServer) worker.Reply {
 			r := s.Start(w.now, cmd.Command)
 			if r.Verdict == worker.Accepted {
@@ -180,6 +181,11 @@
 			delete(h.waiting, a.Answer.Waiter)
 			w.answered(at, a.Answer.Result)
 		}
+	case a.CancelAnswer != nil:
+		if f := h.cancels[a.CancelAnswer.Number]; f != nil {
+			delete(h.cancels, a.CancelAnswer.Number)
+			f(a.CancelAnswer.Outcome)
+		}
 	}
 }
 
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -28,6 +28,7 @@
 //     was lost.
 //   - Crashes: a task that crashes its servers is started at most maxStartsAfterCrashes times
 //     after maxCrashes servers have crashed under it.
+//   - Unasked: no task is started after the job's cancellation was acknowledged (checkCancelled).
 //
 // It does not check a fourth one, Whole: when a job is answered as completed, every task
 // of it is done. The simulation of package daemon does.
@@ -105,6 +106,10 @@
 	// SilentCallers is the share of submissions whose caller is cut off from its host, gives up
 	// within a second, as it has stated, and submits the job again elsewhere.
 	SilentCallers float64
+	// Cancels is the share of the jobs that their callers cancel. If it is set, jobs have several
+	// steps. Overtaken is the share of the cancelled jobs of which a submission that was sent before
+	// arrives up to 2 s after the acknowledgment.
+	Cancels, Overtaken float64
 }
 
 const (
@@ -195,11 +200,14 @@
 	alive        bool
 	frozenUntil  time.Time
 	leavingSince time.Time
-	streams      map[string]*simStream
-	newPaths     map[worker.PathDial]*simStream
-	sessions     map[worker.SessionID]*simStream
-	waiting      map[worker.WaiterID]*simAttempt
-	generation   int
+	bootedAt     time.Time
+	// cancels has those who wait for the outcome of a cancellation, by its number.
+	cancels    map[uint64]func(worker.CancelOutcome)
+	streams    map[string]*simStream
+	newPaths   map[worker.PathDial]*simStream
+	sessions   map[worker.SessionID]*simStream
+	waiting    map[worker.WaiterID]*simAttempt
+	generation int
 	// unread has the attempts whose submissions wait to be read or in the mailbox.
 	unread []*simAttempt
 	// loop has the lanes of the host if the simulation has lanes.
@@ -289,6 +297,9 @@
 	lastOutcome worker.Outcome
 	// crashingTask is the name of the task that crashes its server, if there is one.
 	crashingTask string
+	// cancels is set if the caller cancels the job, cancelledAt is when that was acknowledged.
+	cancels     bool
+	cancelledAt time.Time
 }
 
 // simAttempt is one submission of a job at a host.
