worker: a cancellation is kept while its job waits

Callers saw a DELETE answered with 410, and the job started 0.1 s later all the same and ran to its end.

Cause: Entry.CancelJob cancelled a job only if an owner had it, and nothing remembered a cancellation.

A waiting job now ends at once. The host that is asked and the owners that it asks add a job; hosts exchange their logs with heartbeats and acks, as the late-start logs, so a change of owner keeps them. A host that learns of a job ends it wherever it waits or runs; later submissions and offers are answered as lost. So it covers a suspect path, a session attached anew, an owner that leaves, the mailbox and the wait for a witness.

Callers send one at a time, so late submissions are now the only ones of their job. TestAdaptedResponses/Cancel takes an ID of its own: it shared that of the other cases, in random order, and a submission after the cancellation of its ID is answered 502 now.

--- a/internal/daemon/adapted_test.go
+++ b/internal/daemon/adapted_test.go
@@ -180,7 +180,7 @@
 		"Advised":      {"POST", "/advised/0000000000000003", quickJob, 503},
 		"FitsNowhere":  {"POST", "/jobs/0000000000000003", `{"best-effort":true,"steps":[{"count":1,"cpu":99000}]}`, 503},
 		"State":        {"GET", "/jobs/0000000000000002", "", 410},
-		"Cancel":       {"DELETE", "/jobs/0000000000000003", "", 410},
+		"Cancel":       {"DELETE", "/jobs/0000000000000004", "", 410},
 		"Pending":      {"GET", "/jobs/", "", 200},
 	}
 	for name, c := range tests {
--- a/internal/worker/cancel.go
+++ b/internal/worker/cancel.go
@@ -1,7 +1,7 @@
 package worker
 
 // How a job is cancelled by its ID. A caller may ask any host, also one that has never seen the
-// job. The rules are:
+// job. What waits or comes later is cancelled by the cancel log (cancel_log.go). The rules are:
 //
 //  1. The host that is asked ends the job for its own callers. It also asks the owners of all
 //     failure domains, and itself, to end the job, whoever waits for it.
@@ -82,6 +82,7 @@
 // CancelJob ends a job for this host's callers and at its owner. found says whether the job waited
 // in the mailbox. It returns the number of the CancelAnswer that follows.
 func (e *Entry) CancelJob(now time.Time, id string, found bool) uint64 {
+	e.cfg.Cancels.add(now, id)
 	e.lastCancel++
 	c := &pendingCancel{job: id, number: e.lastCancel, since: now, found: found, askedAt: map[string]time.Time{}, answered: map[string]bool{}}
 	if len(e.cancels) >= maxPendingCancels {
@@ -98,15 +99,17 @@
 // endOwnJob ends a job that callers of this host wait for.
 func (e *Entry) endOwnJob(now time.Time, id string) jobFound {
 	j := e.jobs[id]
-	if j == nil || j.owner == "" {
+	if j == nil {
 		return notFound
 	}
 	found := foundAtEntry
-	if j.owner == e.cfg.Self.Incarnation {
+	if j.owner == "" || j.owner == e.cfg.Self.Incarnation {
 		found = foundAndEnded
 	}
-	e.keepStartable(now, j)
-	e.send(j.owner, message{Cancel: id})
+	if j.owner != "" {
+		e.keepStartable(now, j)
+		e.send(j.owner, message{Cancel: id})
+	}
 	e.answer(now, j, Result{ID: id, Outcome: Lost, Reason: reasonCancelled})
 	return found
 }
@@ -208,6 +211,7 @@
 	if _, ok := h.sessions.idOf(path); !ok {
 		return
 	}
+	h.cancels.add(now, m.CancelJob)
 	found := h.endCancelledJob(now, m.CancelJob, readAt, queued)
 	h.actions = append(h.actions, HostAction{Reply: &SessionMessage{path, message{CancelReply: m.CancelNumber, JobFound: uint8(found)}}})
 }
--- a/internal/worker/entry.go
+++ b/internal/worker/entry.go
@@ -209,9 +209,10 @@
 	Log  *log.Logger
 	// Now is the time at which the host started.
 	Now time.Time
-	// Crashes and LateStarts are the logs of the host; nil means ones of its own.
+	// Crashes, LateStarts and Cancels are the logs of the host; nil means ones of its own.
 	Crashes    *CrashLog
 	LateStarts *LateStartLog
+	Cancels    *CancelLog
 }
 
 // Entry is the state machine that sends the jobs of this host's callers to owners
@@ -276,6 +277,9 @@
 	if c.LateStarts == nil {
 		c.LateStarts = NewLateStartLog(c.Self.Incarnation)
 	}
+	if c.Cancels == nil {
+		c.Cancels = NewCancelLog(c.Log)
+	}
 	return &Entry{
 		cfg: c, views: map[string]*ownerView{}, draining: map[string]*ownerView{}, backoffUntil: map[string]time.Time{},
 		leavingHosts: map[string]bool{}, usual: usualDemand{}, jobs: map[string]*entryJob{},
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -86,28 +86,31 @@
 // Sessions of other entry hosts, and the Pool of the jobs and servers that it owns. It
 // does no I/O. It is not safe for concurrent use.
 type Host struct {
-	cfg          HostConfig
-	pool         *Pool
-	entry        *Entry
-	sessions     Sessions
-	crashes      *CrashLog
-	lateStarts   *LateStartLog
-	witnesses    witnesses
-	leaving      bool
-	leavingSince time.Time
-	actions      []HostAction
+	cfg        HostConfig
+	pool       *Pool
+	entry      *Entry
+	sessions   Sessions
+	crashes    *CrashLog
+	lateStarts *LateStartLog
+	cancels    *CancelLog
+	// newlyCancelled has the jobs whose records have just come from other hosts.
+	newlyCancelled []string
+	witnesses      witnesses
+	leaving        bool
+	leavingSince   time.Time
+	actions        []HostAction
 	// submitting is the ID of the caller's job that the present event submits.
 	submitting string
 }
 
 // NewHost returns a Host that knows no other host.
 func NewHost(c HostConfig) *Host {
-	crashes, lateStarts := NewCrashLog(), NewLateStartLog(c.Self.Incarnation)
+	crashes, lateStarts, cancels := NewCrashLog(), NewLateStartLog(c.Self.Incarnation), NewCancelLog(c.Log)
 	return &Host{
 		cfg:     c,
-		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, Crashes: crashes, LateStarts: lateStarts}),
-		entry:   NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now, Crashes: crashes, LateStarts: lateStarts}),
-		crashes: crashes, lateStarts: lateStarts, witnesses: newWitnesses(),
+		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, Crashes: crashes, LateStarts: lateStarts, Cancels: cancels}),
+		entry:   NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now, Crashes: crashes, LateStarts: lateStarts, Cancels: cancels}),
+		crashes: crashes, lateStarts: lateStarts, cancels: cancels, witnesses: newWitnesses(),
 	}
 }
 
@@ -132,6 +135,7 @@
 		f(h, now)
 	}
 	h.tickSessions(now)
+	h.endNewlyCancelled(now)
 	h.pool.endTimedOutJobs(now)
 	if event != nil {
 		event(h, now)
@@ -150,6 +154,7 @@
 	h.pool.Tick(now)
 	h.forgetWitnessed(now)
 	h.revokeDisputed(now)
+	h.cancels.forget(now)
 	h.entry.SetLoad(now, h.pool.Load(), h.pool.shares.Closed(now), h.pool.startableTasks(now))
 }
 
@@ -229,6 +234,7 @@
 		m.Message.Closed, m.Message.Startable, m.Message.AnswersCancels = closed, startable, true
 		m.Message.Crashes = h.sessions.newCrashes(id, h.crashes)
 		m.Message.setLateStarts(h.sessions.newLateStarts(now, id, h.lateStarts))
+		m.Message.CancelledJobs = h.sessions.newCancels(now, id, h.cancels)
 		m.Message.EndedJobs = h.takeForgettable(id)
 		m.Message.SettledJobs, m.Message.SettledSubmissions = h.settledJobs(id)
 		h.actions = append(h.actions, HostAction{Reply: m})
@@ -325,6 +331,7 @@
 	case m.Heartbeat != nil:
 		h.crashes.merge(now, m.Crashes)
 		h.mergeLateStarts(now, m)
+		h.mergeCancels(now, m.CancelledJobs)
 		h.entry.forgetStartable(owner, m.EndedJobs)
 		h.entry.noteSettled(owner, m.SettledJobs, m.SettledSubmissions)
 		h.entry.handleClosedQueues(owner, m.Closed)
@@ -362,6 +369,7 @@
 		h.sessions.Ack(id, m.Ack)
 		h.sessions.noteWitness(id, m.Witnessing)
 		h.mergeLateStarts(now, m)
+		h.mergeCancels(now, m.CancelledJobs)
 		if len(m.Usual) > 0 {
 			h.pool.LearnUsual(now, id, m.Usual)
 		}
--- a/internal/worker/message.go
+++ b/internal/worker/message.go
@@ -73,6 +73,9 @@
 	CancelReply    uint64 `cbor:"32,keyasint,omitempty"`
 	JobFound       uint8  `cbor:"33,keyasint,omitempty"`
 	AnswersCancels bool   `cbor:"35,keyasint,omitempty"`
+	// CancelledJobs accompanies a Heartbeat or an Ack: new records of the cancel log. Hosts of earlier
+	// versions ignore it.
+	CancelledJobs []cancelRecord `cbor:"34,keyasint,omitempty"`
 }
 
 // unwantedSince returns since when nobody waits for the job that m cancels. m was read at
@@ -164,6 +167,7 @@
 	m.SettledJobs = m.SettledJobs[:min(len(m.SettledJobs), maxNamedJobs)]
 	m.SettledSubmissions = m.SettledSubmissions[:min(len(m.SettledSubmissions), maxNamedJobs)]
 	m.LateStartOwners = m.LateStartOwners[:min(len(m.LateStartOwners), maxLateStartsInMessage)]
+	m.CancelledJobs = m.CancelledJobs[:min(len(m.CancelledJobs), maxCancelsInMessage)]
 	if len(m.CancelJob) > maxJobIDBytes {
 		return message{}, errors.New("decode message: the ID of the job to cancel is too long")
 	}
--- a/internal/worker/message_test.go
+++ b/internal/worker/message_test.go
@@ -34,6 +34,7 @@
 		"UsualMax64":        {message{Usual: []queueUsual{{CoreMs: math.MaxInt64}}}, func(m message) bool { return m.Usual[0].CoreMs == maxToldCoreMs }},
 		"ManyUsual":         {message{Usual: make([]queueUsual, 100_000)}, func(m message) bool { return len(m.Usual) == maxToldQueues }},
 		"ManyCrashes":       {message{Crashes: make([]crashRecord, 100_000)}, func(m message) bool { return len(m.Crashes) == maxRecordsInMessage }},
+		"ManyCancels":       {message{CancelledJobs: make([]cancelRecord, 100_000)}, func(m message) bool { return len(m.CancelledJobs) == maxCancelsInMessage }},
 		"ManyLateStarts":    {message{LateStarts: make([]lateStart, 100_000)}, func(m message) bool { return len(m.LateStarts) == maxLateStartsInMessage }},
 	}
 	for name, c := range cases {
--- a/internal/worker/offer.go
+++ b/internal/worker/offer.go
@@ -27,6 +27,9 @@
 	}
 	e.jobs[job.ID] = j
 	e.noteLimit(j)
+	if e.refuseCancelled(now, j) {
+		return id
+	}
 	if e.cfg.LateStarts.contains(now, job.ID) {
 		e.offerToResume(now, j)
 		return id
@@ -77,6 +80,9 @@
 // the callers with otherwise. A job with a late start of which this host was told since it was
 // submitted is answered as lost.
 func (e *Entry) offerJob(now time.Time, j *entryJob, otherwise Result) {
+	if e.refuseCancelled(now, j) {
+		return
+	}
 	if j.resumes || e.cfg.LateStarts.contains(now, j.job.ID) {
 		// No other owner may start it, and an earlier submission may have run.
 		e.answer(now, j, Result{ID: j.job.ID, Outcome: Lost, Reason: reasonStartUnresolved})
--- a/internal/worker/owner_discovery.go
+++ b/internal/worker/owner_discovery.go
@@ -279,13 +279,15 @@
 	e.loseJobs(now, v.domain, lost, reason)
 }
 
-// newAck returns the acknowledgment of a heartbeat, with the new records of the late-start log.
+// newAck returns the acknowledgment of a heartbeat, with the new records of the late-start log and the
+// cancel log.
 func (e *Entry) newAck(now time.Time, v *ownerView, number uint64) message {
 	l := e.cfg.LateStarts
 	m := message{Ack: number, Witnessing: true}
 	var records lateStartsMessage
 	records, v.path.lateStartsSent = l.since(now, v.path.lateStartsSent)
 	m.setLateStarts(records)
+	m.CancelledJobs, v.path.cancelsSent = e.cfg.Cancels.since(now, v.path.cancelsSent)
 	return m
 }
 
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -93,9 +93,10 @@
 	// be started any more in an evacuated failure domain; 0 means that there are no
 	// evacuations (evacuation.go).
 	EvacuationApplyTime time.Duration
-	// Crashes and LateStarts are the logs of the host; nil means ones of its own.
+	// Crashes, LateStarts and Cancels are the logs of the host; nil means ones of its own.
 	Crashes    *CrashLog
 	LateStarts *LateStartLog
+	Cancels    *CancelLog
 }
 
 // task is one task of a job.
@@ -233,6 +234,9 @@
 	if c.LateStarts == nil {
 		c.LateStarts = NewLateStartLog("")
 	}
+	if c.Cancels == nil {
+		c.Cancels = NewCancelLog(c.Log)
+	}
 	return &Pool{
 		cfg: c, servers: map[string]*server{}, jobs: map[string]*job{}, queue: newJobQueue(), fleet: newFleet(), trackedRuns: map[string]int{},
 		recentlyEnded: map[string]endedJob{}, runTimeEstimator: runTimeEstimator{}, speeds: newSpeedModel(), failureMedian: map[string]failureMedian{},
@@ -265,6 +269,9 @@
 		p.queue.setNeededUntil(j, laterLimit(j.neededUntil, in.callerLimit(now)))
 		return
 	}
+	if p.refuseCancelled(now, session, &in) {
+		return
+	}
 	if err := in.Validate(); err != nil {
 		// The entry host has checked the job, but the message may be malformed.
 		p.cfg.Log.Warn().Str("Job", in.ID).Err(err).Msg("JobInvalid")
--- a/internal/worker/session_attach.go
+++ b/internal/worker/session_attach.go
@@ -47,6 +47,8 @@
 	crashesSent uint64
 	// lateStartsSent is the same for the late-start log.
 	lateStartsSent uint64
+	// cancelsSent is the same for the cancel log.
+	cancelsSent uint64
 }
 
 // setPath makes a stream carry a session.
@@ -146,7 +148,8 @@
 	delete(s.byPath, o.path)
 	o.formerPaths = append(o.formerPaths, o.path)
 	s.setPath(o, path)
-	o.attachState.number, o.attachedAt, o.crashesSent, o.lateStartsSent = a.Number, o.number, 0, 0
+	o.attachState.number, o.attachedAt = a.Number, o.number
+	o.crashesSent, o.lateStartsSent, o.cancelsSent = 0, 0, 0
 	s.Ack(o.id, a.Ack)
 	o.nextHeartbeatAt, s.nextTickAt = now, now
 	return o
--- a/internal/worker/session_path.go
+++ b/internal/worker/session_path.go
@@ -87,6 +87,8 @@
 	// lateStartsSent is the number of the last change of the late-start log that was sent on
 	// the path.
 	lateStartsSent uint64
+	// cancelsSent is the same for the cancel log.
+	cancelsSent uint64
 	// held are the messages to be sent when the attach has been answered (rule 3).
 	held []message
 }
@@ -216,7 +218,8 @@
 		e.loseJobs(now, v.domain, owner, "SessionExpired")
 		return
 	}
-	v.lastContact, v.path.acked, v.path.acksTimely, v.path.adopted, v.path.lateStartsSent = now, v.heartbeat.Number, false, a.Number, 0
+	v.lastContact, v.path.acked, v.path.acksTimely, v.path.adopted = now, v.heartbeat.Number, false, a.Number
+	v.path.lateStartsSent, v.path.cancelsSent = 0, 0
 	e.actions = append(e.actions, EntryAction{Adopt: &PathDial{v.candidate, a.Number}})
 	e.resumePath(v)
 	for _, id := range a.Missing {
--- a/internal/worker/simulation_cancel_test.go
+++ b/internal/worker/simulation_cancel_test.go
@@ -21,6 +21,16 @@
 	cancelledSteps = 5
 )
 
+// addSteps makes a job run more steps like its first one, in a row.
+func (j *simJob) addSteps(count int) {
+	j.job.Budget += time.Duration(count) * j.runTime
+	for n := range count {
+		st := j.job.Steps[0]
+		st.After = []int{n}
+		j.job.Steps = append(j.job.Steps, st)
+	}
+}
+
 // cancelLater makes the caller of some jobs cancel them.
 func (w *simulation) cancelLater(at *simAttempt) {
 	if j := at.job; w.faults.Cancels > 0 && !j.cancels && w.rand.Float64() < w.faults.Cancels {
@@ -77,9 +87,22 @@
 		return
 	}
 	j.cancelledAt, j.finished = w.now, true
-	if w.rand.Float64() < w.faults.Overtaken {
-		w.after(time.Duration(w.rand.IntN(2000))*time.Millisecond, func() { w.submit(j) })
+}
+
+// arriveLater makes some submissions arrive late, so that the cancellation may overtake them.
+func (w *simulation) arriveLater(at *simAttempt) {
+	if w.faults.Overtaken == 0 || w.rand.Float64() >= w.faults.Overtaken {
+		w.arrive(at)
+		return
 	}
+	w.after(time.Duration(w.rand.IntN(2000))*time.Millisecond, func() {
+		if !at.host.alive || at.host.generation != at.hostGeneration {
+			w.retryLater(at)
+			return
+		}
+		w.tracef("job %s arrives at host%d", at.job.job.ID, at.host.index)
+		w.arrive(at)
+	})
 }
 
 // checkCancelled fails the test if a host starts a task of a cancelled job.
@@ -95,6 +118,10 @@
 var cancelCases = map[string]simCase{
 	"Calm":      {faults: simFaults{Cancels: 0.5}, rate: 3, meanRunTime: time.Second},
 	"CalmLanes": {faults: simFaults{Cancels: 0.5, Lanes: true}, rate: 3, meanRunTime: time.Second},
+	"Overtaken": {faults: simFaults{Cancels: 0.5, Lanes: true, Overtaken: 0.5}, rate: 3, meanRunTime: time.Second},
+	"Freezes":   {faults: simFaults{Cancels: 0.5, Lanes: true, Overtaken: 0.3, Freezes: 0.5}, rate: 3, meanRunTime: time.Second},
+	"Paths":     {faults: simFaults{Cancels: 0.5, Lanes: true, Overtaken: 0.3, Silences: 1, Slow: 0.5, SlowPaths: 1}, rate: 3, meanRunTime: time.Second},
+	"Changes":   {faults: simFaults{Cancels: 0.5, Lanes: true, Overtaken: 0.3, Kills: 0.2, Leaves: 0.3}, rate: 3, meanRunTime: time.Second},
 }
 
 // TestSimulationCancels checks that cancelled jobs end, beside the invariants of
--- a/internal/worker/simulation_faults_test.go
+++ b/internal/worker/simulation_faults_test.go
@@ -37,7 +37,12 @@
 	j.attempts++
 	w.cancelLater(at)
 	w.tracef("job %s is submitted at host%d", j.job.ID, h.index)
-	in := j.job
+	w.arriveLater(at)
+}
+
+// arrive makes a submission arrive at its host.
+func (w *simulation) arrive(at *simAttempt) {
+	h, in := at.host, at.job.job
 	if w.faults.SilentCallers > 0 && w.rand.Float64() < w.faults.SilentCallers {
 		at.silent, in.Budget = true, time.Duration(100+w.rand.IntN(900))*time.Millisecond
 		w.after(in.Budget, func() { w.retryLater(at) })
@@ -273,12 +278,8 @@
 				Need: worker.Resources{CPUMilli: need/2 + w.rand.IntN(need), MemoryMB: 10},
 			}},
 		}
-		for n := range cancelledSteps {
-			if w.faults.Cancels > 0 {
-				st := j.job.Steps[0]
-				st.After = []int{n}
-				j.job.Steps = append(j.job.Steps, st)
-			}
+		if w.faults.Cancels > 0 {
+			j.addSteps(cancelledSteps)
 		}
 		if w.faults.CrashingJobs > 0 && w.rand.Float64() < w.faults.CrashingJobs {
 			j.crashingTask = fmt.Sprintf("%s.0.0.%d", j.job.ID, w.rand.IntN(j.job.Steps[0].Count))
--- a/internal/worker/simulation_test.go
+++ b/internal/worker/simulation_test.go
@@ -107,8 +107,7 @@
 	// within a second, as it has stated, and submits the job again elsewhere.
 	SilentCallers float64
 	// Cancels is the share of the jobs that their callers cancel. If it is set, jobs have several
-	// steps. Overtaken is the share of the cancelled jobs of which a submission that was sent before
-	// arrives up to 2 s after the acknowledgment.
+	// steps. Overtaken is the share of the submissions that arrive up to 2 s late.
 	Cancels, Overtaken float64
 }
 
