explain: test that a cancellation is shown on the way of its request

Operators who ask for the way of a job see which host was asked to cancel it and what the caller was told. The host that was asked may not have the request, so the line alone makes no request of it: else the counts of requests would include jobs that no log has. The comment on the service's control events names those of other hosts, too.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -33,7 +33,7 @@
 	switch f[2] {
 	case "RunFailed", "StartRefused":
 		pairs = "Task=" + id + ".0.0.1 " + pairs
-	case "JobReceived", "JobAnswered", "JobRefused", "JobEnded", "CallerDisconnected", "RequestRefused":
+	case "JobReceived", "JobAnswered", "JobRefused", "JobEnded", "CallerDisconnected", "RequestRefused", "CancelAnswered":
 		pairs = "Job=" + id + " " + pairs
 	}
 	if key := lastKeys[f[2]]; key != "" && !strings.Contains(pairs, key+"=") {
@@ -312,6 +312,20 @@
 	}
 }
 
+// TestCancelIsShown checks that a cancellation at any host is a line on the way of its request, and
+// that one of a request that the logs don't have is no request.
+func TestCancelIsShown(t *testing.T) {
+	cancel := "0.4 a2 CancelAnswered Outcome=Cancelled Found=true Asked=2 Answered=2 WaitMs=3"
+	w := collect(Config{ID: id}, slices.Concat(hosts, []string{received, cancel, answered("Lost", "Cancelled")})...).Way()
+	n := slices.IndexFunc(w.Decisions, func(d Decision) bool { return d.Event == "CancelAnswered" })
+	if n < 0 || w.Decisions[n].Host != "a2" || w.Decisions[n].Doc == "" || len(w.Submissions) != 1 {
+		t.Errorf("got %+v", w)
+	}
+	if c := collect(Config{}, slices.Concat(hosts, []string{cancel})...); len(c.requests) != 0 {
+		t.Errorf("%d requests, want none", len(c.requests))
+	}
+}
+
 // TestFailedRequests follows the three kinds of failed request of docs/OPERATIONS.md.
 func TestFailedRequests(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -95,7 +95,7 @@
 	mailbox  *Mailbox
 	// control has cancellations, ends of sessions and lists of members. It has no bound
 	// of its own, since those who report them must not wait for the loop; there are no
-	// more cancellations than jobs.
+	// more cancellations than jobs and requests of callers, here and at the other hosts.
 	control []queuedEvent
 
 	// Only the goroutine of loop uses the fields from host to hostsNeeded.
