guavayoke-load, guavayoke-standin: asking for help is no usage error

Flag sets report a request for help as an error; the program now ends with 0 for it, whatever the subcommand.

--- a/cmd/guavayoke-standin/main.go
+++ b/cmd/guavayoke-standin/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 
 	"guavayoke/internal/settings"
 	"guavayoke/internal/standin"
@@ -20,6 +21,10 @@
 func main() {
 	flag.Usage = usage
 	flag.Parse()
+	if slices.Contains([]string{"-h", "-help", "--help"}, flag.Arg(1)) {
+		usage()
+		return
+	}
 	run, ok := roles[flag.Arg(0)]
 	if !ok || flag.NArg() != 2 {
 		usage()
--- a/internal/load/main.go
+++ b/internal/load/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"time"
 
@@ -33,8 +34,19 @@
 }
 
 // Main runs the program guavayoke-load with the subcommands of this package and the
-// extra ones. It returns the exit code.
+// extra ones. It returns the exit code, which is that of success if the arguments ask for help.
 func Main(args []string, out, errOut io.Writer, extra ...Command) int {
+	code := run(args, out, errOut, extra)
+	if code == exitUsage && slices.ContainsFunc(args, asksForHelp) {
+		return exitOK
+	}
+	return code
+}
+
+func asksForHelp(arg string) bool { return arg == "-h" || arg == "-help" || arg == "--help" }
+
+// run runs the subcommand that the arguments name.
+func run(args []string, out, errOut io.Writer, extra []Command) int {
 	for _, c := range extra {
 		if len(args) > 0 && args[0] == c.Name {
 			return c.Main(args[1:], out, errOut)
