settings: the memory and the descriptors of a host

A daemon was told neither how much memory its host has nor how many descriptors it may open, so that no bound of the process could follow from them.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,8 @@
 	Seeds                []string `validate:"max=64,dive,ip_port" doc:"peer addresses to contact when the platform is unreachable"`
 	PeerKey              string   `validate:"required,min=32,max=128,hexadecimal" doc:"shared key of all entry hosts, hexadecimal"`
 	CPUShare             float64  `validate:"min=0,max=1024" doc:"processor time that the daemon may use, in cores; hosts with more are preferred as owners of a failure domain; 0 means unknown"`
+	MemoryMB             int      `validate:"omitempty,min=64,max=16777216" doc:"memory that the process may use, in megabytes; a share of it bounds what connections and jobs cost; 0 means half of the host's"`
+	MaxFiles             int      `validate:"omitempty,min=64,max=16777216" doc:"file descriptors that the process may open, from which the numbers of connections at each address follow; 0 means the limit of the operating system"`
 	StopLimitMs          int      `validate:"min=100,max=600000" doc:"maximum duration of a graceful stop, in milliseconds"`
 	StopKillSeconds      float64  `validate:"min=0,max=600" doc:"seconds between the request to stop the process and the time when it is killed; if set, the graceful stop ends before that time even if StopLimitMs is longer"`
 	ConfigurationApplyMs int      `validate:"omitempty,min=1000,max=600000" doc:"time within which an accepted configuration must be in force on every host, in milliseconds, from which the intervals of the calls to the platform follow; 0 means 2000 with an Adapter and 11000 without"`
