httpserver: a lack of descriptors no longer makes a daemon deaf

Callers saw: after a few hundred connections that send nothing, no request was answered any more, also when the connections had gone; operators and peers were as deaf. Change: all five listeners are of a new package, httpserver. Its account has a part of the host's descriptors for each address; what has kept the process waiting for longest is closed for newcomers; a failure to accept is retried. The tests start the daemon's process and run after all others. Why it works: an ordinary request arrives in milliseconds, so that its connection is never the one that is closed next, and a listener ends only when it is closed.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 # make soak:  runs daemons as processes against the stand-in of the users' platform
 #             with 20 s of injected faults for each seed. SEED is the first seed and
 #             SEEDS their number; both default to 1.
-# make test:  runs the tests.
+# make test:  runs the tests. Those that start a daemon's process with little memory run
+#             after the others.
 # make check: checks formatting and generated code and runs the linters.
 
 .PHONY: build test check demo soak jobs soak-regressions regression race generate
@@ -13,7 +14,8 @@
 	go build -o bin/ ./cmd/...
 
 test:
-	go test -timeout 1200s $(TESTFLAGS) ./...
+	go test -timeout 1200s $(TESTFLAGS) $$(go list ./... | grep -v /cmd/guavayoked$$)
+	go test -timeout 1200s $(TESTFLAGS) ./cmd/guavayoked
 
 race:
 	go test -race -timeout 900s ./...
--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -31,9 +31,9 @@
 	path, method := string(ctx.Path()), string(ctx.Method())
 	switch {
 	case path == pathRequests && method == "POST":
-		s.serveRequest(ctx)
+		s.serveSubmission(ctx, true)
 	case path == pathJobs && method == "POST":
-		s.serveJob(ctx)
+		s.serveSubmission(ctx, false)
 	case path == pathJobs && method == "GET":
 		s.serveList(ctx)
 	case strings.HasPrefix(path, pathJobs+"/") && method == "GET":
@@ -49,6 +49,11 @@
 	}
 }
 
+// reject answers a request that could not be read.
+func (s *Service) reject(ctx *fasthttp.RequestCtx, _ error) {
+	s.writeResult(ctx, refusedResult(ctx.Response.StatusCode(), reasonBadRequest, "the request could not be read", 0))
+}
+
 // writeResult writes an answer with its HTTP status.
 func (s *Service) writeResult(ctx *fasthttp.RequestCtx, r result) {
 	ctx.SetStatusCode(r.status)
@@ -88,15 +93,10 @@
 	return reasonNoConfiguration
 }
 
-func (s *Service) serveRequest(ctx *fasthttp.RequestCtx) {
-	body := append([]byte(nil), ctx.PostBody()...)
-	req, bad := s.parseSubmitRequest(body, true)
-	s.submitAndRecord(ctx, req, bad, body)
-}
-
-func (s *Service) serveJob(ctx *fasthttp.RequestCtx) {
+// serveSubmission serves the submission of a single request or of a job.
+func (s *Service) serveSubmission(ctx *fasthttp.RequestCtx, single bool) {
 	body := append([]byte(nil), ctx.PostBody()...)
-	req, bad := s.parseSubmitRequest(body, false)
+	req, bad := s.parseSubmitRequest(body, single)
 	s.submitAndRecord(ctx, req, bad, body)
 }
 
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
-	"github.com/valyala/fasthttp"
 
 	"guavayoke/internal/backend"
+	"guavayoke/internal/httpserver"
 	"guavayoke/internal/kernel"
 	"guavayoke/internal/kvstore"
 	"guavayoke/internal/peer"
@@ -29,8 +27,6 @@
 	drainAcceptPeriod = time.Second
 	expiryInterval    = 200 * time.Millisecond
 	readTimeout       = 30 * time.Second
-	// maxConnections limits the concurrent connections of callers.
-	maxConnections = 1 << 16
 )
 
 // Outcome is what the burn report (the report on error budgets) counts for one answer.
@@ -43,8 +39,10 @@
 
 // Config is the configuration of a Service.
 type Config struct {
-	// Address is the TCP address on which the service listens for callers.
+	// Address is the TCP address on which the service listens for callers, Limits bounds their
+	// connections.
 	Address string
+	Limits  httpserver.Limits
 	Home    HomeConfig
 	Log     *log.Logger
 	Metrics metrics.Registry
@@ -59,7 +57,7 @@
 	backends *backend.Service
 	peers    *peer.Service
 	kvstore  *kvstore.Service
-	server   *fasthttp.Server
+	server   *httpserver.Server
 	// draining is set when the stop begins, which turns readiness off. rejecting is set
 	// drainAcceptPeriod later, from when on new submissions are refused.
 	draining  atomic.Bool
@@ -127,26 +125,18 @@
 	s.peers.HandleCall(handoverCallName, s.handleHandover)
 	s.peers.OnChange(s.membersChanged)
 	s.kvstore.OnApply(s.configurationApplied)
-	listener, err := net.Listen("tcp", s.cfg.Address)
+	s.server = httpserver.New(httpserver.Config{
+		Name: "Callers", Address: s.cfg.Address, Log: s.cfg.Log, Metrics: s.cfg.Metrics, Limits: s.cfg.Limits,
+		Handler: s.serveHTTP, Reject: s.reject, MaxBodyBytes: func() int { return maxBodyBytes }, ReadTimeout: readTimeout,
+	})
+	served, err := s.server.Start(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("listen for callers: %w", err)
-	}
-	s.server = &fasthttp.Server{
-		Handler: s.serveHTTP, Name: "guavayoke", Concurrency: maxConnections,
-		MaxRequestBodySize: maxBodyBytes, ReadTimeout: readTimeout, CloseOnShutdown: true,
-		NoDefaultServerHeader: true, NoDefaultDate: true,
+		return nil, err
 	}
 	done := make(chan error, 1)
-	served := make(chan error, 1)
-	go func() { served <- s.server.Serve(listener) }()
 	go func() {
 		s.expirePeriodically(ctx)
-		_ = listener.Close()
-		err := <-served
-		if errors.Is(err, net.ErrClosed) {
-			err = nil
-		}
-		done <- err
+		done <- <-served
 	}()
 	return done, nil
 }
@@ -215,7 +205,7 @@
 	s.rejecting.Store(true)
 	// The listener closes first. Otherwise callers that keep retrying would keep
 	// inFlight above zero forever.
-	if err := s.server.ShutdownWithContext(ctx); err != nil {
+	if err := s.server.Shutdown(ctx); err != nil {
 		s.logUnfinished()
 		return fmt.Errorf("close connections of callers: %w", err)
 	}
--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -39,7 +39,7 @@
 // its protocol. The services start and stop in the order explained at build.
 func buildAdapted(deps dependencies, peers *peer.Service) *kernel.Kernel {
 	set, incarnation, logger := deps.set, deps.incarnation, deps.log
-	registry := metrics.NewRegistry()
+	registry := deps.metrics
 	countCall := func(op string) { metrics.GetOrRegisterCounter("Calls."+op, registry).Inc(1) }
 	self := worker.Candidate{Incarnation: incarnation, Address: advertisedAddress(set), FailureDomain: set.FailureDomain, CPUMilli: cpuMilli(set)}
 	evacuations := time.Duration(set.EvacuationApplyMs) * time.Millisecond
@@ -64,9 +64,11 @@
 	})
 	ops := operator.New(operator.Config{
 		Address: set.OperatorAddress, Network: deps.network, MetricsAddress: set.MetricsAddress, Environment: set.Environment,
-		Log: logger, Metrics: registry, Started: time.Now(),
+		Log: logger, Metrics: registry, Started: time.Now(), Limits: deps.limits.operators, MetricsLimits: deps.limits.collectors,
+	})
+	frontend := adapter.NewFrontend(adapter.FrontendConfig{
+		Address: set.CallerAddress, Network: deps.network, Log: logger, Metrics: registry, Limits: deps.limits.callers,
 	})
-	frontend := adapter.NewFrontend(adapter.FrontendConfig{Address: set.CallerAddress, Network: deps.network, Log: logger})
 	return kernel.New(peers.Service(), store.Service(), workers.Service(), ops.Service(), frontend.Service())
 }
 
--- a/internal/daemon/adapted_test.go
+++ b/internal/daemon/adapted_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
 	"guavayoke/internal/event"
@@ -68,7 +69,7 @@
 	d.set.Adapter, d.set.Seeds, d.set.StopLimitMs = "Users", nil, 5500
 	d.set.CallerAddress, d.set.PeerAddress, d.set.OperatorAddress = freeLoopbackAddress(t), freeLoopbackAddress(t), freeLoopbackAddress(t)
 	d.set.PlatformAddresses = []string{l.Addr().String()}
-	deps := dependencies{set: d.set, key: []byte(d.set.PeerKey), incarnation: "incarnation1", log: event.New(io.Discard, "error"), now: bootTime, wall: time.Now}
+	deps := dependencies{set: d.set, limits: limitsOf(d.set), metrics: metrics.NewRegistry(), key: []byte(d.set.PeerKey), incarnation: "incarnation1", log: event.New(io.Discard, "error"), now: bootTime, wall: time.Now}
 	k := buildAdapted(deps, newPeers(deps))
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,7 +81,7 @@
 	logWriter := event.NewAsyncWriter(os.Stdout, time.Now)
 	defer logWriter.Close()
 	logger := event.New(logWriter, set.LogLevel)
-	deps := dependencies{set: set, key: key, incarnation: incarnationID.String(), log: logger, now: bootTime, wall: time.Now}
+	deps := dependencies{set: set, limits: limitsOf(set), metrics: metrics.NewRegistry(), key: key, incarnation: incarnationID.String(), log: logger, now: bootTime, wall: time.Now}
 	peers := newPeers(deps)
 	reloading := newReloader(file, set, logger, peers.SetSettingsSeeds, signals.Hangup)
 	k := build(deps, peers)
@@ -123,6 +123,8 @@
 // dependencies holds what the services of a daemon are built from.
 type dependencies struct {
 	set         settings.Daemon
+	limits      hostLimits
+	metrics     metrics.Registry
 	key         []byte
 	incarnation string
 	log         *log.Logger
@@ -158,6 +160,7 @@
 			FailureDomain: set.FailureDomain, Region: set.Region, CPUMilli: cpuMilli(set),
 		},
 		Listen: set.PeerAddress, Network: deps.network, Key: deps.key, Seeds: set.Seeds, Log: deps.log, Rand: newRand(),
+		Metrics: deps.metrics, Limits: deps.limits.peers,
 	})
 }
 
@@ -180,7 +183,7 @@
 // have stopped.
 func build(deps dependencies, peers *peer.Service) *kernel.Kernel {
 	set, key, incarnation, logger := deps.set, deps.key, deps.incarnation, deps.log
-	registry := metrics.NewRegistry()
+	registry := deps.metrics
 	started := time.Now()
 	store := kvstore.New(kvstore.Config{
 		Store: kvstore.NewStore(kvstore.StoreConfig{
@@ -199,9 +202,10 @@
 	})
 	ops := operator.New(operator.Config{
 		Address: set.OperatorAddress, Environment: set.Environment, Log: logger, Metrics: registry, Started: started,
+		Limits: deps.limits.operators, MetricsLimits: deps.limits.collectors,
 	})
 	callers := caller.New(caller.Config{
-		Address: set.CallerAddress, Log: logger, Metrics: registry, Record: ops.Record,
+		Address: set.CallerAddress, Limits: deps.limits.callers, Log: logger, Metrics: registry, Record: ops.Record,
 		Home: caller.HomeConfig{
 			Incarnation: incarnation, Address: advertisedAddress(set), FailureDomain: set.FailureDomain,
 			Key: key, MaxHeldBytes: maxHeldBytes,
--- a/internal/daemon/virtual_test.go
+++ b/internal/daemon/virtual_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
 	"guavayoke/internal/event"
@@ -272,7 +273,7 @@
 	// Incarnations sort by the host's time of day, as the UUIDs of real daemons do.
 	h.incarnation = fmt.Sprint(h.wall().UnixMilli(), "-", h.set.Name)
 	deps := dependencies{
-		set: h.set, key: []byte(strings.Repeat("k", 32)), incarnation: h.incarnation, network: s.network.Host(h.set.Name),
+		set: h.set, limits: limitsOf(h.set), metrics: metrics.NewRegistry(), key: []byte(strings.Repeat("k", 32)), incarnation: h.incarnation, network: s.network.Host(h.set.Name),
 		log: event.New(hostLog{s, h.set.Name}, "info"), now: time.Now, wall: h.wall,
 	}
 	k := buildAdapted(deps, newPeers(deps))
--- /dev/null
+++ b/internal/httpserver/server.go
@@ -0,0 +1,284 @@
+// Package httpserver serves HTTP to clients that may not behave. It bounds what all
+// connections to a listener cost the process together.
+package httpserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"guavayoke/internal/network"
+)
+
+const (
+	// defaultHeaderBytes and defaultIdleTimeout apply to a Config without them.
+	defaultHeaderBytes = 4 << 10
+	defaultReadTimeout = 10 * time.Second
+	defaultIdleTimeout = 60 * time.Second
+	// writeBufferBytes and handlerBytes are what the HTTP library allocates for each connection
+	// besides the buffer for headers: for writing, and for the goroutine and its state.
+	writeBufferBytes = 4 << 10
+	handlerBytes     = 16 << 10
+	// maxErrorBytes bounds the text of an error in the log, which may quote a request.
+	maxErrorBytes = 200
+	// logInterval is the minimum time between two lines on the same limit.
+	logInterval = time.Second
+)
+
+// Config configures a Server.
+type Config struct {
+	// Name names the listener in the log and in metrics.
+	Name    string
+	Address string
+	Network network.Network
+	Log     *log.Logger
+	Metrics metrics.Registry
+	Limits  Limits
+	// Handler handles a request that has been read completely.
+	Handler fasthttp.RequestHandler
+	// Reject completes the response to a request that can't be read, which has the status
+	// already: 431 or 413 if its header or body is too large, 400 otherwise. It may be nil.
+	Reject func(ctx *fasthttp.RequestCtx, err error)
+	// MaxHeaderBytes bounds the header of a request.
+	MaxHeaderBytes int
+	// MaxBodyBytes returns the bound of the body of a request. If it is nil, the bound is that of the
+	// HTTP library.
+	MaxBodyBytes func() int
+	// ReadTimeout bounds the time in which a request arrives, IdleTimeout the time between requests.
+	ReadTimeout, IdleTimeout time.Duration
+	// Hijacks means that Handler may take connections over. Such a connection stays in the account
+	// until Release is called.
+	Hijacks bool
+}
+
+// Server serves HTTP at one address.
+type Server struct {
+	cfg     Config
+	account *account
+	http    *fasthttp.Server
+
+	closed, refused metrics.Counter
+	// lastLogged is when a line on a limit was last logged, in Unix nanoseconds.
+	lastLogged atomic.Int64
+}
+
+// New returns a server, which Start starts.
+func New(c Config) *Server {
+	if c.MaxHeaderBytes == 0 {
+		c.MaxHeaderBytes = defaultHeaderBytes
+	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = defaultReadTimeout
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = defaultIdleTimeout
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	if c.Limits.Connections == 0 {
+		c.Limits.Connections = math.MaxInt32
+	}
+	if c.Limits.Bytes == 0 {
+		c.Limits.Bytes = math.MaxInt64
+	}
+	s := &Server{
+		cfg:     c,
+		account: newAccount(c.Limits, int64(c.MaxHeaderBytes+writeBufferBytes+handlerBytes)),
+		closed:  metrics.GetOrRegisterCounter("Connections."+c.Name+".Closed", c.Metrics),
+		refused: metrics.GetOrRegisterCounter("Connections."+c.Name+".Refused", c.Metrics),
+	}
+	c.Metrics.GetOrRegister("Connections."+c.Name+".Open", metrics.NewFunctionalGauge(func() int64 {
+		open, _ := s.Usage()
+		return int64(open)
+	}))
+	c.Metrics.GetOrRegister("Connections."+c.Name+".Bytes", metrics.NewFunctionalGauge(func() int64 {
+		_, used := s.Usage()
+		return used
+	}))
+	s.http = &fasthttp.Server{
+		Handler: s.serve, ErrorHandler: s.handleReadError, ConnState: s.connState, Logger: logger{s},
+		NoDefaultServerHeader: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
+		HeaderReceived: s.bodyLimit, ReadBufferSize: c.MaxHeaderBytes,
+		ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout,
+		// The account bounds the connections.
+		Concurrency: math.MaxInt32,
+	}
+	return s
+}
+
+// Start listens and serves until ctx ends. The channel then receives nil or an error.
+func (s *Server) Start(ctx context.Context) (<-chan error, error) {
+	l, err := s.cfg.Network.OpenListener(s.cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for %s: %w", strings.ToLower(s.cfg.Name), err)
+	}
+	wrapped := &listener{Listener: l, server: s, closed: make(chan struct{})}
+	done, served := make(chan error, 1), make(chan error, 1)
+	go func() { served <- s.http.Serve(wrapped) }()
+	go func() {
+		<-ctx.Done()
+		_ = wrapped.Close()
+		err := <-served
+		if errors.Is(err, net.ErrClosed) {
+			err = nil
+		}
+		done <- err
+	}()
+	return done, nil
+}
+
+// Shutdown closes the listener and waits until the requests that have been read are answered, or
+// ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+
+// Usage returns the number of open connections and what they cost, in bytes.
+func (s *Server) Usage() (connections int, bytes int64) { return s.account.usage() }
+
+// open returns an accepted connection, or nil if there is no room for it.
+func (s *Server) open(nc net.Conn) *conn {
+	c := &conn{Conn: nc, server: s}
+	c.entry.close = func() { _ = nc.Close() }
+	displaced, ok := s.account.open(&c.entry)
+	s.closeAll(displaced)
+	if ok {
+		return c
+	}
+	s.countRefused("Connections")
+	_ = nc.SetWriteDeadline(time.Now().Add(overflowWriteTimeout))
+	// A client that can't be told sees that the connection is closed.
+	_, _ = nc.Write(overflowResponse)
+	_ = nc.Close()
+	return nil
+}
+
+// acceptFailed makes room after a failure to accept a connection, which is most likely due to a
+// lack of descriptors.
+func (s *Server) acceptFailed(err error) {
+	if s.mayLog(time.Now()) {
+		s.cfg.Log.Warn().Str("Listener", s.cfg.Name).Err(err).Msg("AcceptFailed")
+	}
+	if v := s.account.displace(); v != nil {
+		s.closeAll([]*entry{v})
+	}
+}
+
+// closeAll closes the connections that the account has given up.
+func (s *Server) closeAll(displaced []*entry) {
+	for _, e := range displaced {
+		e.close()
+	}
+	if len(displaced) == 0 {
+		return
+	}
+	s.closed.Inc(int64(len(displaced)))
+	if s.mayLog(time.Now()) {
+		s.logLimit("ConnectionsClosed", "")
+	}
+}
+
+func (s *Server) countRefused(limit string) {
+	s.refused.Inc(1)
+	if s.mayLog(time.Now()) {
+		s.logLimit("ConnectionsRefused", limit)
+	}
+}
+
+func (s *Server) logLimit(event, limit string) {
+	connections, bytes := s.account.usage()
+	s.cfg.Log.Warn().Str("Listener", s.cfg.Name).Str("Limit", limit).Int("Connections", connections).
+		Int64("Bytes", bytes).Int64("Closed", s.closed.Count()).Int64("Refused", s.refused.Count()).Msg(event)
+}
+
+// mayLog reports whether a line on a limit may be logged at a time.
+func (s *Server) mayLog(at time.Time) bool {
+	now, last := at.UnixNano(), s.lastLogged.Load()
+	return now-last >= int64(logInterval) && s.lastLogged.CompareAndSwap(last, now)
+}
+
+// connState follows the states of connections.
+func (s *Server) connState(nc net.Conn, state fasthttp.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
+		s.account.begin(&c.entry)
+	case fasthttp.StateIdle:
+		s.account.rest(&c.entry)
+	}
+}
+
+// bodyLimit returns the bound of the body of a request.
+func (s *Server) bodyLimit(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if s.cfg.MaxBodyBytes == nil {
+		return fasthttp.RequestConfig{}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: s.cfg.MaxBodyBytes()}
+}
+
+// serve passes a request to the handler.
+func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	c, ok := ctx.Conn().(*conn)
+	if !ok {
+		s.cfg.Handler(ctx)
+		return
+	}
+	if !s.cfg.Hijacks {
+		s.account.complete(&c.entry)
+	}
+	s.cfg.Handler(ctx)
+}
+
+// handleReadError responds to a request whose header could not be read.
+func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &smallBuffer):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	s.reject(ctx, status, err)
+	ctx.SetConnectionClose()
+}
+
+// reject responds to a request that could not be read.
+func (s *Server) reject(ctx *fasthttp.RequestCtx, status int, err error) {
+	text := err.Error()
+	s.cfg.Log.Info().Str("Listener", s.cfg.Name).Int("Status", status).Str("Error", text[:min(len(text), maxErrorBytes)]).Msg("RequestUnreadable")
+	ctx.SetStatusCode(status)
+	if s.cfg.Reject != nil {
+		s.cfg.Reject(ctx, err)
+	}
+}
+
+// Release removes a connection that a handler has taken over from the account, for example once
+// its client has proved who it is.
+func Release(nc net.Conn) {
+	if c, ok := nc.(*conn); ok {
+		c.server.account.end(&c.entry)
+	}
+}
+
+// logger passes the lines of the HTTP library to the log. They may quote requests.
+type logger struct{ server *Server }
+
+// Printf implements fasthttp.Logger.
+func (l logger) Printf(format string, args ...any) {
+	if l.server.mayLog(time.Now()) {
+		text := fmt.Sprintf(format, args...)
+		l.server.cfg.Log.Info().Str("Listener", l.server.cfg.Name).Str("Error", text[:min(len(text), maxErrorBytes)]).Msg("ConnectionFailed")
+	}
+}
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -40,8 +40,11 @@
 // PeerClosed reports whether the other side of a connection of n has closed it, or
 // whether the connection has failed. It consumes no data, and while received data is
 // unread it reports false. Without n.IsClosed it also reports false if conn is not a
-// syscall.Conn.
+// syscall.Conn and wraps none.
 func (n Network) PeerClosed(conn net.Conn) bool {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn()
+	}
 	if n.IsClosed != nil {
 		return n.IsClosed(conn)
 	}
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -6,8 +6,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"net"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +18,7 @@
 	"guavayoke/internal/backend"
 	"guavayoke/internal/burn"
 	"guavayoke/internal/caller"
+	"guavayoke/internal/httpserver"
 	"guavayoke/internal/kernel"
 	"guavayoke/internal/kvstore"
 	"guavayoke/internal/network"
@@ -41,13 +40,14 @@
 	// MetricsAddress is an additional address to serve on, for metrics collectors. It
 	// may be empty.
 	MetricsAddress string
+	// Limits and MetricsLimits bound the connections to the two addresses.
+	Limits, MetricsLimits httpserver.Limits
 }
 
 // Service serves the endpoints for operators. Either workers is set or backends and
 // callers are, depending on the kind of daemon.
 type Service struct {
 	cfg      Config
-	server   *fasthttp.Server
 	peers    *peer.Service
 	kvstore  *kvstore.Service
 	backends *backend.Service
@@ -93,46 +93,29 @@
 			return nil, err
 		}
 	}
-	listener, err := s.listen()
+	done, err := s.serve(ctx, Name+"s", s.cfg.Address, s.cfg.Limits)
+	if err != nil || s.cfg.MetricsAddress == "" {
+		return done, err
+	}
+	metricsCtx, cancel := context.WithCancel(ctx)
+	metricsDone, err := s.serve(metricsCtx, "Collectors", s.cfg.MetricsAddress, s.cfg.MetricsLimits)
 	if err != nil {
+		cancel()
 		return nil, err
 	}
-	s.server = &fasthttp.Server{Handler: s.serveHTTP, Name: "guavayoke", NoDefaultServerHeader: true}
-	done, served := make(chan error, 1), make(chan error, 1)
-	go func() { served <- s.server.Serve(listener) }()
+	both := make(chan error, 1)
 	go func() {
-		<-ctx.Done()
-		_ = listener.Close()
-		err := <-served
-		if errors.Is(err, net.ErrClosed) {
-			err = nil
-		}
-		done <- err
+		defer cancel()
+		both <- errors.Join(<-done, <-metricsDone)
 	}()
-	return done, nil
+	return both, nil
 }
 
-// listen returns the listener for operators. If MetricsAddress is set, it also starts
-// a server there.
-func (s *Service) listen() (net.Listener, error) {
-	listener, err := s.cfg.Network.OpenListener(s.cfg.Address)
-	if err != nil {
-		return nil, fmt.Errorf("listen for operators: %w", err)
-	}
-	if s.cfg.MetricsAddress == "" {
-		return listener, nil
-	}
-	metricsListener, err := s.cfg.Network.OpenListener(s.cfg.MetricsAddress)
-	if err != nil {
-		return nil, errors.Join(fmt.Errorf("listen for metrics: %w", err), listener.Close())
-	}
-	server := &fasthttp.Server{Handler: s.serveHTTP, Name: "guavayoke", NoDefaultServerHeader: true}
-	go func() {
-		if err := server.Serve(metricsListener); err != nil {
-			s.cfg.Log.Error().Err(err).Msg("MetricsServerFailed")
-		}
-	}()
-	return listener, nil
+// serve serves the endpoints at an address until ctx ends. name names the clients there.
+func (s *Service) serve(ctx context.Context, name, address string, l httpserver.Limits) (<-chan error, error) {
+	return httpserver.New(httpserver.Config{
+		Name: name, Address: address, Network: s.cfg.Network, Log: s.cfg.Log, Metrics: s.cfg.Metrics, Limits: l, Handler: s.serveHTTP,
+	}).Start(ctx)
 }
 
 func (s *Service) serveHTTP(ctx *fasthttp.RequestCtx) {
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/valyala/fasthttp"
 
+	"guavayoke/internal/httpserver"
 	"guavayoke/internal/ring"
 )
 
@@ -15,6 +16,7 @@
 // connection to a WebSocket, authenticates the peer, and serves its frames.
 func (s *Service) accept(ctx *fasthttp.RequestCtx) {
 	up := websocket.FastHTTPUpgrader{HandshakeTimeout: handshakeTimeout}
+	conn := ctx.Conn()
 	err := up.Upgrade(ctx, func(c *websocket.Conn) {
 		c.SetReadLimit(maxFrameBytes)
 		_ = c.SetReadDeadline(time.Now().Add(handshakeTimeout))
@@ -25,6 +27,7 @@
 			_ = c.Close()
 			return
 		}
+		httpserver.Release(conn)
 		s.serve(c, from)
 	})
 	if err != nil {
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -13,8 +12,9 @@
 	"github.com/fasthttp/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/phuslu/log"
-	"github.com/valyala/fasthttp"
+	"github.com/rcrowley/go-metrics"
 
+	"guavayoke/internal/httpserver"
 	"guavayoke/internal/kernel"
 	"guavayoke/internal/latest"
 	"guavayoke/internal/network"
@@ -44,6 +44,10 @@
 	Seeds []string
 	Log   *log.Logger
 	Rand  *rand.Rand
+	// Metrics receives the counters of the connections that others open.
+	Metrics metrics.Registry
+	// Limits bounds the connections whose client hasn't proved yet that it has the key.
+	Limits httpserver.Limits
 }
 
 // Stats counts frames between hosts. Malformed counts frames that were received but
@@ -58,7 +62,6 @@
 	Stats Stats
 	// events holds functions that the membership loop runs.
 	events *ring.Queue[func(now time.Time)]
-	server *fasthttp.Server
 	ctx    context.Context
 
 	mu      sync.Mutex
@@ -214,19 +217,18 @@
 	if address == "" {
 		address = s.cfg.Self.Address
 	}
-	listener, err := s.cfg.Network.OpenListener(address)
+	s.ctx = ctx
+	served, err := httpserver.New(httpserver.Config{
+		Name: "Peers", Address: address, Network: s.cfg.Network, Log: s.cfg.Log, Metrics: s.cfg.Metrics, Limits: s.cfg.Limits,
+		Handler: s.accept, ReadTimeout: handshakeTimeout, Hijacks: true,
+	}).Start(ctx)
 	if err != nil {
-		return nil, fmt.Errorf("listen for peers: %w", err)
+		return nil, err
 	}
-	s.ctx = ctx
-	s.server = &fasthttp.Server{Handler: s.accept, Name: "guavayoke", CloseOnShutdown: true}
 	done := make(chan error, 1)
-	served := make(chan error, 1)
-	go func() { served <- s.server.Serve(listener) }()
 	go func() {
 		err := s.runMembershipLoop(ctx)
 		s.closeConnections()
-		_ = listener.Close()
 		done <- errors.Join(err, <-served)
 	}()
 	return done, nil
