httpserver: bodies cost memory only as they arrive, and all together a part of it

Callers saw: a process that ran out of memory. Cause: what a Content-Length announces was allocated at once, 600 bodies of 256 KiB or 100 of 4 MiB held back one byte each were all kept, and the listeners of peers, operators and collectors accepted 4 MiB without a use for them. Change: bodies are read in pieces whose buffers are charged before they are allocated. A request without room is answered 503 with Retry-After, and incomplete ones are closed for others. Requests without a use for a body have none (405). From three quarters of the host's memory on, garbage is collected as often as needed. Evidence: failed before, on the commit before (host of 128 MB): BodiesShortOfEnd, BodiesPieceByPiece, ChunkedBodies, OperatorBodies and CollectorBodies with 161 to 234 MB, PeerBodies with 422 MB or OwnBodiesShortOfEnd with 623 MB at the most. All pass now. Why it works: memory follows the bytes that have arrived, and their sum has a limit. Not taken: reserving what a header announces; clients that send nothing more would fill it.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 )
 
 // hostMemoryMB and hostFiles are the limits of the host in these tests.
@@ -44,20 +45,67 @@
 // connect opens a connection and sends nothing.
 func connect(int, net.Conn) error { return nil }
 
+// pieces returns a function that sends a text in pieces, with pauses.
+func pieces(text string, size int) func(int, net.Conn) error {
+	return func(i int, c net.Conn) error {
+		text := strings.ReplaceAll(text, "%016x", fmt.Sprintf("%016x", i))
+		for len(text) > 0 {
+			n := min(size, len(text))
+			if _, err := c.Write([]byte(text[:n])); err != nil {
+				return err
+			}
+			text = text[n:]
+			time.Sleep(20 * time.Millisecond)
+		}
+		return nil
+	}
+}
+
+const jobLine = "POST /jobs/%016x HTTP/1.1\r\nHost: " + queueHost + "\r\n"
+
+// submission returns a request that submits a job, with more header lines.
+func submission(header, body string) string {
+	return fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n%s", jobLine, header, len(body), body)
+}
+
+// bodyShortOfEnd returns a request whose body of size bytes lacks its last byte.
+func bodyShortOfEnd(line, header string, size int) string {
+	return fmt.Sprintf("%s%sContent-Length: %d\r\n\r\n", line, header, size) + strings.Repeat(" ", size-1)
+}
+
 // fill repeats a text up to a size.
 func fill(text string, size int) string { return strings.Repeat(text, size/len(text)) }
 
+// chunked returns a body of size bytes in chunks, without the last one.
+func chunked(size int) string {
+	const chunk = 1000
+	return fill(fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat(" ", chunk)), size+size/chunk*7)
+}
+
 const (
 	ordinaryBody = `{"spec":"5 1000","best-effort":true,"steps":[{"count":1,"cpu":1000,"estimate-ms":5}]}`
+	ownLine      = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n"
+	ownBodyBytes = 4 << 20
 )
 
+func ownSubmission(body string) string {
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", ownLine, len(body), body)
+}
+
 var crowds = map[string]misbehaving{
 	"AnswersUnread":        {"Users", fewFiles, callers, 400, write(fill("GET /jobs/ HTTP/1.1\r\nHost: "+queueHost+"\r\n\r\n", 4<<20))},
+	"BodiesShortOfEnd":     {"Users", hostFiles, callers, 600, write(bodyShortOfEnd(jobLine, "", maxBodyBytes))},
+	"BodiesPieceByPiece":   {"Users", hostFiles, callers, 600, pieces(bodyShortOfEnd(jobLine, "", maxBodyBytes), 16<<10)},
+	"ChunkedBodies":        {"Users", hostFiles, callers, 600, pieces(jobLine+"Transfer-Encoding: chunked\r\n\r\n"+chunked(maxBodyBytes-1000), 16<<10)},
 	"Connections":          {"Users", fewFiles, callers, 400, connect},
 	"PeerConnections":      {"Users", fewFiles, peers, 400, connect},
+	"PeerBodies":           {"Users", hostFiles, peers, 100, write(bodyShortOfEnd("POST /peer HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
 	"OperatorConnections":  {"Users", fewFiles, operators, 400, connect},
+	"OperatorBodies":       {"Users", hostFiles, operators, 100, write(bodyShortOfEnd("POST /ready HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
 	"CollectorConnections": {"Users", fewFiles, collectors, 400, connect},
+	"CollectorBodies":      {"Users", hostFiles, collectors, 100, write(bodyShortOfEnd("POST /metrics HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
 	"OwnConnections":       {"", fewFiles, callers, 400, connect},
+	"OwnBodiesShortOfEnd":  {"", hostFiles, callers, 150, write(bodyShortOfEnd(ownLine, "", ownBodyBytes))},
 }
 
 // TestMisbehavingClients checks that no crowd of clients that send requests of legal size ends a
--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"guavayoke/internal/httpserver"
 	"guavayoke/pkg/verdict"
 )
 
@@ -50,8 +51,14 @@
 }
 
 // reject answers a request that could not be read.
-func (s *Service) reject(ctx *fasthttp.RequestCtx, _ error) {
-	s.writeResult(ctx, refusedResult(ctx.Response.StatusCode(), reasonBadRequest, "the request could not be read", 0))
+func (s *Service) reject(ctx *fasthttp.RequestCtx, err error) {
+	status := ctx.Response.StatusCode()
+	if status == fasthttp.StatusServiceUnavailable {
+		// An earlier attempt with the same ID may have run.
+		s.writeResult(ctx, unknownResult(status, false, reasonHostFull, err.Error(), httpserver.RetryAfter))
+		return
+	}
+	s.writeResult(ctx, refusedResult(status, reasonBadRequest, "the request could not be read", 0))
 }
 
 // writeResult writes an answer with its HTTP status.
@@ -95,7 +102,7 @@
 
 // serveSubmission serves the submission of a single request or of a job.
 func (s *Service) serveSubmission(ctx *fasthttp.RequestCtx, single bool) {
-	body := append([]byte(nil), ctx.PostBody()...)
+	body := ctx.PostBody()
 	req, bad := s.parseSubmitRequest(body, single)
 	s.submitAndRecord(ctx, req, bad, body)
 }
--- a/internal/caller/wire.go
+++ b/internal/caller/wire.go
@@ -126,6 +126,7 @@
 	reasonUnknownService   = "UnknownService"
 	reasonNoConfiguration  = "NoConfiguration"
 	reasonDraining         = "Draining"
+	reasonHostFull         = "HostFull"
 	reasonQuotaExceeded    = "QuotaExceeded"
 	reasonNeverFits        = "NeverFits"
 	reasonTooManyHeld      = "TooManyHeld"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,9 @@
 	// adaptedGCPercent replaces gcPercent on the users' platform, where the memory of
 	// a host costs more than its processor time.
 	adaptedGCPercent = 100
+	// heapPercent is the share of the host's memory, in percent, from which on garbage is collected
+	// as often as needed. The rest is for the program's text, the C library and the kernel's buffers.
+	heapPercent = 75
 	// killMargin is the time between the end of a graceful stop and the time when the
 	// process would be killed.
 	killMargin = 400 * time.Millisecond
@@ -81,6 +84,9 @@
 	logWriter := event.NewAsyncWriter(os.Stdout, time.Now)
 	defer logWriter.Close()
 	logger := event.New(logWriter, set.LogLevel)
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(set.MemoryMB) << 20 * heapPercent / 100)
+	}
 	deps := dependencies{set: set, limits: limitsOf(set), metrics: metrics.NewRegistry(), key: key, incarnation: incarnationID.String(), log: logger, now: bootTime, wall: time.Now}
 	peers := newPeers(deps)
 	reloading := newReloader(file, set, logger, peers.SetSettingsSeeds, signals.Hangup)
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -17,6 +17,9 @@
 	overflowWriteTimeout = 10 * time.Millisecond
 )
 
+// errNoRoom is the error of requests for which the account has no room.
+var errNoRoom = errors.New("no memory left for requests")
+
 // overflowResponse is the response to a connection without room.
 var overflowResponse = []byte("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -20,13 +20,17 @@
 )
 
 const (
+	// RetryAfter is when a client may send a request again for which there was no room.
+	RetryAfter = time.Second
 	// defaultHeaderBytes and defaultIdleTimeout apply to a Config without them.
 	defaultHeaderBytes = 4 << 10
 	defaultReadTimeout = 10 * time.Second
 	defaultIdleTimeout = 60 * time.Second
-	// writeBufferBytes and handlerBytes are what the HTTP library allocates for each connection
-	// besides the buffer for headers: for writing, and for the goroutine and its state.
+	// writeBufferBytes, prefetchBytes and handlerBytes are what the HTTP library allocates for
+	// each connection besides the buffer for headers: for writing, for the beginning of a body,
+	// and for the goroutine and its state.
 	writeBufferBytes = 4 << 10
+	prefetchBytes    = 8 << 10
 	handlerBytes     = 16 << 10
 	// maxErrorBytes bounds the text of an error in the log, which may quote a request.
 	maxErrorBytes = 200
@@ -46,12 +50,12 @@
 	// Handler handles a request that has been read completely.
 	Handler fasthttp.RequestHandler
 	// Reject completes the response to a request that can't be read, which has the status
-	// already: 431 or 413 if its header or body is too large, 400 otherwise. It may be nil.
+	// already: 503 if there is no room for it, 431 or 413 if its header or body is too large, and
+	// 400 otherwise. It may be nil.
 	Reject func(ctx *fasthttp.RequestCtx, err error)
 	// MaxHeaderBytes bounds the header of a request.
 	MaxHeaderBytes int
-	// MaxBodyBytes returns the bound of the body of a request. If it is nil, the bound is that of the
-	// HTTP library.
+	// MaxBodyBytes returns the bound of the body of a request. If it is nil, requests have no body.
 	MaxBodyBytes func() int
 	// ReadTimeout bounds the time in which a request arrives, IdleTimeout the time between requests.
 	ReadTimeout, IdleTimeout time.Duration
@@ -93,7 +97,7 @@
 	}
 	s := &Server{
 		cfg:     c,
-		account: newAccount(c.Limits, int64(c.MaxHeaderBytes+writeBufferBytes+handlerBytes)),
+		account: newAccount(c.Limits, int64(c.MaxHeaderBytes+writeBufferBytes+prefetchBytes+handlerBytes)),
 		closed:  metrics.GetOrRegisterCounter("Connections."+c.Name+".Closed", c.Metrics),
 		refused: metrics.GetOrRegisterCounter("Connections."+c.Name+".Refused", c.Metrics),
 	}
@@ -107,8 +111,8 @@
 	}))
 	s.http = &fasthttp.Server{
 		Handler: s.serve, ErrorHandler: s.handleReadError, ConnState: s.connState, Logger: logger{s},
-		NoDefaultServerHeader: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true,
-		HeaderReceived: s.bodyLimit, ReadBufferSize: c.MaxHeaderBytes,
+		NoDefaultServerHeader: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, StreamRequestBody: true,
+		GetOnly: c.MaxBodyBytes == nil, MaxRequestBodySize: prefetchBytes, ReadBufferSize: c.MaxHeaderBytes,
 		ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout,
 		// The account bounds the connections.
 		Concurrency: math.MaxInt32,
@@ -172,6 +176,16 @@
 	}
 }
 
+// charge sets the cost of the present request of a connection and reports whether there is room.
+func (s *Server) charge(c *conn, bytes int64) bool {
+	displaced, ok := s.account.charge(&c.entry, bytes)
+	s.closeAll(displaced)
+	if !ok {
+		s.countRefused("Bytes")
+	}
+	return ok
+}
+
 // closeAll closes the connections that the account has given up.
 func (s *Server) closeAll(displaced []*entry) {
 	for _, e := range displaced {
@@ -219,21 +233,17 @@
 	}
 }
 
-// bodyLimit returns the bound of the body of a request.
-func (s *Server) bodyLimit(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	if s.cfg.MaxBodyBytes == nil {
-		return fasthttp.RequestConfig{}
-	}
-	return fasthttp.RequestConfig{MaxRequestBodySize: s.cfg.MaxBodyBytes()}
-}
-
-// serve passes a request to the handler.
+// serve reads the body of a request and passes the request to the handler.
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	c, ok := ctx.Conn().(*conn)
 	if !ok {
 		s.cfg.Handler(ctx)
 		return
 	}
+	if status, err := s.readBody(ctx, c); err != nil {
+		s.reject(ctx, status, err)
+		return
+	}
 	if !s.cfg.Hijacks {
 		s.account.complete(&c.entry)
 	}
@@ -247,8 +257,8 @@
 	switch {
 	case errors.As(err, &smallBuffer):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
+	case errors.Is(err, fasthttp.ErrGetOnly):
+		status = fasthttp.StatusMethodNotAllowed
 	}
 	s.reject(ctx, status, err)
 	ctx.SetConnectionClose()
@@ -259,6 +269,9 @@
 	text := err.Error()
 	s.cfg.Log.Info().Str("Listener", s.cfg.Name).Int("Status", status).Str("Error", text[:min(len(text), maxErrorBytes)]).Msg("RequestUnreadable")
 	ctx.SetStatusCode(status)
+	if status == fasthttp.StatusServiceUnavailable {
+		ctx.Response.Header.Set("Retry-After", "1")
+	}
 	if s.cfg.Reject != nil {
 		s.cfg.Reject(ctx, err)
 	}
