httpserver: header lines are charged before they are parsed

Callers saw: a process that ran out of memory. Cause: a header line of three bytes costs the HTTP library 60 to 200, a header of legal size up to half a megabyte, which it keeps for later requests on any connection; the same for fields behind a chunked body. Change: a connection counts lines as it reads them and charges them before they reach the parser; the charge is exact once the header is parsed. Long arrays are dropped after the request. Why it works: the parser never gets a line that the account has no room for.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -93,19 +93,25 @@
 }
 
 var crowds = map[string]misbehaving{
-	"AnswersUnread":        {"Users", fewFiles, callers, 400, write(fill("GET /jobs/ HTTP/1.1\r\nHost: "+queueHost+"\r\n\r\n", 4<<20))},
-	"BodiesShortOfEnd":     {"Users", hostFiles, callers, 600, write(bodyShortOfEnd(jobLine, "", maxBodyBytes))},
-	"BodiesPieceByPiece":   {"Users", hostFiles, callers, 600, pieces(bodyShortOfEnd(jobLine, "", maxBodyBytes), 16<<10)},
-	"ChunkedBodies":        {"Users", hostFiles, callers, 600, pieces(jobLine+"Transfer-Encoding: chunked\r\n\r\n"+chunked(maxBodyBytes-1000), 16<<10)},
-	"Connections":          {"Users", fewFiles, callers, 400, connect},
-	"PeerConnections":      {"Users", fewFiles, peers, 400, connect},
-	"PeerBodies":           {"Users", hostFiles, peers, 100, write(bodyShortOfEnd("POST /peer HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
-	"OperatorConnections":  {"Users", fewFiles, operators, 400, connect},
-	"OperatorBodies":       {"Users", hostFiles, operators, 100, write(bodyShortOfEnd("POST /ready HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
-	"CollectorConnections": {"Users", fewFiles, collectors, 400, connect},
-	"CollectorBodies":      {"Users", hostFiles, collectors, 100, write(bodyShortOfEnd("POST /metrics HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
-	"OwnConnections":       {"", fewFiles, callers, 400, connect},
-	"OwnBodiesShortOfEnd":  {"", hostFiles, callers, 150, write(bodyShortOfEnd(ownLine, "", ownBodyBytes))},
+	"AnswersUnread":         {"Users", fewFiles, callers, 400, write(fill("GET /jobs/ HTTP/1.1\r\nHost: "+queueHost+"\r\n\r\n", 4<<20))},
+	"ShortHeaderLines":      {"Users", hostFiles, callers, 900, write(submission(fill("a:\r\n", maxHeaderBytes-400), ordinaryBody))},
+	"ShortHeaderLinesNoEnd": {"Users", hostFiles, callers, 900, write(jobLine + fill("a:\r\n", maxHeaderBytes-400))},
+	"BareLineFeeds":         {"Users", hostFiles, callers, 900, write(submission(fill("a:\n", maxHeaderBytes-400)+"a:\r\n", ordinaryBody))},
+	"MalformedHeaderLines":  {"Users", hostFiles, callers, 900, write(submission(fill("a:\r\n", maxHeaderBytes-800)+strings.Repeat("\x01", 300)+"\r\n", ordinaryBody))},
+	"BodiesShortOfEnd":      {"Users", hostFiles, callers, 600, write(bodyShortOfEnd(jobLine, "", maxBodyBytes))},
+	"BodiesPieceByPiece":    {"Users", hostFiles, callers, 600, pieces(bodyShortOfEnd(jobLine, "", maxBodyBytes), 16<<10)},
+	"ChunkedBodies":         {"Users", hostFiles, callers, 600, pieces(jobLine+"Transfer-Encoding: chunked\r\n\r\n"+chunked(maxBodyBytes-1000), 16<<10)},
+	"Trailers":              {"Users", hostFiles, callers, 900, write(jobLine + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(ordinaryBody), ordinaryBody) + fill("a:\r\n", maxHeaderBytes-800) + "\r\n")},
+	"Connections":           {"Users", fewFiles, callers, 400, connect},
+	"PeerConnections":       {"Users", fewFiles, peers, 400, connect},
+	"PeerBodies":            {"Users", hostFiles, peers, 100, write(bodyShortOfEnd("POST /peer HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
+	"OperatorConnections":   {"Users", fewFiles, operators, 400, connect},
+	"OperatorBodies":        {"Users", hostFiles, operators, 100, write(bodyShortOfEnd("POST /ready HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
+	"CollectorConnections":  {"Users", fewFiles, collectors, 400, connect},
+	"CollectorBodies":       {"Users", hostFiles, collectors, 100, write(bodyShortOfEnd("POST /metrics HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
+	"OwnConnections":        {"", fewFiles, callers, 400, connect},
+	"OwnBodiesShortOfEnd":   {"", hostFiles, callers, 150, write(bodyShortOfEnd(ownLine, "", ownBodyBytes))},
+	"OwnShortHeaderLines":   {"", hostFiles, callers, 900, write("GET /v1/jobs?" + fill("a&", 2000) + " HTTP/1.1\r\nHost: x\r\n" + fill("a:\r\n", 1900) + "\r\n")},
 }
 
 // TestMisbehavingClients checks that no crowd of clients that send requests of legal size ends a
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -29,7 +29,7 @@
 		most = limit + 1
 	}
 	first := min(most, firstBodyBytes)
-	if !s.charge(c, int64(first)) {
+	if !s.charge(c, c.header+int64(first)) {
 		return fasthttp.StatusServiceUnavailable, errNoRoom
 	}
 	body := make([]byte, 0, first)
@@ -37,7 +37,7 @@
 		if len(body) == cap(body) && len(body) < most {
 			grown := min(2*cap(body), most)
 			// Both buffers exist until the garbage collector frees the old one.
-			if !s.charge(c, int64(grown+cap(body))) {
+			if !s.charge(c, c.header+int64(grown+cap(body))) {
 				return fasthttp.StatusServiceUnavailable, errNoRoom
 			}
 			body = append(make([]byte, 0, grown), body...)
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"sync"
@@ -15,9 +16,16 @@
 	// overflowWriteTimeout bounds the write of the response to a connection without room. It is
 	// short, because no other connection is accepted meanwhile.
 	overflowWriteTimeout = 10 * time.Millisecond
+	// headerLineBytes is what the HTTP library allocates for a header line or a query parameter,
+	// besides its text, while it parses the request.
+	headerLineBytes = 160
+	// minFieldBytes is the size of the shortest header line.
+	minFieldBytes = 3
+	// headerByteCopies is how many copies of a header the HTTP library keeps.
+	headerByteCopies = 3
 )
 
-// errNoRoom is the error of requests for which the account has no room.
+// errNoRoom is the error of reads for which the account has no room.
 var errNoRoom = errors.New("no memory left for requests")
 
 // overflowResponse is the response to a connection without room.
@@ -73,6 +81,33 @@
 	net.Conn
 	server *Server
 	entry  entry
+	// header is what the header of the present request costs, in bytes, before it is parsed.
+	header int64
+	// inBody is set from the end of the header to the end of the request.
+	inBody bool
+	// refused is set if the account had no room for the present request.
+	refused bool
+}
+
+// Read implements net.Conn. It charges the bytes of a header before they are parsed.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.refused {
+		return 0, errNoRoom
+	}
+	n, err := c.Conn.Read(b)
+	if n > 0 && !c.inBody {
+		c.header += headerCost(b[:n])
+		if !c.server.charge(c, c.header) {
+			c.refused = true
+			return 0, errNoRoom
+		}
+	}
+	return n, err
+}
+
+// headerCost returns what a part of a header costs once it is parsed, in bytes.
+func headerCost(b []byte) int64 {
+	return int64(headerByteCopies*len(b) + headerLineBytes*(bytes.Count(b, []byte{'\n'})+bytes.Count(b, []byte{'&'})))
 }
 
 // Close implements net.Conn.
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -32,6 +32,9 @@
 	writeBufferBytes = 4 << 10
 	prefetchBytes    = 8 << 10
 	handlerBytes     = 16 << 10
+	// manyHeaderLines is the number of header lines from which on the HTTP library's arrays for
+	// them are not kept for the next request.
+	manyHeaderLines = 64
 	// maxErrorBytes bounds the text of an error in the log, which may quote a request.
 	maxErrorBytes = 200
 	// logInterval is the minimum time between two lines on the same limit.
@@ -229,6 +232,7 @@
 	case fasthttp.StateActive:
 		s.account.begin(&c.entry)
 	case fasthttp.StateIdle:
+		c.header, c.inBody = 0, false
 		s.account.rest(&c.entry)
 	}
 }
@@ -240,21 +244,53 @@
 		s.cfg.Handler(ctx)
 		return
 	}
+	c.inBody = true
+	header := headerCost(ctx.Request.Header.RawHeaders()) + headerCost(ctx.Request.Header.RequestURI())
+	// What was read ahead may be the header of the next request, or the body of this one.
+	c.header = header
+	defer func() {
+		if header > headerLineBytes*manyHeaderLines {
+			dropHeader(ctx)
+		}
+	}()
+	if !s.charge(c, header) {
+		s.reject(ctx, fasthttp.StatusServiceUnavailable, errNoRoom)
+		return
+	}
 	if status, err := s.readBody(ctx, c); err != nil {
 		s.reject(ctx, status, err)
 		return
 	}
+	if len(ctx.Request.Header.PeekTrailerKeys()) > 0 {
+		// The HTTP library doesn't tell the number of fields behind a chunked body.
+		header += int64(s.cfg.MaxHeaderBytes/minFieldBytes) * headerLineBytes
+		c.header = header
+		if !s.charge(c, header+int64(len(ctx.PostBody()))) {
+			s.reject(ctx, fasthttp.StatusServiceUnavailable, errNoRoom)
+			return
+		}
+	}
 	if !s.cfg.Hijacks {
 		s.account.complete(&c.entry)
 	}
 	s.cfg.Handler(ctx)
 }
 
+// dropHeader frees the arrays of a request's header, which the HTTP library would keep for the next
+// request on any connection.
+func dropHeader(ctx *fasthttp.RequestCtx) {
+	ctx.Request.Header = fasthttp.RequestHeader{}
+	*ctx.Request.URI() = fasthttp.URI{}
+}
+
 // handleReadError responds to a request whose header could not be read.
 func (s *Server) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
 	var smallBuffer *fasthttp.ErrSmallBuffer
+	c, ok := ctx.Conn().(*conn)
 	switch {
+	case ok && c.refused:
+		status, err = fasthttp.StatusServiceUnavailable, errNoRoom
 	case errors.As(err, &smallBuffer):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, fasthttp.ErrGetOnly):
@@ -262,6 +298,7 @@
 	}
 	s.reject(ctx, status, err)
 	ctx.SetConnectionClose()
+	dropHeader(ctx)
 }
 
 // reject responds to a request that could not be read.
