httpserver: a client has 10 s to read its answer

Callers saw: connections that never become free again. Cause: no limit on the time of a write, so that a client which doesn't read keeps its connection and its answer for good. Change: a write ends after 10 s, and a connection whose answer is unread may be closed for others. Evidence: by reading, and by the property test of the account.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -93,7 +93,6 @@
 }
 
 var crowds = map[string]misbehaving{
-	"AnswersUnread":         {"Users", fewFiles, callers, 400, write(fill("GET /jobs/ HTTP/1.1\r\nHost: "+queueHost+"\r\n\r\n", 4<<20))},
 	"ShortHeaderLines":      {"Users", hostFiles, callers, 900, write(submission(fill("a:\r\n", maxHeaderBytes-400), ordinaryBody))},
 	"ShortHeaderLinesNoEnd": {"Users", hostFiles, callers, 900, write(jobLine + fill("a:\r\n", maxHeaderBytes-400))},
 	"BareLineFeeds":         {"Users", hostFiles, callers, 900, write(submission(fill("a:\n", maxHeaderBytes-400)+"a:\r\n", ordinaryBody))},
@@ -103,6 +102,7 @@
 	"ChunkedBodies":         {"Users", hostFiles, callers, 600, pieces(jobLine+"Transfer-Encoding: chunked\r\n\r\n"+chunked(maxBodyBytes-1000), 16<<10)},
 	"Trailers":              {"Users", hostFiles, callers, 900, write(jobLine + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(ordinaryBody), ordinaryBody) + fill("a:\r\n", maxHeaderBytes-800) + "\r\n")},
 	"Connections":           {"Users", fewFiles, callers, 400, connect},
+	"AnswersUnread":         {"Users", fewFiles, callers, 400, write(fill("GET /jobs/ HTTP/1.1\r\nHost: "+queueHost+"\r\n\r\n", 4<<20))},
 	"PeerConnections":       {"Users", fewFiles, peers, 400, connect},
 	"PeerBodies":            {"Users", hostFiles, peers, 100, write(bodyShortOfEnd("POST /peer HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
 	"OperatorConnections":   {"Users", fewFiles, operators, 400, connect},
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -22,6 +22,8 @@
 const (
 	// RetryAfter is when a client may send a request again for which there was no room.
 	RetryAfter = time.Second
+	// writeTimeout is how long a client may take to read an answer.
+	writeTimeout = 10 * time.Second
 	// defaultHeaderBytes and defaultIdleTimeout apply to a Config without them.
 	defaultHeaderBytes = 4 << 10
 	defaultReadTimeout = 10 * time.Second
@@ -116,7 +118,7 @@
 		Handler: s.serve, ErrorHandler: s.handleReadError, ConnState: s.connState, Logger: logger{s},
 		NoDefaultServerHeader: true, CloseOnShutdown: true, DisablePreParseMultipartForm: true, StreamRequestBody: true,
 		GetOnly: c.MaxBodyBytes == nil, MaxRequestBodySize: prefetchBytes, ReadBufferSize: c.MaxHeaderBytes,
-		ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout,
+		ReadTimeout: c.ReadTimeout, IdleTimeout: c.IdleTimeout, WriteTimeout: writeTimeout,
 		// The account bounds the connections.
 		Concurrency: math.MaxInt32,
 	}
@@ -272,6 +274,7 @@
 	}
 	if !s.cfg.Hijacks {
 		s.account.complete(&c.entry)
+		defer s.account.answer(&c.entry)
 	}
 	s.cfg.Handler(ctx)
 }
@@ -296,6 +299,9 @@
 	case errors.Is(err, fasthttp.ErrGetOnly):
 		status = fasthttp.StatusMethodNotAllowed
 	}
+	if ok {
+		s.account.answer(&c.entry)
+	}
 	s.reject(ctx, status, err)
 	ctx.SetConnectionClose()
 	dropHeader(ctx)
