peer: a handshake has 64 KiB before the key is proved

Callers saw: a process that ran out of memory by 40 clients of the peers' address. Cause: the limit of a message was that of authenticated peers, 8 MiB, from the first message on. Change: 64 KiB until the proof has been checked, as on the dialing side. Why it works: who can't prove that it has the key never gets the larger limit.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"strings"
@@ -82,6 +83,21 @@
 	return fill(fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat(" ", chunk)), size+size/chunk*7)
 }
 
+// helloShortOfEnd opens a WebSocket as peers do, and sends the greatest message but its last byte.
+func helloShortOfEnd(_ int, c net.Conn) error {
+	const size = 8 << 20
+	upgrade := "GET /peer HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\nSec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n"
+	if _, err := c.Write([]byte(upgrade)); err != nil {
+		return err
+	}
+	header := binary.BigEndian.AppendUint64([]byte{0x82, 0xff}, size)
+	if _, err := c.Write(append(header, 1, 2, 3, 4)); err != nil {
+		return err
+	}
+	_, err := c.Write(make([]byte, size-1))
+	return err
+}
+
 const (
 	ordinaryBody = `{"spec":"5 1000","best-effort":true,"steps":[{"count":1,"cpu":1000,"estimate-ms":5}]}`
 	ownLine      = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n"
@@ -104,6 +120,7 @@
 	"Connections":           {"Users", fewFiles, callers, 400, connect},
 	"AnswersUnread":         {"Users", fewFiles, callers, 400, write(fill("GET /jobs/ HTTP/1.1\r\nHost: "+queueHost+"\r\n\r\n", 4<<20))},
 	"PeerConnections":       {"Users", fewFiles, peers, 400, connect},
+	"PeerHellos":            {"Users", hostFiles, peers, 40, helloShortOfEnd},
 	"PeerBodies":            {"Users", hostFiles, peers, 100, write(bodyShortOfEnd("POST /peer HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
 	"OperatorConnections":   {"Users", fewFiles, operators, 400, connect},
 	"OperatorBodies":        {"Users", hostFiles, operators, 100, write(bodyShortOfEnd("POST /ready HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -18,7 +18,7 @@
 	up := websocket.FastHTTPUpgrader{HandshakeTimeout: handshakeTimeout}
 	conn := ctx.Conn()
 	err := up.Upgrade(ctx, func(c *websocket.Conn) {
-		c.SetReadLimit(maxFrameBytes)
+		c.SetReadLimit(maxHandshakeBytes)
 		_ = c.SetReadDeadline(time.Now().Add(handshakeTimeout))
 		from, err := handshakeAccept(c, s.cfg.Key, s.cfg.Self.Incarnation)
 		if err != nil {
@@ -28,6 +28,7 @@
 			return
 		}
 		httpserver.Release(conn)
+		c.SetReadLimit(maxFrameBytes)
 		s.serve(c, from)
 	})
 	if err != nil {
