--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -83,6 +84,12 @@
 	return fill(fmt.Sprintf("%x\r\n%s\r\n", chunk, strings.Repeat(" ", chunk)), size+size/chunk*7)
 }
 
+// list returns a list in JSON that fills a body of size bytes between two texts.
+func list(before, element, after string, size int) string {
+	body := before + fill(element+",", size-len(before)-len(element)-len(after)) + element + after
+	return body
+}
+
 // helloShortOfEnd opens a WebSocket as peers do, and sends the greatest message but its last byte.
 func helloShortOfEnd(_ int, c net.Conn) error {
 	const size = 8 << 20
@@ -117,6 +124,8 @@
 	"BodiesPieceByPiece":    {"Users", hostFiles, callers, 600, pieces(bodyShortOfEnd(jobLine, "", maxBodyBytes), 16<<10)},
 	"ChunkedBodies":         {"Users", hostFiles, callers, 600, pieces(jobLine+"Transfer-Encoding: chunked\r\n\r\n"+chunked(maxBodyBytes-1000), 16<<10)},
 	"Trailers":              {"Users", hostFiles, callers, 900, write(jobLine + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(ordinaryBody), ordinaryBody) + fill("a:\r\n", maxHeaderBytes-800) + "\r\n")},
+	"ManySteps":             {"Users", hostFiles, callers, 100, write(submission("", list(`{"spec":"5 1","best-effort":true,"steps":[`, "{}", "]}", maxBodyBytes)))},
+	"ManyStepsBefore":       {"Users", hostFiles, callers, 100, write(submission("", list(`{"spec":"5 1","best-effort":true,"steps":[{"count":1,"after":[`, "0", "]}]}", maxBodyBytes)))},
 	"Connections":           {"Users", fewFiles, callers, 400, connect},
 	"AnswersUnread":         {"Users", fewFiles, callers, 400, write(fill("GET /jobs/ HTTP/1.1\r\nHost: "+queueHost+"\r\n\r\n", 4<<20))},
 	"PeerConnections":       {"Users", fewFiles, peers, 400, connect},
@@ -158,3 +167,36 @@
 		})
 	}
 }
+
+// TestLargestRequest checks that a single request of the greatest legal size is served, on a host of
+// the same size as in the other tests.
+func TestLargestRequest(t *testing.T) {
+	step := `{"count":2,"cpu":100,"estimate-ms":5}`
+	job := list(`{"spec":"5 100","best-effort":true,"steps":[`, step, "]}", 200*(len(step)+1))
+	own := `{"Team":"referral","Service":"booking","Tasks":[{"Body":{"RunMs":5,"Text":"`
+	cases := map[string]struct{ adapter, text string }{
+		"Users":    {"Users", submission(fill("a:\r\n", maxHeaderBytes-400), job+strings.Repeat(" ", maxBodyBytes-len(job)))},
+		"Trailers": {"Users", jobLine + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(job), job) + fill("a:\r\n", maxHeaderBytes-800) + "\r\n"},
+		"Own":      {"", ownSubmission(own + strings.Repeat("a", ownBodyBytes-len(own)-5) + `"}}]}`)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := start(t, c.adapter, hostMemoryMB, hostFiles)
+			conn, err := net.Dial("tcp", p.set.CallerAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if err := write(c.text)(1, conn); err != nil {
+				t.Fatal(err)
+			}
+			status := make([]byte, len("HTTP/1.1 200"))
+			if _, err := io.ReadFull(conn, status); err != nil || string(status) != "HTTP/1.1 200" {
+				t.Errorf("the response begins with %q: %v\n%s", status, err, p.logTail())
+			}
+			if peak := p.peakMemory(t); peak > hostMemoryMB<<20 {
+				t.Errorf("the process has used up to %d MB, the host has %d MB", peak>>20, hostMemoryMB)
+			}
+		})
+	}
+}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -320,6 +320,13 @@
 	}
 }
 
+// Recharge sets what a request costs besides its header, in bytes, for its decoded form, say. It
+// reports whether there is room; if not, the cost stays as it was.
+func Recharge(ctx *fasthttp.RequestCtx, bytes int64) bool {
+	c, ok := ctx.Conn().(*conn)
+	return !ok || c.server.charge(c, c.header+bytes)
+}
+
 // Release removes a connection that a handler has taken over from the account, for example once
 // its client has proved who it is.
 func Release(nc net.Conn) {
--- a/internal/worker/route.go
+++ b/internal/worker/route.go
@@ -66,7 +66,8 @@
 // Bounds of a job, so that one request can't exhaust a host's memory, and no sum or product of
 // the numbers of jobs exceeds its type.
 const (
-	maxSteps     = 256
+	// MaxSteps bounds the steps of a job.
+	MaxSteps     = 256
 	maxTasks     = 10000
 	maxSpecBytes = 4000
 	// maxJobTextBytes bounds the ID of a job and the labels that it names.
@@ -88,8 +89,8 @@
 	if len(j.Spec) > maxSpecBytes {
 		return fmt.Errorf("the spec has %d bytes, at most %d are allowed", len(j.Spec), maxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return fmt.Errorf("a job has 1 to %d steps, not %d", maxSteps, len(j.Steps))
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fmt.Errorf("a job has 1 to %d steps, not %d", MaxSteps, len(j.Steps))
 	}
 	if len(j.ID) > maxJobTextBytes {
 		return fmt.Errorf("the ID has %d bytes, at most %d are allowed", len(j.ID), maxJobTextBytes)
@@ -125,8 +126,8 @@
 		return errors.New("a number is larger than any server or run time")
 	case len(st.Requires) > maxJobTextBytes || len(st.Rack) > maxJobTextBytes:
 		return fmt.Errorf("a label has more than %d bytes", maxJobTextBytes)
-	case len(st.After) > maxSteps:
-		return fmt.Errorf("comes after %d steps, at most %d are allowed", len(st.After), maxSteps)
+	case len(st.After) > MaxSteps:
+		return fmt.Errorf("comes after %d steps, at most %d are allowed", len(st.After), MaxSteps)
 	}
 	for _, a := range st.After {
 		if a < 0 || a >= index {
