caller: decoding a large body costs a few times its bytes

Callers saw: a process that ran out of memory by 30 jobs of 4 MiB. Cause: a list of millions of tasks was decoded before its length was checked, twice, and every problem of it listed, at a hundred times its bytes. Without room the answer is 503 with MayHaveRun, as an earlier attempt may have run.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -137,6 +137,8 @@
 	"CollectorBodies":       {"Users", hostFiles, collectors, 100, write(bodyShortOfEnd("POST /metrics HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
 	"OwnConnections":        {"", fewFiles, callers, 400, connect},
 	"OwnBodiesShortOfEnd":   {"", hostFiles, callers, 150, write(bodyShortOfEnd(ownLine, "", ownBodyBytes))},
+	"OwnManyTasks":          {"", hostFiles, callers, 30, write(ownSubmission(list(`{"Team":"referral","Service":"booking","Tasks":[`, "{}", "]}", ownBodyBytes)))},
+	"OwnManyProblems":       {"", hostFiles, callers, 30, write(ownSubmission(list(`{"Team":"referral","Service":"booking","Tasks":[`, "0", "]}", ownBodyBytes)))},
 	"OwnShortHeaderLines":   {"", hostFiles, callers, 900, write("GET /v1/jobs?" + fill("a&", 2000) + " HTTP/1.1\r\nHost: x\r\n" + fill("a:\r\n", 1900) + "\r\n")},
 }
 
--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -103,7 +103,12 @@
 // serveSubmission serves the submission of a single request or of a job.
 func (s *Service) serveSubmission(ctx *fasthttp.RequestCtx, single bool) {
 	body := ctx.PostBody()
+	if !httpserver.Recharge(ctx, decodedCopies*int64(len(body))) {
+		s.writeResult(ctx, unknownResult(fasthttp.StatusServiceUnavailable, false, reasonHostFull, "", httpserver.RetryAfter))
+		return
+	}
 	req, bad := s.parseSubmitRequest(body, single)
+	httpserver.Recharge(ctx, waitingCopies*int64(len(body)))
 	s.submitAndRecord(ctx, req, bad, body)
 }
 
--- a/internal/caller/wire.go
+++ b/internal/caller/wire.go
@@ -9,12 +9,21 @@
 
 	"github.com/valyala/fasthttp"
 
+	"guavayoke/internal/httpjson"
 	"guavayoke/pkg/document"
 	"guavayoke/pkg/verdict"
 )
 
 const (
 	maxBodyBytes = 4 << 20
+	// maxTasks is the maximum number of tasks of a job, as the tag of wireJob.Tasks says.
+	maxTasks = 1000
+	// maxListedBytes is the size up to which every problem of a body is listed. A list of the
+	// problems of a larger one may take a hundred times its bytes.
+	maxListedBytes = 64 << 10
+	// decodedCopies is how many times its bytes a body costs while it is decoded, waitingCopies
+	// while it waits: as it came, to be forwarded, and as the bodies of its tasks.
+	decodedCopies, waitingCopies = 3, 2
 )
 
 // wireRequest is the HTTP body of a single request.
@@ -40,8 +49,17 @@
 	First bool
 	// NoWait asks for an answer as soon as the job has started.
 	NoWait     bool
-	DeadlineMs int        `validate:"min=0,max=3600000"`
-	Tasks      []wireTask `validate:"required,min=1,max=1000"`
+	DeadlineMs int      `validate:"min=0,max=3600000"`
+	Tasks      taskList `validate:"required,min=1,max=1000"`
+}
+
+// taskList is a list of tasks. Of a list that is too long it holds too many to be valid.
+type taskList []wireTask
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *taskList) UnmarshalJSON(b []byte) (err error) {
+	*l, err = httpjson.DecodeList[wireTask](b, maxTasks, true)
+	return err
 }
 
 // wireTask is one task of a job.
@@ -161,14 +179,21 @@
 }
 
 // decodeBody decodes a JSON body into v and validates it. It returns nil or the refusal.
-// A valid body takes the fast path; an invalid one is decoded again to list every problem.
+// A valid body takes the fast path; an invalid one up to maxListedBytes is decoded again to list
+// every problem.
 func decodeBody(b []byte, v any) *result {
 	dec := json.NewDecoder(bytes.NewReader(b))
 	dec.DisallowUnknownFields()
-	if dec.Decode(v) == nil && !dec.More() && document.Validate(v) == nil {
-		return nil
+	err := dec.Decode(v)
+	if err == nil && dec.More() {
+		err = errors.New("there is data after the end of the body")
+	}
+	if err == nil {
+		err = document.Validate(v)
+	}
+	if err != nil && len(b) <= maxListedBytes {
+		err = document.DecodeInto(b, v)
 	}
-	err := document.DecodeInto(b, v)
 	if err == nil {
 		return nil
 	}
