worker: the jobs that a host holds have a part of its memory

Callers saw: a process that ran out of memory by jobs that it was told in a hundred bytes each. Cause: a job of 10,000 tasks costs its owner megabytes, admission bounds time and not memory, and the mailbox was bounded by number on the belief that a submission has some kilobytes. Why it works: what is counted is the sum of all jobs that the host holds.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -63,6 +63,14 @@
 	}
 }
 
+// paced returns a function that sends a text some time after the client before it.
+func paced(text string, interval time.Duration) func(int, net.Conn) error {
+	return func(i int, c net.Conn) error {
+		time.Sleep(time.Duration(i) * interval)
+		return write(text)(i, c)
+	}
+}
+
 const jobLine = "POST /jobs/%016x HTTP/1.1\r\nHost: " + queueHost + "\r\n"
 
 // submission returns a request that submits a job, with more header lines.
@@ -126,6 +134,7 @@
 	"Trailers":              {"Users", hostFiles, callers, 900, write(jobLine + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(ordinaryBody), ordinaryBody) + fill("a:\r\n", maxHeaderBytes-800) + "\r\n")},
 	"ManySteps":             {"Users", hostFiles, callers, 100, write(submission("", list(`{"spec":"5 1","best-effort":true,"steps":[`, "{}", "]}", maxBodyBytes)))},
 	"ManyStepsBefore":       {"Users", hostFiles, callers, 100, write(submission("", list(`{"spec":"5 1","best-effort":true,"steps":[{"count":1,"after":[`, "0", "]}]}", maxBodyBytes)))},
+	"ManyTasks":             {"Users", hostFiles, callers, 300, paced(submission("", `{"spec":"1 1","best-effort":true,"steps":[{"count":10000,"cpu":1,"mem-mb":1000,"estimate-ms":1}]}`), 20*time.Millisecond)},
 	"Connections":           {"Users", fewFiles, callers, 400, connect},
 	"AnswersUnread":         {"Users", fewFiles, callers, 400, write(fill("GET /jobs/ HTTP/1.1\r\nHost: "+queueHost+"\r\n\r\n", 4<<20))},
 	"PeerConnections":       {"Users", fewFiles, peers, 400, connect},
--- a/internal/daemon/adapted.go
+++ b/internal/daemon/adapted.go
@@ -61,6 +61,7 @@
 	workers := worker.New(worker.Config{
 		Self: self, Commands: adapter.NewCommands(adapter.CommandsConfig{Network: deps.network, Log: logger, OnCall: countCall}),
 		Log: logger, Metrics: registry, Now: deps.now, Wall: deps.wall, EvacuationApplyTime: evacuations,
+		MaxJobBytes: deps.limits.jobBytes,
 	})
 	ops := operator.New(operator.Config{
 		Address: set.OperatorAddress, Network: deps.network, MetricsAddress: set.MetricsAddress, Environment: set.Environment,
--- a/internal/worker/admission.go
+++ b/internal/worker/admission.go
@@ -78,6 +78,9 @@
 	case p.evacuation.active:
 		return Result{Outcome: Returned, Reason: reasonEvacuated}, false
 	}
+	if !fitsMemory(p.heldBytes, j.ownerBytes(), p.cfg.MaxJobBytes) {
+		return refuse(reasonHostFull, hostFullRetry)
+	}
 	if len(j.Steps) == 0 || !p.fleet.known(j.Service) {
 		return refuse("NoServer", minRetryAfter)
 	}
--- a/internal/worker/host.go
+++ b/internal/worker/host.go
@@ -78,8 +78,9 @@
 	Log       *log.Logger
 	// Now is the time at which the host started.
 	Now time.Time
-	// EvacuationApplyTime is that of PoolConfig.
+	// EvacuationApplyTime and MaxJobBytes are those of PoolConfig.
 	EvacuationApplyTime time.Duration
+	MaxJobBytes         int64
 }
 
 // Host combines the state machines of one host: the Entry for its own callers, the
@@ -108,7 +109,7 @@
 	crashes, lateStarts, cancels := NewCrashLog(), NewLateStartLog(c.Self.Incarnation), NewCancelLog(c.Log)
 	return &Host{
 		cfg:     c,
-		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, Crashes: crashes, LateStarts: lateStarts, Cancels: cancels}),
+		pool:    NewPool(PoolConfig{NextToken: c.NextToken, Log: c.Log, EvacuationApplyTime: c.EvacuationApplyTime, MaxJobBytes: c.MaxJobBytes, Crashes: crashes, LateStarts: lateStarts, Cancels: cancels}),
 		entry:   NewEntry(EntryConfig{Self: c.Self, Log: c.Log, Now: c.Now, Crashes: crashes, LateStarts: lateStarts, Cancels: cancels}),
 		crashes: crashes, lateStarts: lateStarts, cancels: cancels, witnesses: newWitnesses(),
 	}
--- a/internal/worker/mailbox.go
+++ b/internal/worker/mailbox.go
@@ -6,7 +6,8 @@
 //  1. Submissions are taken in the order in which they entered. One that has entered
 //     is not refused by the mailbox any more.
 //  2. A submission is refused before it enters if it is expected to wait longer than
-//     maxMailboxWait, or longer than its caller does, or if maxMailboxLen wait.
+//     maxMailboxWait, or longer than its caller does, or if maxMailboxLen wait, or those that
+//     wait cost too much memory (memory.go).
 //  3. The expected wait is the number of submissions ahead times the mean time that
 //     one takes. The mean counts all time during which a submission waited or was
 //     handled, so also the time that the loop spent on other events meanwhile, and
@@ -31,8 +32,7 @@
 	// 2,800 a second, which is four times the usual load of such an owner with the
 	// offers that other owners have refused.
 	maxMailboxWait = 50 * time.Millisecond
-	// maxMailboxLen bounds the memory: a submission has some kilobytes at most (see
-	// Job.Validate).
+	// maxMailboxLen bounds the number of submissions that wait.
 	maxMailboxLen = 2048
 	// mailboxMeanWindow is the time constant with which the mean time of a submission
 	// forgets, in time during which submissions waited or were handled. It spans
@@ -65,6 +65,9 @@
 	waiting []Submission
 	// taken holds the jobs that were taken and may not have ended.
 	taken map[string]bool
+	// MaxBytes bounds what the waiting jobs cost, bytes is what they cost (memory.go, rule 3). 0
+	// means no limit.
+	MaxBytes, bytes int64
 	// busySince is since when a submission has been waiting or handled without one
 	// being done; zero if none is. handling is set from Take to Done.
 	busySince time.Time
@@ -113,7 +116,8 @@
 	}
 	wait := m.ExpectedWait(now)
 	tooLong := wait > maxMailboxWait || s.Job.Budget > 0 && s.Job.Age+wait > s.Job.Budget
-	if len(m.waiting) >= maxMailboxLen || tooLong && !known {
+	full := len(m.waiting) >= maxMailboxLen || !fitsMemory(m.bytes, s.Job.Bytes(), m.MaxBytes)
+	if full || tooLong && !known {
 		r := Result{ID: s.Job.ID, Outcome: Refused, Reason: "HostBusy", RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}
 		if known {
 			r.Outcome = Lost
@@ -122,6 +126,7 @@
 	}
 	s.EnteredAt = now
 	m.waiting = append(m.waiting, s)
+	m.bytes += s.Job.Bytes()
 	if m.busySince.IsZero() {
 		m.busySince = now
 	}
@@ -135,6 +140,7 @@
 		return Submission{}, false
 	}
 	s := m.waiting[0]
+	m.bytes -= s.Job.Bytes()
 	m.waiting[0] = Submission{}
 	m.waiting = m.waiting[1:]
 	m.taken[s.Job.ID] = true
@@ -188,6 +194,7 @@
 			return false
 		}
 		removed = append(removed, s)
+		m.bytes -= s.Job.Bytes()
 		return true
 	})
 	m.restIfEmpty()
--- a/internal/worker/pool.go
+++ b/internal/worker/pool.go
@@ -93,6 +93,8 @@
 	// be started any more in an evacuated failure domain; 0 means that there are no
 	// evacuations (evacuation.go).
 	EvacuationApplyTime time.Duration
+	// MaxJobBytes bounds what the jobs of the pool cost (memory.go); 0 means no limit.
+	MaxJobBytes int64
 	// Crashes, LateStarts and Cancels are the logs of the host; nil means ones of its own.
 	Crashes    *CrashLog
 	LateStarts *LateStartLog
@@ -199,6 +201,8 @@
 	// jobs and queue hold all jobs that have not ended, started or not.
 	jobs  map[string]*job
 	queue *jobQueue
+	// heldBytes is what the jobs cost (memory.go).
+	heldBytes int64
 	// trackedRuns is the number of tracked runs of each task (rule 1), by the task's
 	// name because runs can outlast their job (rule 2). It can exceed 1 while servers
 	// list runs that this pool did not start.
@@ -296,6 +300,7 @@
 		return
 	}
 	p.jobs[in.ID] = j
+	p.heldBytes += j.ownerBytes()
 	p.queue.add(now, j)
 	p.shares.Admitted(now, j.share, session, j.work)
 	p.addWaiting(j, j.work)
--- a/internal/worker/pool_ends.go
+++ b/internal/worker/pool_ends.go
@@ -77,6 +77,7 @@
 // endJob removes a job, stops its remaining runs (rule 2) and answers its waiters.
 func (p *Pool) endJob(now time.Time, j *job, r Result) {
 	delete(p.jobs, j.ID)
+	p.heldBytes -= j.ownerBytes()
 	p.queue.remove(j)
 	p.addWaiting(j, -j.waitingWork)
 	lastRun := 0
--- a/internal/worker/service.go
+++ b/internal/worker/service.go
@@ -69,6 +69,9 @@
 	// be started any more in an evacuated failure domain; 0 means that there are no
 	// evacuations.
 	EvacuationApplyTime time.Duration
+	// MaxJobBytes bounds what the jobs cost that this host owns, and those that wait in its
+	// mailbox; 0 means no limit.
+	MaxJobBytes int64
 }
 
 // Service runs the Host state machine of this host: it delivers events to it and
@@ -139,8 +142,9 @@
 	s.host = NewHost(HostConfig{
 		Self:      c.Self,
 		NextToken: func(_ time.Time, refused uint64) uint64 { return tokens.Next(c.Wall(), refused) },
-		Log:       c.Log, Now: c.Now(), EvacuationApplyTime: c.EvacuationApplyTime,
+		Log:       c.Log, Now: c.Now(), EvacuationApplyTime: c.EvacuationApplyTime, MaxJobBytes: c.MaxJobBytes,
 	})
+	s.mailbox.MaxBytes = c.MaxJobBytes
 	return s
 }
 
