daemon: the submissions that a home holds have a part of the host's memory

Callers saw: a process that ran out of memory by jobs of legal size, one after the other. Cause: a home holds up to 256 MB of submissions, whatever the host has. Change: the bound is the host's part for jobs, and 256 MB at the most.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -148,6 +148,7 @@
 	"OwnBodiesShortOfEnd":   {"", hostFiles, callers, 150, write(bodyShortOfEnd(ownLine, "", ownBodyBytes))},
 	"OwnManyTasks":          {"", hostFiles, callers, 30, write(ownSubmission(list(`{"Team":"referral","Service":"booking","Tasks":[`, "{}", "]}", ownBodyBytes)))},
 	"OwnManyProblems":       {"", hostFiles, callers, 30, write(ownSubmission(list(`{"Team":"referral","Service":"booking","Tasks":[`, "0", "]}", ownBodyBytes)))},
+	"OwnTasksWait":          {"", hostFiles, callers, 100, paced(ownSubmission(fmt.Sprintf(`{"Team":"referral","Service":"booking","NoWait":true,"Tasks":[{"Body":{"RunMs":9000,"Text":"%s"}}]}`, strings.Repeat("a", ownBodyBytes-200))), 100*time.Millisecond)},
 	"OwnShortHeaderLines":   {"", hostFiles, callers, 900, write("GET /v1/jobs?" + fill("a&", 2000) + " HTTP/1.1\r\nHost: x\r\n" + fill("a:\r\n", 1900) + "\r\n")},
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,7 +32,8 @@
 const (
 	// platformTimeout limits a call to the platform's service.
 	platformTimeout = 2 * time.Second
-	// maxHeldBytes limits the memory of the submissions that a host holds.
+	// maxHeldBytes limits the memory of the submissions that a host holds, also if the host has
+	// more memory for jobs.
 	maxHeldBytes = 256 << 20
 	// gcPercent is the garbage collection target, see debug.SetGCPercent. It uses more
 	// memory than the default of 100 to collect less often, because collections
@@ -214,7 +215,7 @@
 		Address: set.CallerAddress, Limits: deps.limits.callers, Log: logger, Metrics: registry, Record: ops.Record,
 		Home: caller.HomeConfig{
 			Incarnation: incarnation, Address: advertisedAddress(set), FailureDomain: set.FailureDomain,
-			Key: key, MaxHeldBytes: maxHeldBytes,
+			Key: key, MaxHeldBytes: min(deps.limits.jobBytes, maxHeldBytes),
 		},
 	})
 	return kernel.New(peers.Service(), store.Service(), backends.Service(), ops.Service(), callers.Service())
