caller: large answers are charged while they are written

Callers saw: memory that grows with the clients that ask for one large answer and don't read it. Cause: each such request has the answer twice, as such and encoded, and the HTTP library kept the buffer for later requests. Change: an answer is charged before it is encoded; without room the caller is told that it is held (503, MayHaveRun, Retry-After). The buffer isn't kept.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // hostMemoryMB and hostFiles are the limits of the host in these tests.
@@ -123,6 +125,13 @@
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", ownLine, len(body), body)
 }
 
+// ownJob submits a job with a thousand answers, and ownAnswers asks for them.
+var (
+	ownID      = uuid.Must(uuid.NewV7()).String()
+	ownJob     = ownSubmission(list(fmt.Sprintf(`{"ID":%q,"Team":"referral","Service":"booking","NoWait":true,"Tasks":[`, ownID), `{"Body":{"RunMs":1}}`, "]}", 20_000))
+	ownAnswers = fill(fmt.Sprintf("GET /v1/jobs/%s?WaitMs=20000 HTTP/1.1\r\nHost: x\r\n\r\n", ownID), 64<<10)
+)
+
 var crowds = map[string]misbehaving{
 	"ShortHeaderLines":      {"Users", hostFiles, callers, 900, write(submission(fill("a:\r\n", maxHeaderBytes-400), ordinaryBody))},
 	"ShortHeaderLinesNoEnd": {"Users", hostFiles, callers, 900, write(jobLine + fill("a:\r\n", maxHeaderBytes-400))},
@@ -146,6 +155,7 @@
 	"CollectorBodies":       {"Users", hostFiles, collectors, 100, write(bodyShortOfEnd("POST /metrics HTTP/1.1\r\nHost: x\r\n", "", 4<<20))},
 	"OwnConnections":        {"", fewFiles, callers, 400, connect},
 	"OwnBodiesShortOfEnd":   {"", hostFiles, callers, 150, write(bodyShortOfEnd(ownLine, "", ownBodyBytes))},
+	"OwnAnswersUnread":      {"", hostFiles, callers, 900, write(ownJob + ownAnswers)},
 	"OwnManyTasks":          {"", hostFiles, callers, 30, write(ownSubmission(list(`{"Team":"referral","Service":"booking","Tasks":[`, "{}", "]}", ownBodyBytes)))},
 	"OwnManyProblems":       {"", hostFiles, callers, 30, write(ownSubmission(list(`{"Team":"referral","Service":"booking","Tasks":[`, "0", "]}", ownBodyBytes)))},
 	"OwnTasksWait":          {"", hostFiles, callers, 100, paced(ownSubmission(fmt.Sprintf(`{"Team":"referral","Service":"booking","NoWait":true,"Tasks":[{"Body":{"RunMs":9000,"Text":"%s"}}]}`, strings.Repeat("a", ownBodyBytes-200))), 100*time.Millisecond)},
--- a/internal/caller/http.go
+++ b/internal/caller/http.go
@@ -22,6 +22,8 @@
 	pathToken    = "/v1/token"
 	// maxListedSubmissions limits the answer to GET /v1/jobs.
 	maxListedSubmissions = 1000
+	// listEntryBytes is what an entry of that answer costs, as such and encoded.
+	listEntryBytes = 1024
 	// maxWait limits the query parameter WaitMs.
 	maxWait = 60 * time.Second
 )
@@ -61,14 +63,18 @@
 	s.writeResult(ctx, refusedResult(status, reasonBadRequest, "the request could not be read", 0))
 }
 
-// writeResult writes an answer with its HTTP status.
+// writeResult writes an answer with its HTTP status. If there is no memory for a large one, it
+// writes that the answer is held.
 func (s *Service) writeResult(ctx *fasthttp.RequestCtx, r result) {
+	if size := r.answerBytes(); size > 0 && !httpserver.Recharge(ctx, size) {
+		r = unknownResult(fasthttp.StatusServiceUnavailable, false, reasonHostFull, "the answer is held", httpserver.RetryAfter).forID(r.ID)
+	}
 	ctx.SetStatusCode(r.status)
 	ctx.SetContentType("application/json")
 	if r.RetryAfterMs > 0 {
 		ctx.Response.Header.Set("Retry-After", strconv.FormatInt((r.RetryAfterMs+999)/1000, 10))
 	}
-	ctx.SetBody(encodeJSON(r.wireResult))
+	ctx.Response.SetBodyRaw(encodeJSON(r.wireResult))
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -121,6 +127,7 @@
 	}
 	start := time.Now()
 	r := s.submit(req, body, true)
+	ctx.Request.ResetBody()
 	s.writeResult(ctx, r)
 	s.recordOutcome(time.Now(), req, r, time.Since(start))
 }
@@ -269,13 +276,17 @@
 		list = append(list, entry)
 	}
 	s.mu.Unlock()
+	if !httpserver.Recharge(ctx, listEntryBytes*int64(len(list))) {
+		s.writeResult(ctx, unknownResult(fasthttp.StatusServiceUnavailable, false, reasonHostFull, "", httpserver.RetryAfter))
+		return
+	}
 	b, err := json.Marshal(list)
 	if err != nil {
 		s.writeResult(ctx, unknownResult(fasthttp.StatusInternalServerError, false, reasonBadRequest, err.Error(), 0))
 		return
 	}
 	ctx.SetContentType("application/json")
-	ctx.SetBody(b)
+	ctx.Response.SetBodyRaw(b)
 }
 
 // refusal returns a refusal of req by this host, which a retry may change. If req has no
--- a/internal/caller/wire.go
+++ b/internal/caller/wire.go
@@ -24,6 +24,8 @@
 	// decodedCopies is how many times its bytes a body costs while it is decoded, waitingCopies
 	// while it waits: as it came, to be forwarded, and as the bodies of its tasks.
 	decodedCopies, waitingCopies = 3, 2
+	// taskResultBytes is what the result of a task costs besides its answer.
+	taskResultBytes = 128
 )
 
 // wireRequest is the HTTP body of a single request.
@@ -131,6 +133,22 @@
 	wireResult
 }
 
+// answerBytes returns what the answers of backend servers in r cost while they are written: as such
+// and encoded.
+func (r *result) answerBytes() int64 {
+	n := len(r.Answer)
+	for i := range r.Tasks {
+		n += taskResultBytes + len(r.Tasks[i].Answer)
+	}
+	return 2 * int64(n)
+}
+
+// forID returns r as the answer to the submission with an id.
+func (r result) forID(id string) result {
+	r.ID = id
+	return r
+}
+
 // States of answers, besides those of jobs (see JobState).
 const (
 	stateRefused = "Refused"
