httpserver: incomplete requests don't use up the time of a stop

Operators saw: a stop that fails with exit code 1 after all of its time. Cause: the HTTP library waits for requests whose header or body is still arriving, and all other services stop after it: results are not handed over, and the peers get no leave notice. Change: a second after the shutdown has begun, connections whose request is incomplete or whose answer is unread are closed. Why it works: such requests were not read, so that nothing of them was started.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -222,3 +223,30 @@
 		})
 	}
 }
+
+// TestStopWithMisbehavingClients checks that connections whose request never becomes complete don't use
+// up the time that a daemon has for its stop.
+func TestStopWithMisbehavingClients(t *testing.T) {
+	cases := map[string]struct{ adapter, text string }{
+		"Header":    {"Users", jobLine},
+		"Body":      {"Users", bodyShortOfEnd(jobLine, "", 1000)},
+		"OwnHeader": {"", ownLine},
+		"OwnBody":   {"", bodyShortOfEnd(ownLine, "", 1000)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := start(t, c.adapter, hostMemoryMB, hostFiles)
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			crowd(ctx, p.set.CallerAddress, 10, write(c.text))
+			p.expectAnswer(t)
+			if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			<-p.exited
+			if code := p.cmd.ProcessState.ExitCode(); code != 0 {
+				t.Errorf("exit code %d\n%s", code, p.logTail())
+			}
+		})
+	}
+}
--- a/internal/httpserver/account.go
+++ b/internal/httpserver/account.go
@@ -131,6 +131,19 @@
 	return v
 }
 
+// displaceIncomplete removes and returns the connections whose request is incomplete or whose answer
+// is unread.
+func (a *account) displaceIncomplete() (displaced []*entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for f := a.incomplete.Front(); f != nil; f = a.incomplete.Front() {
+		e := f.Value.(*entry)
+		a.remove(e)
+		displaced = append(displaced, e)
+	}
+	return displaced
+}
+
 // begin records that a connection has begun to send a request.
 func (a *account) begin(e *entry) {
 	a.mu.Lock()
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -34,6 +34,10 @@
 	writeBufferBytes = 4 << 10
 	prefetchBytes    = 8 << 10
 	handlerBytes     = 16 << 10
+	// shutdownGrace is how long a request may take to arrive, or an answer to be read, once the
+	// server shuts down; shutdownInterval is the interval of the checks after that.
+	shutdownGrace    = time.Second
+	shutdownInterval = 100 * time.Millisecond
 	// manyHeaderLines is the number of header lines from which on the HTTP library's arrays for
 	// them are not kept for the next request.
 	manyHeaderLines = 64
@@ -147,8 +151,23 @@
 }
 
 // Shutdown closes the listener and waits until the requests that have been read are answered, or
-// ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.http.ShutdownWithContext(ctx) }
+// ctx ends. After shutdownGrace it closes the connections whose request is still incomplete or
+// whose answer is unread: they would use up the time that the process has for its stop.
+func (s *Server) Shutdown(ctx context.Context) error {
+	done := make(chan error, 1)
+	go func() { done <- s.http.ShutdownWithContext(ctx) }()
+	grace := time.NewTimer(shutdownGrace)
+	defer grace.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-grace.C:
+			s.closeAll(s.account.displaceIncomplete())
+			grace.Reset(shutdownInterval)
+		}
+	}
+}
 
 // Usage returns the number of open connections and what they cost, in bytes.
 func (s *Server) Usage() (connections int, bytes int64) { return s.account.usage() }
