event: lines that wait are bounded by their bytes

Cause: up to 4,096 lines wait while the log is read slowly, and a line could quote a header or a path of 16 KiB, in escaped form 64 KB, so that the queue could take 256 MB. Evidence: TestQueuedBytesAreLimited fails without the bound (it counts more than 2 MB).

--- a/internal/event/asyncwriter.go
+++ b/internal/event/asyncwriter.go
@@ -12,6 +12,8 @@
 const (
 	// maxQueuedLines limits the lines that wait while the log is read slowly.
 	maxQueuedLines = 4096
+	// maxQueuedBytes limits their memory: a line may quote a request.
+	maxQueuedBytes = 2 << 20
 	// maxLinesPerSecond limits the volume of the log.
 	maxLinesPerSecond = 5000
 	// closeTimeout limits how long Close waits for the queued lines to be written.
@@ -24,6 +26,8 @@
 // writes the number of dropped lines to the log.
 type AsyncWriter struct {
 	lines *ring.Queue[[]byte]
+	// queuedBytes is the size of the lines in the queue and of the one that is being written.
+	queuedBytes atomic.Int64
 	// dropped counts the dropped lines that the log doesn't report yet.
 	dropped atomic.Uint64
 	// second is the Unix time in seconds of the last line, and linesInSecond
@@ -51,12 +55,22 @@
 	if a.second.Swap(second) != second {
 		a.linesInSecond.Store(0)
 	}
-	if a.linesInSecond.Add(1) > maxLinesPerSecond || !a.lines.Offer(append([]byte(nil), line...)) {
+	if a.linesInSecond.Add(1) > maxLinesPerSecond || !a.offer(line) {
 		a.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// offer queues a copy of a line. It reports false if there is no room.
+func (a *AsyncWriter) offer(line []byte) bool {
+	size := int64(len(line))
+	if a.queuedBytes.Add(size) <= maxQueuedBytes && a.lines.Offer(append([]byte(nil), line...)) {
+		return true
+	}
+	a.queuedBytes.Add(-size)
+	return false
+}
+
 // Dropped returns the number of dropped lines that the log doesn't report yet.
 func (a *AsyncWriter) Dropped() uint64 { return a.dropped.Load() }
 
@@ -92,6 +106,7 @@
 
 // write writes a line, followed by a LogDropped event if lines have been dropped.
 func (a *AsyncWriter) write(w io.Writer, line []byte) {
+	defer a.queuedBytes.Add(-int64(len(line)))
 	if n := a.dropped.Swap(0); n > 0 {
 		line = fmt.Appendf(line, "Time=%s Level=warn Event=LogDropped Count=%d\n", a.now().UTC().Format(timeFormat), n)
 	}
--- a/internal/event/asyncwriter_test.go
+++ b/internal/event/asyncwriter_test.go
@@ -46,6 +46,27 @@
 	}
 }
 
+// TestQueuedBytesAreLimited checks that long lines which wait for a blocked reader are dropped once
+// they hold too much memory, and that there is room again when they have been written.
+func TestQueuedBytesAreLimited(t *testing.T) {
+	w := &blockedWriter{release: make(chan struct{})}
+	q := NewAsyncWriter(w, time.Now)
+	line := []byte(strings.Repeat("a", maxQueuedBytes/64) + "\n")
+	for range 200 {
+		if _, err := q.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if queued := 200 - int(q.Dropped()); queued*len(line) > maxQueuedBytes {
+		t.Errorf("%d lines of %d bytes wait, the limit is %d bytes", queued, len(line), maxQueuedBytes)
+	}
+	close(w.release)
+	q.Close()
+	if n := q.queuedBytes.Load(); n != 0 {
+		t.Errorf("%d bytes are counted as waiting after all were written", n)
+	}
+}
+
 func TestLineRateIsLimited(t *testing.T) {
 	w := &blockedWriter{release: make(chan struct{})}
 	close(w.release)
