operator: one profile at a time, and not without end

Cause: a profile is held in memory until it is complete, and a client of the operators' address could ask for any number of them, for a trace of any length. Change: one at a time (503), of 30 s at the most, a trace of 5 s (400). Evidence: by reading; not measured, and no test.

--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +30,9 @@
 // Name is the name of the service in the kernel.
 const Name = "Operator"
 
+// maxProfileSeconds and maxTraceSeconds limit the time of a profile. A trace has every event.
+const maxProfileSeconds, maxTraceSeconds = 30, 5
+
 // Config configures a Service.
 type Config struct {
 	Address     string
@@ -54,6 +58,9 @@
 	callers  *caller.Service
 	workers  *worker.Service
 
+	// profiling is held while a profile is being taken.
+	profiling sync.Mutex
+
 	mu   sync.Mutex
 	burn *burn.Table
 }
@@ -120,7 +127,7 @@
 
 func (s *Service) serveHTTP(ctx *fasthttp.RequestCtx) {
 	if strings.HasPrefix(string(ctx.Path()), "/debug/pprof/") {
-		pprofhandler.PprofHandler(ctx)
+		s.serveProfile(ctx)
 		return
 	}
 	switch string(ctx.Path()) {
@@ -139,6 +146,25 @@
 	}
 }
 
+// serveProfile serves a profile. There is one at a time, and its time is limited, because a profile
+// is held in memory until it is complete.
+func (s *Service) serveProfile(ctx *fasthttp.RequestCtx) {
+	limit := maxProfileSeconds
+	if strings.HasSuffix(string(ctx.Path()), "/trace") {
+		limit = maxTraceSeconds
+	}
+	if ctx.QueryArgs().GetUintOrZero("seconds") > limit {
+		ctx.Error(fmt.Sprintf("this profile takes at most %d seconds\n", limit), fasthttp.StatusBadRequest)
+		return
+	}
+	if !s.profiling.TryLock() {
+		ctx.Error("another profile is being taken\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	defer s.profiling.Unlock()
+	pprofhandler.PprofHandler(ctx)
+}
+
 func (s *Service) serveReady(ctx *fasthttp.RequestCtx) {
 	if s.ready() {
 		ctx.SetBodyString("ready\n")
