daemon: MetricsAddress takes effect without an Adapter

Cause: the setting is documented for all daemons, but only those on the users' platform listened there. Found while the limits of that address were set. Change: it is passed on in both builds. Evidence: the crowds of the product's own protocol check the address now.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -181,9 +181,7 @@
 			leave()
 			p.expectAnswer(t)
 			p.expectReady(t, p.set.OperatorAddress)
-			if c.adapter != "" {
-				p.expectReady(t, p.set.MetricsAddress)
-			}
+			p.expectReady(t, p.set.MetricsAddress)
 			if peak := p.peakMemory(t); peak > hostMemoryMB<<20 {
 				t.Errorf("the process has used up to %d MB, the host has %d MB", peak>>20, hostMemoryMB)
 			}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -208,7 +208,7 @@
 		Self: incarnation, Domain: set.FailureDomain, Rand: newRand(), Log: logger, Metrics: registry,
 	})
 	ops := operator.New(operator.Config{
-		Address: set.OperatorAddress, Environment: set.Environment, Log: logger, Metrics: registry, Started: started,
+		Address: set.OperatorAddress, MetricsAddress: set.MetricsAddress, Environment: set.Environment, Log: logger, Metrics: registry, Started: started,
 		Limits: deps.limits.operators, MetricsLimits: deps.limits.collectors,
 	})
 	callers := caller.New(caller.Config{
