explain: refusals for lack of memory

A refusal with the reason HostFull, by the entry host or the owner, had no cause in the account of losses. It has one now, which names the lines to look at. Evidence: TestCauses has the case HostFull.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -90,6 +90,10 @@
 		"QueueCrashesServers", Refused, "tasks of the job's queue had crashed so many servers that the queue has no room until one is back",
 		"ServerLost, TaskGivenUp on the owner; the queue's tasks", func(c Case) bool { return c.Reason == "QueueCrashesServers" },
 	},
+	{
+		"HostFull", Refused, "the entry host or the owner had no memory left for the request or the job",
+		"ConnectionsRefused, ConnectionsClosed on the entry host; JobRefused Reason=HostFull on the owner; MemoryMB", func(c Case) bool { return c.Reason == "HostFull" },
+	},
 	{
 		"NoServer", Refused, "the owner had no server of the job's service", "ServerListed, ServerGone, ServerAcquired on the owner",
 		func(c Case) bool { return c.Reason == "NoServer" },
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -87,6 +87,7 @@
 
 	"WaitedThenRefused":  {received, ended("Refused", "WaitedTooLong", 390, 50, -1, -1, 0), full(" Saturated=true"), answered("Refused", "QueueFull")},
 	"WaitedTooLong":      {received, ended("Refused", "WaitedTooLong", 390, 50, -1, -1, 0), answered("Refused", "WaitedTooLong")},
+	"HostFull":           {received, "0.2 b1 JobRefused Queue=q Reason=HostFull RetryAfterMs=1000 AgeMs=100", answered("Refused", "HostFull")},
 	"QueueSaturated":     {received, full(" Saturated=true"), answered("Refused", "QueueFull")},
 	"DeadlineTooNear":    {received, full(" Saturated=false"), answered("Refused", "QueueFull")},
 	"QueueFull":          {received, full(""), answered("Refused", "QueueFull")},
