guavayoked: crowds of mixed clients, and peers beside crowds

The crowds so far send one thing each, to one address. TestPeersKeepTheirPart starts a second host beside crowds. Evidence: on TestMixedCrowd takes 1,135 MB (a host of 128 MB), and with the crowds PeerConnections and Connections the second host never becomes a member; with the two others it did there, too.

--- a/cmd/guavayoked/clients_test.go
+++ b/cmd/guavayoked/clients_test.go
@@ -5,8 +5,13 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net"
+	"os"
+	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -189,6 +194,23 @@
 	}
 }
 
+// TestPeersKeepTheirPart checks that hosts find each other while crowds hold connections to the peers'
+// address of one of them, or exhaust the part of its callers.
+func TestPeersKeepTheirPart(t *testing.T) {
+	for _, name := range []string{"PeerConnections", "PeerHellos", "Connections", "BodiesShortOfEnd"} {
+		t.Run(name, func(t *testing.T) {
+			c := crowds[name]
+			p := start(t, c.adapter, hostMemoryMB, c.files)
+			ctx, leave := context.WithCancel(context.Background())
+			defer leave()
+			crowd(ctx, c.address(p), c.clients, c.send)
+			other := start(t, c.adapter, hostMemoryMB, hostFiles, p.set.PeerAddress)
+			p.expectMember(t, other.set.Name)
+			other.expectMember(t, p.set.Name)
+		})
+	}
+}
+
 // TestLargestRequest checks that a single request of the greatest legal size is served, on a host of
 // the same size as in the other tests.
 func TestLargestRequest(t *testing.T) {
@@ -248,3 +270,87 @@
 		})
 	}
 }
+
+// cutConn is a connection that fails after a number of bytes, and pauses now and then.
+type cutConn struct {
+	net.Conn
+	left int
+	rand *rand.Rand
+}
+
+func (c *cutConn) Write(b []byte) (int, error) {
+	written := 0
+	for written < len(b) {
+		if c.left <= 0 {
+			return written, io.ErrShortWrite
+		}
+		n, err := c.Conn.Write(b[written:min(len(b), written+min(c.left, 1+c.rand.IntN(256<<10)))])
+		written += n
+		c.left -= n
+		if err != nil {
+			return written, err
+		}
+		if c.rand.IntN(8) == 0 {
+			time.Sleep(time.Duration(c.rand.IntN(50)) * time.Millisecond)
+		}
+	}
+	return written, nil
+}
+
+// TestMixedCrowd checks the same as TestMisbehavingClients with clients that come and leave, each of which
+// behaves like one of any of its crowds and breaks off at any byte, at all addresses at once.
+// GUAVAYOKE_SEEDS=1+50 runs fifty seeds from the first one on.
+func TestMixedCrowd(t *testing.T) {
+	first, count := uint64(1), uint64(2)
+	if text := os.Getenv("GUAVAYOKE_SEEDS"); text != "" {
+		if _, err := fmt.Sscanf(text, "%d+%d", &first, &count); err != nil {
+			t.Fatal(err)
+		}
+	}
+	names := slices.Sorted(maps.Keys(crowds))
+	for seed := first; seed < first+count; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			adapter := []string{"Users", ""}[seed%2]
+			p := start(t, adapter, hostMemoryMB, hostFiles)
+			ctx, leave := context.WithTimeout(context.Background(), 5*time.Second)
+			defer leave()
+			var clients sync.WaitGroup
+			for i := range 300 {
+				r := rand.New(rand.NewPCG(seed, uint64(i)))
+				clients.Go(func() {
+					for ctx.Err() == nil {
+						c := crowds[names[r.IntN(len(names))]]
+						if c.adapter != adapter {
+							continue
+						}
+						nc, err := net.DialTimeout("tcp", c.address(p), time.Second)
+						if err != nil {
+							continue
+						}
+						stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+						_ = nc.SetDeadline(time.Now().Add(2 * time.Second))
+						_ = c.send(r.IntN(50), &cutConn{nc, 1 << r.IntN(23), r})
+						time.Sleep(time.Duration(r.IntN(1000)) * time.Millisecond)
+						stop()
+						_ = nc.Close()
+					}
+				})
+			}
+			for ctx.Err() == nil {
+				p.expectAnswer(t)
+				if n := p.openFiles(t); n > hostFiles {
+					t.Errorf("%d descriptors are open, the host has %d", n, hostFiles)
+				}
+			}
+			clients.Wait()
+			p.expectAnswer(t)
+			p.expectReady(t, p.set.OperatorAddress)
+			p.expectReady(t, p.set.MetricsAddress)
+			if peak := p.peakMemory(t); peak > hostMemoryMB<<20 {
+				t.Errorf("the process has used up to %d MB, the host has %d MB", peak>>20, hostMemoryMB)
+			} else {
+				t.Logf("peak memory: %d MB", peak>>20)
+			}
+		})
+	}
+}
--- a/cmd/guavayoked/process_test.go
+++ b/cmd/guavayoked/process_test.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 
 	"guavayoke/internal/cli"
+	"guavayoke/internal/httpjson"
 	"guavayoke/internal/settings"
 	basestandin "guavayoke/internal/standin"
 	"guavayoke/internal/worker"
@@ -93,15 +94,15 @@
 }
 
 // start starts a daemon with limits on its host's memory and descriptors, and waits until it
-// answers an ordinary request.
-func start(t *testing.T, adapter string, memoryMB, maxFiles int) *process {
+// answers an ordinary request. seeds are the addresses of its peers.
+func start(t *testing.T, adapter string, memoryMB, maxFiles int, seeds ...string) *process {
 	t.Helper()
 	dir := t.TempDir()
 	p := &process{log: filepath.Join(dir, "log"), exited: make(chan struct{})}
 	p.set = settings.Daemon{
-		Name: "entry1", Environment: "production", FailureDomain: "domain1", Region: "region1", PeerKey: peerKey, Adapter: adapter,
+		Name: fmt.Sprintf("entry%d", len(seeds)+1), Environment: "production", FailureDomain: "domain1", Region: "region1", PeerKey: peerKey, Adapter: adapter,
 		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), OperatorAddress: freeAddress(t), MetricsAddress: freeAddress(t),
-		Seeds: []string{}, StopLimitMs: 4000, LogLevel: "info", MemoryMB: memoryMB, MaxFiles: maxFiles,
+		Seeds: append([]string{}, seeds...), StopLimitMs: 4000, LogLevel: "info", MemoryMB: memoryMB, MaxFiles: maxFiles,
 	}
 	if adapter == "Users" {
 		p.startPlatform(t)
@@ -256,6 +257,25 @@
 	t.Fatalf("no answer at %s: %v\n%s", address, err, p.logTail())
 }
 
+// expectMember checks that the daemon considers a host a member that is up.
+func (p *process) expectMember(t *testing.T, name string) {
+	t.Helper()
+	for deadline := time.Now().Add(answerLimit); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		var status struct {
+			Members []struct{ Name, State string }
+		}
+		if err := httpjson.Get(p.set.OperatorAddress, "/v1/status", 5*time.Second, &status); err != nil {
+			continue
+		}
+		for _, m := range status.Members {
+			if m.Name == name && m.State == "Alive" {
+				return
+			}
+		}
+	}
+	t.Fatalf("%s is no member\n%s", name, p.logTail())
+}
+
 func (p *process) logTail() string {
 	b, err := os.ReadFile(p.log)
 	if err != nil {
