daemon: handshakes of peers have no part of the descriptors

At 30 and 100 hosts nothing is wrong. Cause, suspected: 299 hosts that start at once exceed the part of handshakes (440 on 284 MB). Those that are refused or closed return at each tick, and refusing them takes the processor time that the others need.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -13,6 +13,10 @@
 	ownBytes = 64 << 20
 	// minClientShare is the part of a small host's memory that clients get at least: one eighth.
 	minClientShare = 8
+	// handshakeBytes is what a connection of a peer costs that hasn't proved yet who it is. The number
+	// of these is bounded by the descriptors only: peers that are refused return at once, and after a
+	// restart of all hosts those of a large installation would keep each other from being served.
+	handshakeBytes = 32 << 10
 	// minOperatorConnections is what the load balancer, a collector of metrics and operators need.
 	minOperatorConnections = 8
 	// minMemoryBytes, minFiles and maxFiles bound what the operating system reports as those of
@@ -36,7 +40,7 @@
 	clients := max((memoryBytes-ownBytes)/2, memoryBytes/minClientShare)
 	return hostLimits{
 		callers:    httpserver.Limits{Connections: files / 2, Bytes: clients * 9 / 16},
-		peers:      httpserver.Limits{Connections: files / 8, Bytes: clients / 8},
+		peers:      httpserver.Limits{Connections: files, Bytes: clients/8 + int64(files)*handshakeBytes},
 		operators:  httpserver.Limits{Connections: max(files/32, minOperatorConnections), Bytes: clients / 32},
 		collectors: httpserver.Limits{Connections: max(files/32, minOperatorConnections), Bytes: clients / 32},
 		jobBytes:   clients / 4,
