--- /dev/null
+++ b/review/_rig3/daemon.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// daemon is one process of the system, with a relay before its peer address.
+type daemon struct {
+	rec        *record
+	name, zone string
+	binary     string
+	settings   map[string]any
+	file, log  string
+	front      string
+	ready      string
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newDaemon makes the settings of a daemon, as the template of the deploy file does for a small
+// deployment. Peers reach it through a relay at the address advertised.
+func newDaemon(rec *record, dir, binary, name, zone, storeAddress, advertised string, seeds []string) (*daemon, error) {
+	d := &daemon{rec: rec, name: name, zone: zone, binary: binary, file: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"), front: freeAddress(), ready: freeAddress()}
+	d.settings = map[string]any{
+		"Name": name, "Environment": "production", "FailureDomain": zone, "Region": "region", "CallerAddress": d.front, "PeerAddress": freeAddress(),
+		"OperatorAddress": d.ready, "MetricsAddress": freeAddress(), "PlatformAddresses": []string{storeAddress}, "Seeds": seeds,
+		"PeerKey":  strings.Repeat("8f1d6a0c52e94b77", 4),
+		"CPUShare": 0.4, "MemoryMB": 284, "MaxFiles": 4100, "StopLimitMs": 5500, "StopKillSeconds": 6, "ConfigurationApplyMs": 2000,
+		"LogLevel": "info", "Adapter": "Users", "PeerAdvertised": advertised,
+	}
+	b, err := json.Marshal(d.settings)
+	if err != nil {
+		return nil, err
+	}
+	return d, os.WriteFile(d.file, b, 0o600)
+}
+
+func (d *daemon) peerAddress() string { return d.settings["PeerAddress"].(string) }
+
+func (d *daemon) start() error {
+	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(d.binary, "-settings", d.file)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", d.name, err)
+	}
+	exited := make(chan struct{})
+	go func() { _ = cmd.Wait(); close(exited) }()
+	d.mu.Lock()
+	d.cmd, d.exited = cmd, exited
+	d.mu.Unlock()
+	return nil
+}
+
+func (d *daemon) pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil {
+		return 0
+	}
+	return d.cmd.Process.Pid
+}
+
+// kill ends the process with SIGKILL.
+func (d *daemon) kill() {
+	d.mu.Lock()
+	cmd, exited := d.cmd, d.exited
+	d.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(syscall.SIGKILL)
+	<-exited
+}
+
+func (d *daemon) signal(sig syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_ = d.cmd.Process.Signal(sig)
+}
+
+// isReady asks the daemon as the platform's balancer does.
+func (d *daemon) isReady() bool {
+	status, _, _ := request("GET", d.ready, "/ready", "", "", nil, time.Second)
+	return status == 200
+}
