--- a/review/_rig3/cancel.go
+++ b/review/_rig3/cancel.go
@@ -16,7 +16,7 @@
 
 func init() {
 	cases[13] = cancelAtPartitionedDaemon
-	cases[14] = cancelAfterRouteIsDropped
+	cases[15] = cancelAfterRouteIsDropped
 }
 
 // chain returns a job without a copy in the store, whose steps run one after the other.
