--- a/review/_rig3/cancel.go
+++ b/review/_rig3/cancel.go
@@ -8,15 +8,13 @@
 )
 
 const (
-	// cancelTime, ackTime and nodeCut are cancel_ms, ack-ms and the longest node_cut of the site.
+	// cancelTime and ackTime are cancel_ms and ack-ms of the site.
 	cancelTime = 3000 * time.Millisecond
 	ackTime    = 4000 * time.Millisecond
-	nodeCut    = 12 * time.Second
 )
 
 func init() {
-	cases[13] = cancelAtPartitionedDaemon
-	cases[15] = cancelAfterRouteIsDropped
+	cases[14] = cancelAfterRouteIsDropped
 }
 
 // chain returns a job without a copy in the store, whose steps run one after the other.
@@ -64,46 +62,6 @@
 	return nil
 }
 
-// cancelAtPartitionedDaemon: two daemons in zone-1, one in zone-2. edge-2 is cut off from the other
-// two. A client submits a job at edge-1 whose tasks need a label that the executors of zone-2 have,
-// and cancels it at edge-2.
-func cancelAtPartitionedDaemon(c *cluster) (verdict, error) {
-	const id = "5c0e7a21d94b36f8"
-	err := c.start([]string{"zone-1", "zone-1", "zone-2"}, func() error {
-		for _, x := range [][3]string{{"i-1", "zone-1", "a"}, {"i-2", "zone-1", "a"}, {"i-3", "zone-2", "b"}, {"i-4", "zone-2", "b"}} {
-			if err := c.addExecutor(x[0], x[1], x[2], 32000); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-	if err != nil {
-		return verdict{}, err
-	}
-	time.Sleep(4 * time.Second)
-	cutAt := time.Now()
-	if c.trouble {
-		c.net.partition("edge-2")
-		c.rec.add("edge-2 is partitioned from edge-1 and edge-3")
-		time.AfterFunc(nodeCut, func() {
-			c.net.partition()
-			c.rec.add("the partition of edge-2 is over")
-		})
-	}
-	time.Sleep(4 * time.Second)
-	answered := c.post(c.daemons[0], "jobs", id, chain(5, 2000, "b"), "30000")
-	time.Sleep(300 * time.Millisecond)
-	_, acked := c.cancelUntil(c.daemons[1], "jobs", id, cutAt.Add(nodeCut-cancelTime-500*time.Millisecond))
-	if acked.IsZero() {
-		return verdict{text: "the cancelling was not acknowledged in time"}, nil
-	}
-	<-answered
-	if s := c.startAfter(id, acked.Add(cancelTime)); s != nil {
-		return verdict{true, fmt.Sprintf("UNASKED: %s was started on %s %d ms after the cancelling of the job was acknowledged", s.task, s.executor, s.from.Sub(acked).Milliseconds())}, nil
-	}
-	return verdict{text: "no task was started later than cancel_ms after the ack"}, nil
-}
-
 // cancelAfterRouteIsDropped: a job of two steps runs when the operator removes its route. Its client
 // cancels it.
 func cancelAfterRouteIsDropped(c *cluster) (verdict, error) {
--- a/review/_rig3/daemon.go
+++ b/review/_rig3/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -13,9 +14,8 @@
 	"time"
 )
 
-// daemon is one process of the system, with a relay before its peer address.
+// daemon is one process of the system.
 type daemon struct {
-	rec        *record
 	name, zone string
 	binary     string
 	settings   map[string]any
@@ -28,26 +28,36 @@
 	exited chan struct{}
 }
 
-// freeAddress returns a loopback address that nobody listens on.
+// freeAddress returns a loopback address that nobody listens on, below the ports that connections
+// take, so that it is still free when a daemon starts again.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		if !given[address] {
+			given[address] = true
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
+// given has the addresses that freeAddress has returned.
+var given = map[string]bool{}
+
 // newDaemon makes the settings of a daemon, as the template of the deploy file does for a small
-// deployment. Peers reach it through a relay at the address advertised.
-func newDaemon(rec *record, dir, binary, name, zone, storeAddress, advertised string, seeds []string) (*daemon, error) {
-	d := &daemon{rec: rec, name: name, zone: zone, binary: binary, file: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"), front: freeAddress(), ready: freeAddress()}
+// deployment.
+func newDaemon(dir, binary, name, zone, storeAddress, peerAddress string, seeds []string) (*daemon, error) {
+	d := &daemon{name: name, zone: zone, binary: binary, file: filepath.Join(dir, name+".json"), log: filepath.Join(dir, name+".log"), front: freeAddress(), ready: freeAddress()}
 	d.settings = map[string]any{
-		"Name": name, "Environment": "production", "FailureDomain": zone, "Region": "region", "CallerAddress": d.front, "PeerAddress": freeAddress(),
+		"Name": name, "Environment": "production", "FailureDomain": zone, "Region": "region", "CallerAddress": d.front, "PeerAddress": peerAddress,
 		"OperatorAddress": d.ready, "MetricsAddress": freeAddress(), "PlatformAddresses": []string{storeAddress}, "Seeds": seeds,
 		"PeerKey":  strings.Repeat("8f1d6a0c52e94b77", 4),
 		"CPUShare": 0.4, "MemoryMB": 284, "MaxFiles": 4100, "StopLimitMs": 5500, "StopKillSeconds": 6, "ConfigurationApplyMs": 2000,
-		"LogLevel": "info", "Adapter": "Users", "PeerAdvertised": advertised,
+		"LogLevel": "info", "Adapter": "Users",
 	}
 	b, err := json.Marshal(d.settings)
 	if err != nil {
@@ -56,8 +66,6 @@
 	return d, os.WriteFile(d.file, b, 0o600)
 }
 
-func (d *daemon) peerAddress() string { return d.settings["PeerAddress"].(string) }
-
 func (d *daemon) start() error {
 	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -78,15 +86,6 @@
 	return nil
 }
 
-func (d *daemon) pid() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.cmd == nil {
-		return 0
-	}
-	return d.cmd.Process.Pid
-}
-
 // kill ends the process with SIGKILL.
 func (d *daemon) kill() {
 	d.mu.Lock()
@@ -99,12 +98,6 @@
 	<-exited
 }
 
-func (d *daemon) signal(sig syscall.Signal) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_ = d.cmd.Process.Signal(sig)
-}
-
 // isReady asks the daemon as the platform's balancer does.
 func (d *daemon) isReady() bool {
 	status, _, _ := request("GET", d.ready, "/ready", "", "", nil, time.Second)
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -25,7 +25,6 @@
 	trouble   bool
 	store     *store
 	fleet     *fleet
-	net       *network
 	executors []*executor
 	daemons   []*daemon
 	version   int
@@ -50,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	c := &cluster{rec: rec, dir: *dir, binary: *binary, trouble: *trouble, store: newStore(), fleet: &fleet{}, net: newNetwork()}
+	c := &cluster{rec: rec, dir: *dir, binary: *binary, trouble: *trouble, store: newStore(), fleet: &fleet{}}
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -126,25 +125,16 @@
 	if err := add(); err != nil {
 		return err
 	}
-	var relays []net.Listener
-	var seeds []string
+	var peers []string
 	for range zonesOfDaemons {
-		r, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		relays, seeds = append(relays, r), append(seeds, r.Addr().String())
+		peers = append(peers, freeAddress())
 	}
 	for i, zone := range zonesOfDaemons {
-		d, err := newDaemon(c.rec, c.dir, c.binary, fmt.Sprintf("edge-%d", i+1), zone, l.Addr().String(), seeds[i], seeds[:min(3, len(seeds))])
+		d, err := newDaemon(c.dir, c.binary, fmt.Sprintf("edge-%d", i+1), zone, l.Addr().String(), peers[i], peers[:min(3, len(peers))])
 		if err != nil {
 			return err
 		}
 		c.daemons = append(c.daemons, d)
-		c.net.mu.Lock()
-		c.net.daemons[d.name] = d
-		c.net.mu.Unlock()
-		go c.net.relay(relays[i], d.name)
 	}
 	for _, d := range c.daemons {
 		if err := d.start(); err != nil {
--- a/review/_rig3/resend.go
+++ b/review/_rig3/resend.go
@@ -8,7 +8,7 @@
 // patience is how long the client of resentAfterCancel hands its job in again and again.
 const patience = 45 * time.Second
 
-func init() { cases[14] = resentAfterCancel }
+func init() { cases[13] = resentAfterCancel }
 
 // resentAfterCancel: one client waits for a job, another cancels it. The first one is told 502 and hands
 // the job in again, as after any 502.
--- a/review/_rig3/store.go
+++ b/review/_rig3/store.go
@@ -63,12 +63,6 @@
 	s.write(key, b, lease)
 }
 
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.drop(key)
-}
-
 // write, drop and expire are called with mu held.
 func (s *store) write(key string, value []byte, lease uint64) {
 	s.revision++
