--- a/review/_rig3/cancel.go
+++ b/review/_rig3/cancel.go
@@ -33,11 +33,12 @@
 	return fmt.Sprintf(`{"spec":"%d","steps":[%s],"best-effort":true}`, ms, strings.Join(list, ","))
 }
 
-// cancelUntil sends DELETE until it is answered with 2xx or 410, or until a time. It returns the
-// times of the first request and of that answer, which is zero if there was none.
-func (c *cluster) cancelUntil(d *daemon, route, id string, until time.Time) (first, acked time.Time) {
+// cancelUntil sends DELETE to daemons in turn until it is answered with 2xx or 410, or until a time. It
+// returns the times of the first request and of that answer, which is zero if there was none.
+func (c *cluster) cancelUntil(daemons []*daemon, route, id string, until time.Time) (first, acked time.Time) {
 	first = time.Now()
-	for time.Now().Before(until) {
+	for try := 0; time.Now().Before(until); try++ {
+		d := daemons[try%len(daemons)]
 		status, text, retry := request("DELETE", d.front, "/"+route+"/"+id, "", "", nil, 5*time.Second)
 		c.rec.add("client: DELETE /%s/%s at %s is answered %d %s (Retry-After %q)", route, id, d.name, status, text, retry)
 		if status/100 == 2 || status == 410 {
@@ -85,7 +86,7 @@
 		c.dropRoute("jobs")
 		time.Sleep(2 * time.Second)
 	}
-	first, acked := c.cancelUntil(c.daemons[0], "jobs", id, time.Now().Add(ackTime))
+	first, acked := c.cancelUntil(c.daemons, "jobs", id, time.Now().Add(ackTime))
 	cancelled := acked
 	if acked.IsZero() {
 		cancelled = first.Add(ackTime)
--- a/review/_rig3/resend.go
+++ b/review/_rig3/resend.go
@@ -31,7 +31,7 @@
 	time.Sleep(500 * time.Millisecond)
 	var acked time.Time
 	if c.trouble {
-		if _, acked = c.cancelUntil(c.daemons[1], "jobs", id, time.Now().Add(ackTime)); acked.IsZero() {
+		if _, acked = c.cancelUntil(c.daemons[1:2], "jobs", id, time.Now().Add(ackTime)); acked.IsZero() {
 			return verdict{}, fmt.Errorf("the cancelling was not acknowledged")
 		}
 	}
