--- a/review/_rig3/leave.go
+++ b/review/_rig3/leave.go
@@ -16,7 +16,7 @@
 	const id = "5c0e7a21d94b36fa"
 	err := c.start([]string{"zone-1", "zone-1", "zone-2"}, func() error {
 		for _, x := range [][3]string{{"i-1", "zone-1", "a"}, {"i-2", "zone-2", "a"}} {
-			if err := c.addExecutor(x[0], x[1], x[2], 32000); err != nil {
+			if err := c.addExecutor(x[0], x[1], x[2], 16000); err != nil {
 				return err
 			}
 		}
@@ -28,11 +28,11 @@
 	time.Sleep(4 * time.Second)
 	// Clients of zone-2 hand in jobs of the same size.
 	for i := range 5 {
-		<-c.post(c.daemons[2], "jobs", fmt.Sprintf("6d1f8b32ea05c7%02d", i), `{"spec":"60","steps":[{"count":2,"cpu":14000,"mem-mb":64,"estimate-ms":60}],"best-effort":true}`, "1500")
+		<-c.post(c.daemons[2], "jobs", fmt.Sprintf("6d1f8b32ea05c7%02d", i), `{"spec":"60","steps":[{"count":2,"cpu":6800,"mem-mb":64,"estimate-ms":60}],"best-effort":true}`, "1500")
 	}
 	time.Sleep(300 * time.Millisecond)
 	const ms = 3600
-	body := fmt.Sprintf(`{"spec":"%d","steps":[{"count":2,"cpu":14000,"mem-mb":64,"estimate-ms":900}],"best-effort":true}`, ms)
+	body := fmt.Sprintf(`{"spec":"%d","steps":[{"count":2,"cpu":6800,"mem-mb":64,"estimate-ms":900}],"best-effort":true}`, ms)
 	var first net.Conn
 	var mu sync.Mutex
 	answered := make(chan int, 1)
